--- /dev/null
+++ b/src/sesamewood/base/json_check.c
@@ -0,0 +1,209 @@
+#include "base/json_check.h"
+
+#include <stdbool.h>
+#include <string.h>
+
+#define DEPTH_MAX 16
+
+struct scanner {
+	const char *p;
+	const char *end;
+	GString *path;
+	GPtrArray *faults;
+	int depth;
+};
+
+static bool scan_value(struct scanner *s);
+
+static bool fault(struct scanner *s, const char *what)
+{
+	g_ptr_array_add(s->faults, g_strdup_printf("%s: %s", s->path->str, what));
+	return false;
+}
+
+static void skip_space(struct scanner *s)
+{
+	while (s->p < s->end && strchr(" \t\r\n", *s->p) && *s->p)
+		s->p++;
+}
+
+static bool at(struct scanner *s, char c)
+{
+	skip_space(s);
+	return s->p < s->end && *s->p == c;
+}
+
+static bool take(struct scanner *s, char c)
+{
+	if (!at(s, c))
+		return false;
+	s->p++;
+	return true;
+}
+
+static bool scan_escape(struct scanner *s)
+{
+	s->p++;
+	if (s->p >= s->end || !*s->p || !strchr("\"\\/bfnrtu", *s->p))
+		return fault(s, "bad escape in string");
+	if (*s->p == 'u') {
+		for (int i = 1; i <= 4; i++)
+			if (s->p + i >= s->end || !g_ascii_isxdigit(s->p[i]))
+				return fault(s, "bad escape in string");
+		s->p += 4;
+	}
+	s->p++;
+	return true;
+}
+
+static bool scan_string(struct scanner *s)
+{
+	if (!take(s, '"'))
+		return fault(s, "expected a string");
+	while (s->p < s->end && *s->p != '"') {
+		if ((unsigned char)*s->p < ' ')
+			return fault(s, "control character in string");
+		if (*s->p != '\\')
+			s->p++;
+		else if (!scan_escape(s))
+			return false;
+	}
+	if (s->p >= s->end)
+		return fault(s, "unterminated string");
+	s->p++;
+	return true;
+}
+
+static bool scan_digits(struct scanner *s)
+{
+	const char *from = s->p;
+
+	while (s->p < s->end && g_ascii_isdigit(*s->p))
+		s->p++;
+	return s->p > from;
+}
+
+static bool scan_number(struct scanner *s)
+{
+	if (s->p < s->end && *s->p == '-')
+		s->p++;
+	if (s->p + 1 < s->end && *s->p == '0' && g_ascii_isdigit(s->p[1]))
+		return fault(s, "number with a leading zero");
+	if (!scan_digits(s))
+		return fault(s, "expected a value");
+	if (s->p < s->end && *s->p == '.') {
+		s->p++;
+		if (!scan_digits(s))
+			return fault(s, "bad number");
+	}
+	if (s->p < s->end && (*s->p == 'e' || *s->p == 'E')) {
+		s->p++;
+		if (s->p < s->end && (*s->p == '+' || *s->p == '-'))
+			s->p++;
+		if (!scan_digits(s))
+			return fault(s, "bad number");
+	}
+	return true;
+}
+
+static bool scan_member(struct scanner *s, GHashTable *seen)
+{
+	gsize depth = s->path->len;
+	const char *from;
+	char *key;
+	bool ok;
+
+	skip_space(s);
+	from = s->p + 1;
+	if (!scan_string(s))
+		return false;
+	key = g_strndup(from, s->p - from - 1);
+	g_string_append_printf(s->path, ".%s", key);
+	if (!g_hash_table_add(seen, key))
+		return fault(s, "duplicate key");
+	if (!take(s, ':'))
+		return fault(s, "expected ':'");
+	ok = scan_value(s);
+	g_string_truncate(s->path, ok ? depth : s->path->len);
+	return ok;
+}
+
+static bool scan_object(struct scanner *s)
+{
+	g_autoptr(GHashTable) seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+
+	if (take(s, '}'))
+		return true;
+	do {
+		if (!scan_member(s, seen))
+			return false;
+	} while (take(s, ','));
+	return take(s, '}') || fault(s, "expected ',' or '}'");
+}
+
+static bool scan_array(struct scanner *s)
+{
+	if (take(s, ']'))
+		return true;
+	for (int i = 0;; i++) {
+		gsize depth = s->path->len;
+
+		g_string_append_printf(s->path, "[%d]", i);
+		if (!scan_value(s))
+			return false;
+		g_string_truncate(s->path, depth);
+		if (!take(s, ','))
+			break;
+	}
+	return take(s, ']') || fault(s, "expected ',' or ']'");
+}
+
+static bool scan_word(struct scanner *s, const char *word)
+{
+	size_t len = strlen(word);
+
+	if ((size_t)(s->end - s->p) < len || memcmp(s->p, word, len) != 0)
+		return false;
+	s->p += len;
+	return true;
+}
+
+static bool scan_nested(struct scanner *s, bool (*scan)(struct scanner *s))
+{
+	bool ok;
+
+	if (++s->depth > DEPTH_MAX)
+		return fault(s, "nested too deeply");
+	ok = scan(s);
+	s->depth--;
+	return ok;
+}
+
+static bool scan_value(struct scanner *s)
+{
+	if (take(s, '{'))
+		return scan_nested(s, scan_object);
+	if (take(s, '['))
+		return scan_nested(s, scan_array);
+	if (at(s, '"'))
+		return scan_string(s);
+	if (scan_word(s, "true") || scan_word(s, "false") || scan_word(s, "null"))
+		return true;
+	return scan_number(s);
+}
+
+void json_check(const char *text, size_t len, GPtrArray *faults)
+{
+	g_autoptr(GString) path = g_string_new("$");
+	struct scanner s = {.p = text, .end = text + len, .path = path, .faults = faults};
+
+	if (!g_utf8_validate_len(text, len, NULL)) {
+		fault(&s, "not UTF-8, or contains NUL");
+		return;
+	}
+	if (!scan_value(&s))
+		return;
+	skip_space(&s);
+	if (s.p != s.end)
+		fault(&s, "text after the end");
+}
--- /dev/null
+++ b/src/sesamewood/control/fs.c
@@ -0,0 +1,156 @@
+#include "control/fs.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#define FILE_MODE 0600
+#define FOLDER_MODE 0700
+#define NO_FILE (-1)
+
+struct folder {
+	int fd;
+	char *path;
+	char *open_name; ///< file that append() used last
+	int open_fd;
+};
+
+static bool open_file(struct folder *f, const char *name)
+{
+	if (f->open_fd != NO_FILE && g_str_equal(f->open_name, name))
+		return true;
+	if (f->open_fd != NO_FILE)
+		close(f->open_fd);
+	g_free(f->open_name);
+	f->open_name = g_strdup(name);
+	f->open_fd = openat(f->fd, name, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, FILE_MODE);
+	return f->open_fd != NO_FILE;
+}
+
+static void forget_open_file(struct folder *f)
+{
+	if (f->open_fd != NO_FILE)
+		close(f->open_fd);
+	f->open_fd = NO_FILE;
+}
+
+static bool folder_append(void *ctx, const char *name, const void *data, size_t len)
+{
+	struct folder *f = ctx;
+	const char *p = data;
+
+	if (!open_file(f, name))
+		return false;
+	while (len) {
+		ssize_t n = write(f->open_fd, p, len);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0)
+			return false;
+		p += n;
+		len -= n;
+	}
+	return true;
+}
+
+static bool folder_sync(void *ctx, const char *name)
+{
+	struct folder *f = ctx;
+
+	return open_file(f, name) && fdatasync(f->open_fd) == 0;
+}
+
+static bool folder_sync_folder(void *ctx)
+{
+	return fsync(((struct folder *)ctx)->fd) == 0;
+}
+
+static bool folder_rename(void *ctx, const char *from, const char *to)
+{
+	struct folder *f = ctx;
+
+	forget_open_file(f);
+	return renameat(f->fd, from, f->fd, to) == 0;
+}
+
+static bool folder_remove(void *ctx, const char *name)
+{
+	struct folder *f = ctx;
+
+	forget_open_file(f);
+	return unlinkat(f->fd, name, 0) == 0 || errno == ENOENT;
+}
+
+static bool folder_truncate(void *ctx, const char *name, size_t len)
+{
+	struct folder *f = ctx;
+
+	return open_file(f, name) && ftruncate(f->open_fd, (off_t)len) == 0;
+}
+
+static GByteArray *folder_read(void *ctx, const char *name)
+{
+	struct folder *f = ctx;
+	g_autofree char *path = g_build_filename(f->path, name, NULL);
+	char *data;
+	gsize len;
+
+	if (!g_file_get_contents(path, &data, &len, NULL))
+		return NULL;
+	return g_byte_array_new_take((guint8 *)data, len);
+}
+
+static int compare_text(gconstpointer a, gconstpointer b)
+{
+	return g_strcmp0(*(char *const *)a, *(char *const *)b);
+}
+
+static char **folder_list(void *ctx)
+{
+	struct folder *f = ctx;
+	GPtrArray *names = g_ptr_array_new();
+	g_autoptr(GDir) dir = g_dir_open(f->path, 0, NULL);
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir)))
+		g_ptr_array_add(names, g_strdup(name));
+	g_ptr_array_sort(names, compare_text);
+	g_ptr_array_add(names, NULL);
+	return (char **)g_ptr_array_free(names, FALSE);
+}
+
+static const struct fs_ops folder_ops = {
+	.append = folder_append,
+	.sync = folder_sync,
+	.sync_folder = folder_sync_folder,
+	.rename = folder_rename,
+	.remove = folder_remove,
+	.truncate = folder_truncate,
+	.read = folder_read,
+	.list = folder_list,
+};
+
+bool fs_open_folder(struct fs *fs, const char *path)
+{
+	struct folder *f;
+	int fd;
+
+	if (g_mkdir_with_parents(path, FOLDER_MODE) < 0)
+		return false;
+	fd = open(path, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	if (fd < 0)
+		return false;
+	if (flock(fd, LOCK_EX | LOCK_NB) < 0) {
+		close(fd);
+		return false;
+	}
+	f = g_new0(struct folder, 1);
+	*f = (struct folder){.fd = fd, .path = g_strdup(path), .open_fd = NO_FILE};
+	fs->ops = &folder_ops;
+	fs->ctx = f;
+	return true;
+}
--- /dev/null
+++ b/src/sesamewood/control/main.c
@@ -0,0 +1,571 @@
+/// @file
+/// sesamewood-control: the shell around the control reducer. Turns I/O into events and effects
+/// into I/O.
+
+#include "base/codec.h"
+#include "base/http_server.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "base/options.h"
+#include "control/control.h"
+#include "control/storage.h"
+#include "rpc/rpc_client.h"
+#include "rpc/rpc_server.h"
+
+#include <errno.h>
+#include <ev.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+#define TICK_S 0.02
+#define PEER_CALL_TIMEOUT_MS 2000
+#define FORWARD_TIMEOUT_MS 5000
+#define DRAIN_S 0.2
+#define EXIT_FAULT 1
+#define EXIT_DISK 3
+#define HTTP_OK 200
+#define HTTP_BAD_REQUEST 400
+#define HTTP_UNAUTHORIZED 401
+#define HTTP_UNPROCESSABLE 422
+#define HTTP_UNAVAILABLE 503
+
+static struct option options[] = {
+	{"node", OPTION_NUMBER, NULL, 1, RAFT_NODES_MAX, "", NULL, "Own number among the replicas",
+	 NULL, 0},
+	{"peers", OPTION_LIST, NULL, 0, 0, "", "1=IP:port,2=IP:port,…, own one included",
+	 "RPC addresses of all replicas", NULL, 0},
+	{"data", OPTION_TEXT, NULL, 0, 0, "", "a folder", "Data folder", NULL, 0},
+	{"admin", OPTION_ADDRESS, "127.0.0.1:7700", 0, 0, "", "IP:port",
+	 "Administration and metrics listener", NULL, 0},
+	{"token-file", OPTION_TEXT, "", 0, 0, "", "a file",
+	 "Bearer token of the administration API; needed unless it listens on loopback", NULL, 0},
+	{"lease", OPTION_NUMBER, "2000", 200, 60000, "ms", NULL, "Lease of an entry", NULL, 0},
+	{"lease-margin", OPTION_NUMBER, "200", 0, 60000, "ms", NULL,
+	 "Added to a lease for differing clock rates", NULL, 0},
+	{"deadline-max", OPTION_NUMBER, "30000", 100, 600000, "ms", NULL,
+	 "Longest deadline of any route", NULL, 0},
+	{"election", OPTION_NUMBER, "300", 20, 60000, "ms", NULL, "Least election timeout", NULL,
+	 0},
+	{"heartbeat", OPTION_NUMBER, "80", 5, 10000, "ms", NULL, "Interval of heartbeats", NULL, 0},
+	{"suspect", OPTION_NUMBER, "3000", 100, 600000, "ms", NULL,
+	 "Silence after which an instance counts as out", NULL, 0},
+	{"forget", OPTION_NUMBER, "30000", 100, 86400000, "ms", NULL,
+	 "Silence after which an instance loses its pool", NULL, 0},
+	{"probation", OPTION_NUMBER, "10000", 0, 3600000, "ms", NULL,
+	 "An instance that came back counts as out this long", NULL, 0},
+	{"snapshot-records", OPTION_NUMBER, "10000", 10, 1000000, "records", NULL,
+	 "Log records between snapshots", NULL, 0},
+	{"policy", OPTION_CHOICE, "on", 0, 0, "", "on|off", "Move instances on demand", NULL, 0},
+	{"log-level", OPTION_CHOICE, "info", 0, 0, "", "error|warning|info|debug",
+	 "Least severe level logged", NULL, 0},
+	{0},
+};
+
+/// Who waits for a reply of the reducer.
+struct caller {
+	struct rpc_request *rpc;
+	struct http_request *http;
+};
+
+struct peer {
+	uint32_t node;
+	struct rpc_client *client;
+};
+
+struct shell {
+	struct ev_loop *loop;
+	struct control *control;
+	struct storage *storage;
+	struct http_server *http;
+	GHashTable *callers; ///< struct caller by token
+	uint64_t next_token;
+	struct peer peers[RAFT_NODES_MAX];
+	unsigned int n_peers;
+	char *token; ///< bearer token, or NULL
+	ev_prepare before_wait;
+	ev_timer tick;
+	ev_signal terminate;
+	ev_timer exit_timer;
+	bool pending; ///< events were handled since the last flush
+	bool draining;
+	struct metric *sync_ms;
+};
+
+/* Events. */
+
+static void step(struct shell *sh, struct control_event event)
+{
+	event.wall_ms = clock_wall();
+	control_step(sh->control, clock_monotonic(), &event);
+	sh->pending = true;
+}
+
+static uint64_t add_caller(struct shell *sh, struct rpc_request *rpc, struct http_request *http)
+{
+	struct caller *caller = g_new0(struct caller, 1);
+	uint64_t token = ++sh->next_token;
+
+	*caller = (struct caller){.rpc = rpc, .http = http};
+	g_hash_table_insert(sh->callers, GSIZE_TO_POINTER(token), caller);
+	return token;
+}
+
+static void on_rpc(void *ctx, struct rpc_request *req, uint32_t proc, const void *args)
+{
+	struct shell *sh = ctx;
+	struct control_event event = {0};
+
+	switch (proc) {
+	case SW_PROC_RAFT:
+		event.type = CONTROL_MESSAGE;
+		event.u.message = args;
+		rpc_request_reply(req, NULL);
+		step(sh, event);
+		return;
+	case SW_PROC_RENEW:
+		event.type = CONTROL_RENEW;
+		event.u.renew = args;
+		break;
+	case SW_PROC_WATCH:
+		event.type = CONTROL_WATCH;
+		event.u.watch = args;
+		break;
+	case SW_PROC_CLAIM:
+		event.type = CONTROL_CLAIM;
+		event.u.claim = args;
+		break;
+	case SW_PROC_ADMIN:
+		event.type = CONTROL_ADMIN;
+		event.u.admin = args;
+		break;
+	default:
+		rpc_request_refuse(req);
+		return;
+	}
+	event.token = add_caller(sh, req, NULL);
+	step(sh, event);
+}
+
+/* Replies. */
+
+static void reply_http(struct http_request *req, const sw_admin_reply *r)
+{
+	const struct http_header headers[] = {
+		{"Content-Type", r->content_type},
+		{*r->etag ? "ETag" : NULL, r->etag},
+		{NULL, NULL},
+	};
+
+	http_reply(req, r->http_status, headers, r->body.sw_blob_val, r->body.sw_blob_len);
+}
+
+static void send_replies(struct shell *sh)
+{
+	g_autoptr(GPtrArray) replies = control_take_replies(sh->control);
+
+	for (guint i = 0; i < replies->len; i++) {
+		const struct control_reply *r = replies->pdata[i];
+		struct caller *caller =
+			g_hash_table_lookup(sh->callers, GSIZE_TO_POINTER(r->token));
+
+		if (!caller)
+			continue;
+		if (caller->rpc)
+			rpc_request_reply(caller->rpc, &r->u);
+		else
+			reply_http(caller->http, &r->u.admin);
+		g_hash_table_remove(sh->callers, GSIZE_TO_POINTER(r->token));
+	}
+}
+
+/* Effects of replication. */
+
+static struct rpc_client *client_of(const struct shell *sh, uint32_t node)
+{
+	for (unsigned int i = 0; i < sh->n_peers; i++)
+		if (sh->peers[i].node == node)
+			return sh->peers[i].client;
+	return NULL;
+}
+
+static void write_effects(struct shell *sh, GPtrArray *effects)
+{
+	g_autoptr(GError) error = NULL;
+	clock_ms_t from = clock_monotonic();
+
+	if (!storage_write(sh->storage, effects, &error)) {
+		log_error("cannot store state; stopping", "ERROR", error->message);
+		exit(EXIT_DISK);
+	}
+	metrics_observe(sh->sync_ms, clock_monotonic() - from);
+}
+
+static void send_effects(struct shell *sh, GPtrArray *effects)
+{
+	for (guint i = 0; i < effects->len; i++) {
+		const struct raft_effect *e = effects->pdata[i];
+		struct rpc_client *client;
+
+		if (e->type != RAFT_SEND)
+			continue;
+		client = client_of(sh, e->u.message.to);
+		if (client)
+			rpc_client_call(client, SW_PROC_RAFT, &e->u.message, PEER_CALL_TIMEOUT_MS,
+					NULL, NULL);
+	}
+}
+
+static bool needs_storage(const GPtrArray *effects)
+{
+	for (guint i = 0; i < effects->len; i++)
+		if (((struct raft_effect *)effects->pdata[i])->type != RAFT_SEND)
+			return true;
+	return false;
+}
+
+/// Ends a batch of events: stores, sends, applies and answers until nothing is left to do.
+static void flush(struct shell *sh)
+{
+	for (;;) {
+		g_autoptr(GPtrArray) effects = NULL;
+
+		control_step(
+			sh->control, clock_monotonic(),
+			&(struct control_event){.type = CONTROL_FLUSH, .wall_ms = clock_wall()});
+		effects = raft_take_effects(sh->control->raft);
+		if (!effects->len)
+			break;
+		if (needs_storage(effects)) {
+			write_effects(sh, effects);
+			control_step(sh->control, clock_monotonic(),
+				     &(struct control_event){.type = CONTROL_PERSISTED});
+		}
+		send_effects(sh, effects);
+	}
+	send_replies(sh);
+	sh->pending = false;
+}
+
+static void on_before_wait(struct ev_loop *loop, ev_prepare *w, int revents)
+{
+	struct shell *sh = w->data;
+
+	(void)loop;
+	(void)revents;
+	if (sh->pending)
+		flush(sh);
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	(void)loop;
+	(void)revents;
+	step(w->data, (struct control_event){.type = CONTROL_TICK});
+}
+
+/* Administration. */
+
+static bool is_authorized(const struct shell *sh, const struct http_request *req)
+{
+	const char *header = http_header(req, "Authorization");
+	g_autofree char *expected = NULL;
+	unsigned char differ = 0;
+	size_t len;
+
+	if (!sh->token)
+		return true;
+	expected = g_strconcat("Bearer ", sh->token, NULL);
+	len = strlen(expected);
+	if (!header || strlen(header) != len)
+		return false;
+	for (size_t i = 0; i < len; i++)
+		differ |= (unsigned char)(header[i] ^ expected[i]);
+	return !differ;
+}
+
+static void on_forwarded(void *ctx, enum rpc_result result, const void *reply)
+{
+	struct http_request *req = ctx;
+	const sw_admin_reply *r = reply;
+
+	if (result != RPC_ANSWERED)
+		http_reply_problem(req, HTTP_UNAVAILABLE,
+				   "the leader did not answer; the change may have been accepted",
+				   NULL);
+	else
+		reply_http(req, r);
+}
+
+static char *text_or_empty(const char *text)
+{
+	return (char *)(text ? text : "");
+}
+
+static void handle_admin(struct shell *sh, struct http_request *req)
+{
+	g_autofree char *text = http_body_text(req);
+	uint32_t leader = raft_leader(sh->control->raft);
+	struct rpc_client *client = client_of(sh, leader);
+	sw_admin_args args = {
+		.method = (char *)http_method(req),
+		.path = (char *)http_target(req),
+		.if_match = text_or_empty(http_header(req, "If-Match")),
+		.request_id = text_or_empty(http_header(req, "Request-Id")),
+		.body = text,
+	};
+
+	if (!text) {
+		http_reply_problem(req, HTTP_UNPROCESSABLE, "the body contains a NUL byte", NULL);
+		return;
+	}
+	if (strlen(args.request_id) > SW_NAME_MAX || strlen(args.if_match) > SW_NAME_MAX) {
+		http_reply_problem(req, HTTP_BAD_REQUEST, "If-Match or Request-Id is too long",
+				   NULL);
+		return;
+	}
+	if (client) {
+		rpc_client_call(client, SW_PROC_ADMIN, &args, FORWARD_TIMEOUT_MS, on_forwarded,
+				req);
+		return;
+	}
+	step(sh, (struct control_event){
+			 .type = CONTROL_ADMIN,
+			 .token = add_caller(sh, NULL, req),
+			 .u.admin = &args,
+		 });
+}
+
+static void reply_health(struct shell *sh, struct http_request *req)
+{
+	bool healthy = !sh->draining && raft_leader(sh->control->raft) != 0;
+
+	http_reply(req, healthy ? HTTP_OK : HTTP_UNAVAILABLE, NULL,
+		   healthy ? "ok\n" : "no leader\n", healthy ? 3 : 10);
+}
+
+static void set_gauge(const char *name, const char *help, uint64_t value)
+{
+	metrics_set(metrics_get(METRIC_GAUGE, name, "", help), value);
+}
+
+static void reply_metrics(struct shell *sh, struct http_request *req)
+{
+	const struct control *c = sh->control;
+	g_autofree char *text = NULL;
+
+	set_gauge("sesamewood_control_leader", "1 on the leading replica",
+		  raft_role(c->raft) == RAFT_LEADER);
+	set_gauge("sesamewood_control_term", "current term", raft_term(c->raft));
+	set_gauge("sesamewood_control_commit_index", "last committed record",
+		  raft_commit_index(c->raft));
+	set_gauge("sesamewood_control_instances", "instances known",
+		  g_hash_table_size(c->fleet->by_name));
+	set_gauge("sesamewood_control_claims", "idempotency keys held",
+		  g_hash_table_size(c->fleet->claims));
+	set_gauge("sesamewood_control_moves_total", "instances that changed pools",
+		  c->fleet->moves);
+	text = metrics_text();
+	http_reply(req, HTTP_OK, NULL, text, strlen(text));
+}
+
+static void on_http_request(void *ctx, struct http_request *req)
+{
+	struct shell *sh = ctx;
+
+	if (g_str_equal(http_target(req), "/healthz"))
+		reply_health(sh, req);
+	else if (!is_authorized(sh, req))
+		http_reply_problem(req, HTTP_UNAUTHORIZED, "a bearer token is needed", NULL);
+	else if (g_str_equal(http_target(req), "/metrics"))
+		reply_metrics(sh, req);
+	else
+		handle_admin(sh, req);
+}
+
+static const struct http_handlers http_handlers = {.on_request = on_http_request};
+
+/* Start and stop. */
+
+static void fault(const char *flag, const char *value, const char *what)
+{
+	g_printerr("--%s: wrong value '%s'; allowed: %s\n", flag, value, what);
+	exit(2);
+}
+
+/// Reads --peers; connects to all but the own node.
+///
+/// @return own address
+static char *read_peers(struct shell *sh, struct raft_settings *raft)
+{
+	const struct option *o = options_get(options, "peers");
+	g_auto(GStrv) items = g_strsplit(o->value, ",", -1);
+	char *own = NULL;
+
+	for (unsigned int i = 0; items[i]; i++) {
+		char *end;
+		unsigned long node = strtoul(items[i], &end, 10);
+
+		if (i >= RAFT_NODES_MAX || !node || node > RAFT_NODES_MAX || *end != '=' ||
+		    !options_split_address(end + 1, NULL, NULL))
+			fault(o->name, o->value, o->range_text);
+		raft->nodes[i] = node;
+		if (node == raft->node) {
+			own = g_strdup(end + 1);
+			continue;
+		}
+		sh->peers[sh->n_peers].node = node;
+		sh->peers[sh->n_peers++].client = rpc_client_new(sh->loop, end + 1);
+	}
+	if (!own)
+		fault(o->name, o->value, "a list that holds the own node");
+	return own;
+}
+
+static void read_token(struct shell *sh)
+{
+	const char *path = options_text(options, "token-file");
+	const char *admin = options_text(options, "admin");
+
+	if (!*path) {
+		if (!g_str_has_prefix(admin, "127."))
+			fault("admin", admin, "a loopback address, unless --token-file is set");
+		return;
+	}
+	if (!g_file_get_contents(path, &sh->token, NULL, NULL) || !*g_strstrip(sh->token))
+		fault("token-file", path, "a readable file that holds a token");
+}
+
+static void on_exit_timer(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	struct shell *sh = w->data;
+
+	(void)revents;
+	if (http_server_active(sh->http))
+		return;
+	log_info("stopped");
+	ev_break(loop, EVBREAK_ALL);
+}
+
+static void on_terminate(struct ev_loop *loop, ev_signal *w, int revents)
+{
+	struct shell *sh = w->data;
+
+	(void)revents;
+	if (sh->draining)
+		return;
+	log_info("stopping");
+	sh->draining = true;
+	http_server_drain(sh->http);
+	ev_timer_start(loop, &sh->exit_timer);
+}
+
+static uint64_t random_uid(void)
+{
+	uint64_t uid = 0;
+
+	while (!uid)
+		if (getrandom(&uid, sizeof(uid), 0) < 0)
+			exit(EXIT_FAULT);
+	return uid;
+}
+
+static struct control_settings read_settings(void)
+{
+	return (struct control_settings){
+		.raft =
+			{
+				.node = options_number(options, "node"),
+				.uid = random_uid(),
+				.election_ms = options_number(options, "election"),
+				.heartbeat_ms = options_number(options, "heartbeat"),
+				.keep_records = 1000,
+				.seed = random_uid(),
+			},
+		.lease_ms = options_number(options, "lease"),
+		.lease_margin_ms = options_number(options, "lease-margin"),
+		.deadline_max_ms = options_number(options, "deadline-max"),
+		.suspect_ms = options_number(options, "suspect"),
+		.forget_ms = options_number(options, "forget"),
+		.probation_ms = options_number(options, "probation"),
+		.snapshot_records = options_number(options, "snapshot-records"),
+		.policy = g_str_equal(options_text(options, "policy"), "on"),
+	};
+}
+
+static void open_storage(struct shell *sh, struct raft_recovered *recovered)
+{
+	const char *path = options_text(options, "data");
+	g_autoptr(GError) error = NULL;
+	struct fs fs;
+
+	if (!fs_open_folder(&fs, path)) {
+		log_error("cannot open the data folder", "PATH", path, "ERROR", g_strerror(errno));
+		exit(EXIT_DISK);
+	}
+	sh->storage = storage_open(fs, recovered, &error);
+	if (!sh->storage) {
+		log_error("cannot use the data folder", "PATH", path, "ERROR", error->message);
+		exit(EXIT_DISK);
+	}
+}
+
+static void start_watchers(struct shell *sh)
+{
+	ev_prepare_init(&sh->before_wait, on_before_wait);
+	ev_timer_init(&sh->tick, on_tick, TICK_S, TICK_S);
+	ev_signal_init(&sh->terminate, on_terminate, SIGTERM);
+	ev_timer_init(&sh->exit_timer, on_exit_timer, DRAIN_S, DRAIN_S);
+	sh->before_wait.data = sh;
+	sh->tick.data = sh;
+	sh->terminate.data = sh;
+	sh->exit_timer.data = sh;
+	ev_prepare_start(sh->loop, &sh->before_wait);
+	ev_timer_start(sh->loop, &sh->tick);
+	ev_signal_start(sh->loop, &sh->terminate);
+}
+
+static void listen_or_exit(struct shell *sh, const char *rpc_address)
+{
+	const char *admin = options_text(options, "admin");
+	const struct http_limits limits = {
+		.head_bytes = 16384,
+		.body_bytes = SW_TABLE_MAX,
+		.connections = 256,
+		.idle_s = 60,
+	};
+
+	sh->http = http_server_new(sh->loop, admin, &limits, &http_handlers, sh);
+	if (!sh->http || !rpc_server_new(sh->loop, rpc_address, on_rpc, sh)) {
+		log_error("cannot listen", "RPC", rpc_address, "ADMIN", admin, "ERROR",
+			  g_strerror(errno));
+		exit(EXIT_FAULT);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	struct shell sh = {.loop = ev_default_loop(0)};
+	struct raft_recovered recovered;
+	struct control_settings settings;
+	g_autofree char *address = NULL;
+
+	options_parse(options, "Replicated control of a sesamewood fleet.", &argc, &argv, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	log_init("sesamewood-control", options_text(options, "node"),
+		 options_text(options, "log-level"));
+	settings = read_settings();
+	address = read_peers(&sh, &settings.raft);
+	read_token(&sh);
+	open_storage(&sh, &recovered);
+	sh.callers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	sh.sync_ms = metrics_get(METRIC_HISTOGRAM, "sesamewood_control_sync_ms", "",
+				 "time to store one batch of log records, ms");
+	sh.control = control_new(&settings, &recovered, clock_monotonic());
+	listen_or_exit(&sh, address);
+	start_watchers(&sh);
+	log_info("started", "RPC", address, "ADMIN", options_text(options, "admin"));
+	ev_run(sh.loop, 0);
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/src/sesamewood/control/moves.c
@@ -0,0 +1,376 @@
+#include "control/moves.h"
+
+#include "control/budget.h"
+#include "control/sessions.h"
+
+#include <string.h>
+
+static struct health *health_of(struct control *c, const sw_instance *i)
+{
+	if (i->id >= c->health->len)
+		g_array_set_size(c->health, i->id + 1);
+	return &g_array_index(c->health, struct health, i->id);
+}
+
+static void update_one(struct control *c, clock_ms_t now, const sw_instance *i)
+{
+	struct health *h = health_of(c, i);
+
+	if (h->incarnation != i->endpoint.incarnation) {
+		bool known = h->incarnation != 0;
+
+		*h = (struct health){
+			.incarnation = i->endpoint.incarnation,
+			.heard_at = now,
+			.probation_until = known ? now + c->settings.probation_ms : 0,
+			.proposed_index = h->proposed_index,
+		};
+	}
+	if (now - h->heard_at > c->settings.suspect_ms) {
+		h->suspected = true;
+	} else if (h->suspected) {
+		h->suspected = false;
+		h->probation_until = now + c->settings.probation_ms;
+	}
+	if (!i->dirty)
+		h->dirty_since = 0;
+	else if (!h->dirty_since)
+		h->dirty_since = now;
+}
+
+void moves_update_health(struct control *c, clock_ms_t now)
+{
+	for (guint n = 0; n < c->fleet->instances->len; n++)
+		if (c->fleet->instances->pdata[n])
+			update_one(c, now, c->fleet->instances->pdata[n]);
+}
+
+static void propose(struct control *c, const sw_instance *i, const sw_command *command)
+{
+	health_of(c, i)->proposed_index = control_propose(c, command);
+}
+
+static void propose_grant(struct control *c, const sw_instance *i, const char *pool,
+			  const char *entry, bool unclean)
+{
+	bool lent = *pool && !g_str_equal(pool, i->home);
+	sw_command command = {
+		.type = SW_COMMAND_GRANT,
+		.sw_command_u.grant =
+			{
+				.instance = i->endpoint.instance,
+				.epoch = i->epoch,
+				.pool = (char *)pool,
+				.entry = (char *)entry,
+				.lent = lent,
+				.unclean = unclean,
+			},
+	};
+
+	propose(c, i, &command);
+}
+
+static void propose_revoke(struct control *c, const sw_instance *i, const char *target,
+			   sw_reason reason)
+{
+	sw_command command = {
+		.type = SW_COMMAND_REVOKE,
+		.sw_command_u.revoke =
+			{
+				.instance = i->endpoint.instance,
+				.epoch = i->epoch,
+				.target = (char *)target,
+				.reason = reason,
+			},
+	};
+
+	propose(c, i, &command);
+}
+
+/* Choice of an entry. */
+
+static uint32_t count_granted(const struct control *c, const char *entry, const char *pool)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < c->fleet->instances->len; i++) {
+		const sw_instance *instance = c->fleet->instances->pdata[i];
+
+		if (instance && g_str_equal(instance->entry, entry) &&
+		    (!pool || g_str_equal(instance->pool, pool)))
+			n++;
+	}
+	return n;
+}
+
+/// @return the attached entry with fewest instances of the pool, then of all pools; or NULL
+static const char *choose_entry(const struct control *c, clock_ms_t now, const char *pool)
+{
+	const char *best = NULL;
+	uint64_t best_score = UINT64_MAX;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, c->sessions);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct session *s = value;
+		uint64_t score;
+
+		if (s->draining || now >= s->lease_until)
+			continue;
+		score = (uint64_t)count_granted(c, s->entry, pool) << 32 |
+			count_granted(c, s->entry, NULL);
+		if (score < best_score || (score == best_score && strcmp(s->entry, best) < 0)) {
+			best = s->entry;
+			best_score = score;
+		}
+	}
+	return best;
+}
+
+/* The state of an owner. */
+
+static bool owner_alive(const struct control *c, clock_ms_t now, const sw_instance *i)
+{
+	const struct session *s = g_hash_table_lookup(c->sessions, i->entry);
+
+	if (s)
+		return now < s->lease_until;
+	return now < c->leading_since + c->settings.lease_ms + c->settings.lease_margin_ms;
+}
+
+/// When the last request that a lapsed owner may have started has ended.
+static clock_ms_t owner_clean_at(const struct control *c, const sw_instance *i)
+{
+	const struct session *s = g_hash_table_lookup(c->sessions, i->entry);
+	clock_ms_t lapsed =
+		s ? s->lease_until
+		  : c->leading_since + c->settings.lease_ms + c->settings.lease_margin_ms;
+
+	return lapsed + c->settings.deadline_max_ms;
+}
+
+static bool is_acked(const struct control *c, clock_ms_t now, const sw_instance *i)
+{
+	const struct session *s = g_hash_table_lookup(c->sessions, i->entry);
+	const uint64_t *epoch;
+
+	if (!s || now < s->clean_after)
+		return false;
+	epoch = g_hash_table_lookup(s->acks, i->endpoint.instance);
+	return epoch && *epoch == i->epoch;
+}
+
+/// Tells whether requests of earlier owners may still run on the instance.
+static bool is_dirty(struct control *c, clock_ms_t now, const sw_instance *i)
+{
+	const struct health *h = health_of(c, i);
+
+	return i->dirty && (!h->dirty_since || now < h->dirty_since + c->settings.lease_ms +
+							       c->settings.lease_margin_ms +
+							       c->settings.deadline_max_ms);
+}
+
+static void propose_clean(struct control *c, const sw_instance *i)
+{
+	sw_command command = {
+		.type = SW_COMMAND_CLEAN,
+		.sw_command_u.clean = {.instance = i->endpoint.instance, .epoch = i->epoch},
+	};
+
+	propose(c, i, &command);
+}
+
+/* One instance. */
+
+static void place(struct control *c, clock_ms_t now, const sw_instance *i, const char *pool,
+		  bool unclean)
+{
+	const char *entry = *pool ? choose_entry(c, now, pool) : "";
+
+	if (entry)
+		propose_grant(c, i, pool, entry, unclean);
+}
+
+static void decide_idle(struct control *c, clock_ms_t now, const sw_instance *i)
+{
+	const struct health *h = health_of(c, i);
+	const char *desired = fleet_desired_pool(c->fleet, i);
+	sw_command forget = {
+		.type = SW_COMMAND_FORGET,
+		.sw_command_u.forget =
+			{
+				.instance = i->endpoint.instance,
+				.incarnation = i->endpoint.incarnation,
+			},
+	};
+
+	if (is_dirty(c, now, i))
+		return;
+	if (i->dirty)
+		propose_clean(c, i);
+	else if (now - h->heard_at > c->settings.forget_ms)
+		propose(c, i, &forget);
+	else if (*desired && !h->suspected)
+		place(c, now, i, desired, false);
+	else if (!*desired && *i->pool)
+		propose_grant(c, i, "", "", false);
+}
+
+static void decide_revoking(struct control *c, clock_ms_t now, const sw_instance *i)
+{
+	bool same_pool = g_str_equal(i->target, i->pool);
+	const char *target = i->endpoint.leaving ? "" : i->target;
+
+	if (*target && !tables_pool(c->fleet->tables, target))
+		target = i->home;
+	if (is_acked(c, now, i)) {
+		if (same_pool || !is_dirty(c, now, i))
+			place(c, now, i, target, false);
+		return;
+	}
+	if (owner_alive(c, now, i))
+		return;
+	if (now >= owner_clean_at(c, i) && !is_dirty(c, now, i))
+		place(c, now, i, target, false);
+	else if (same_pool && *target)
+		place(c, now, i, target, true);
+}
+
+static void decide_active(struct control *c, clock_ms_t now, const sw_instance *i)
+{
+	const struct session *s = g_hash_table_lookup(c->sessions, i->entry);
+	const struct health *h = health_of(c, i);
+	const char *desired = fleet_desired_pool(c->fleet, i);
+
+	if (i->endpoint.leaving)
+		propose_revoke(c, i, "", SW_REASON_LEAVING);
+	else if (now - h->heard_at > c->settings.forget_ms)
+		propose_revoke(c, i, "", SW_REASON_FAILED);
+	else if (!g_str_equal(desired, i->pool))
+		propose_revoke(c, i, desired, SW_REASON_TABLE);
+	else if (!owner_alive(c, now, i))
+		place(c, now, i, i->pool, true);
+	else if (s && s->draining && choose_entry(c, now, i->pool))
+		propose_revoke(c, i, i->pool, SW_REASON_ENTRY);
+	else if (i->dirty && !is_dirty(c, now, i))
+		propose_clean(c, i);
+}
+
+static void decide_one(struct control *c, clock_ms_t now, const sw_instance *i)
+{
+	if (health_of(c, i)->proposed_index > c->fleet->applied_index)
+		return;
+	switch (i->phase) {
+	case SW_PHASE_IDLE:
+		decide_idle(c, now, i);
+		break;
+	case SW_PHASE_ACTIVE:
+		decide_active(c, now, i);
+		break;
+	case SW_PHASE_REVOKING:
+		decide_revoking(c, now, i);
+		break;
+	}
+}
+
+/* Moves on demand. */
+
+static void add_reports(const struct control *c, clock_ms_t now, struct policy_pool *p)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, c->sessions);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct session *s = value;
+
+		for (guint i = 0; i < s->reports->len && now < s->lease_until; i++) {
+			const sw_pool_report *r = s->reports->pdata[i];
+
+			if (!g_str_equal(r->pool, p->config->name))
+				continue;
+			p->in_use += r->in_use;
+			p->queued += r->queued;
+			p->oldest_wait_ms = MAX(p->oldest_wait_ms, r->oldest_wait_ms);
+		}
+	}
+}
+
+static struct policy_pool observe_pool(const struct control *c, clock_ms_t now,
+				       const struct pool *pool)
+{
+	struct policy_pool p = {.config = pool};
+
+	for (guint n = 0; n < c->fleet->instances->len; n++) {
+		const sw_instance *i = c->fleet->instances->pdata[n];
+
+		if (!i)
+			continue;
+		if (g_str_equal(i->pool, pool->name) && i->phase == SW_PHASE_ACTIVE &&
+		    !g_array_index(c->health, struct health, i->id).suspected) {
+			p.serving++;
+			p.slots += i->endpoint.slots;
+		} else if (i->phase == SW_PHASE_REVOKING && g_str_equal(i->target, pool->name)) {
+			p.arriving++;
+		}
+	}
+	add_reports(c, now, &p);
+	return p;
+}
+
+/// @return the instance of pool @p from that best moves to @p to within the budget, or NULL:
+///         one that returns home, then one that is lent already, then any
+static const sw_instance *choose_instance(struct control *c, clock_ms_t now, const char *from,
+					  const char *to)
+{
+	const sw_instance *best = NULL;
+	int best_rank = -1;
+
+	for (guint n = 0; n < c->fleet->instances->len; n++) {
+		const sw_instance *i = c->fleet->instances->pdata[n];
+		int rank;
+
+		if (!i || i->phase != SW_PHASE_ACTIVE || !g_str_equal(i->pool, from) || i->dirty ||
+		    health_of(c, i)->proposed_index > c->fleet->applied_index)
+			continue;
+		rank = g_str_equal(i->home, to) ? 2 : i->lent;
+		if (rank > best_rank && budget_admits(c, now, i)) {
+			best = i;
+			best_rank = rank;
+		}
+	}
+	return best;
+}
+
+static void decide_moves(struct control *c, clock_ms_t now)
+{
+	GPtrArray *rows = c->fleet->tables->pools;
+	g_autofree struct policy_pool *pools = g_new0(struct policy_pool, rows->len + 1);
+	struct policy_move moves[POLICY_MOVES_MAX];
+	unsigned int n;
+
+	for (guint i = 0; i < rows->len; i++)
+		pools[i] = observe_pool(c, now, rows->pdata[i]);
+	n = policy_decide(c->policy, now, pools, rows->len, moves);
+	for (unsigned int i = 0; i < n; i++) {
+		const char *to = pools[moves[i].to].config->name;
+		const sw_instance *instance =
+			choose_instance(c, now, pools[moves[i].from].config->name, to);
+
+		if (instance)
+			propose_revoke(c, instance, to,
+				       g_str_equal(instance->home, to) ? SW_REASON_RETURN
+								       : SW_REASON_SURGE);
+	}
+}
+
+void moves_decide(struct control *c, clock_ms_t now)
+{
+	moves_update_health(c, now);
+	for (guint n = 0; n < c->fleet->instances->len; n++)
+		if (c->fleet->instances->pdata[n])
+			decide_one(c, now, c->fleet->instances->pdata[n]);
+	if (c->settings.policy)
+		decide_moves(c, now);
+}
--- /dev/null
+++ b/src/sesamewood/control/storage.c
@@ -0,0 +1,390 @@
+#include "control/storage.h"
+
+#include "base/codec.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define META_NAME "meta"
+#define META_NEW "meta.new"
+#define SNAPSHOT_NAME "snapshot"
+#define SNAPSHOT_NEW "snapshot.new"
+#define SEGMENT_PREFIX "log-"
+#define FRAME_MAGIC 0x53574631U
+#define SEGMENT_BYTES (4 * 1024 * 1024)
+
+/// Precedes the XDR payload of every frame; big-endian on disk.
+struct frame_header {
+	guint32 magic;
+	guint32 len;
+	guint64 hash; ///< xxh64 of the payload, seeded with its length
+};
+
+struct segment {
+	char *name;
+	uint64_t last; ///< largest index in it
+	gsize size;
+};
+
+struct storage {
+	struct fs fs;
+	GPtrArray *segments; ///< of struct segment, oldest first
+	uint64_t sequence;   ///< number of the newest segment
+};
+
+static void segment_free(void *p)
+{
+	struct segment *segment = p;
+
+	g_free(segment->name);
+	g_free(segment);
+}
+
+static bool fail(GError **error, const char *what, const char *name)
+{
+	g_set_error(error, STORAGE_ERROR, STORAGE_ERROR_IO, "%s %s: %s", what, name,
+		    g_strerror(errno));
+	return false;
+}
+
+static bool damaged(GError **error, const char *name, const char *what)
+{
+	g_set_error(error, STORAGE_ERROR, STORAGE_ERROR_DAMAGED, "%s: %s", name, what);
+	return false;
+}
+
+/* Frames. */
+
+static GByteArray *encode_frame(xdrproc_t proc, const void *value)
+{
+	g_autoptr(GByteArray) payload = codec_encode(proc, value);
+	GByteArray *out = g_byte_array_new();
+	struct frame_header h = {
+		.magic = GUINT32_TO_BE(FRAME_MAGIC),
+		.len = GUINT32_TO_BE(payload->len),
+		.hash = GUINT64_TO_BE(XXH64(payload->data, payload->len, payload->len)),
+	};
+
+	g_byte_array_append(out, (const guint8 *)&h, sizeof(h));
+	g_byte_array_append(out, payload->data, payload->len);
+	return out;
+}
+
+/// @return length of the whole frame at @p data, or 0 when it isn't valid
+static gsize check_frame(const guint8 *data, gsize len)
+{
+	struct frame_header h;
+	gsize size;
+
+	if (len < sizeof(h))
+		return 0;
+	memcpy(&h, data, sizeof(h));
+	size = GUINT32_FROM_BE(h.len);
+	if (GUINT32_FROM_BE(h.magic) != FRAME_MAGIC || size > len - sizeof(h))
+		return 0;
+	if (XXH64(data + sizeof(h), size, size) != GUINT64_FROM_BE(h.hash))
+		return 0;
+	return sizeof(h) + size;
+}
+
+static bool read_whole_file(const struct storage *s, const char *name, xdrproc_t proc, void *value,
+			    size_t size, bool *found, GError **error)
+{
+	g_autoptr(GByteArray) data = s->fs.ops->read(s->fs.ctx, name);
+
+	*found = data != NULL;
+	if (!data)
+		return true;
+	if (check_frame(data->data, data->len) != data->len ||
+	    !codec_decode(proc, data->data + sizeof(struct frame_header),
+			  data->len - sizeof(struct frame_header), value, size))
+		return damaged(error, name, "checksum does not match");
+	return true;
+}
+
+/// Replaces a file as a whole.
+static bool write_whole_file(struct storage *s, const char *temporary, const char *name,
+			     xdrproc_t proc, const void *value, GError **error)
+{
+	g_autoptr(GByteArray) frame = encode_frame(proc, value);
+	const struct fs_ops *ops = s->fs.ops;
+	void *ctx = s->fs.ctx;
+
+	if (!ops->remove(ctx, temporary) || !ops->append(ctx, temporary, frame->data, frame->len) ||
+	    !ops->sync(ctx, temporary) || !ops->rename(ctx, temporary, name) ||
+	    !ops->sync_folder(ctx))
+		return fail(error, "cannot write", name);
+	return true;
+}
+
+/* Recovery. */
+
+/// Adds a frame's records; a record replaces all at and after its index.
+static bool add_records(const raft_frame *frame, const char *name, uint64_t snapshot_index,
+			GPtrArray *records, struct segment *segment, GError **error)
+{
+	for (u_int i = 0; i < frame->records.records_len; i++) {
+		const raft_record *from = &frame->records.records_val[i];
+		struct raft_log_record *record;
+		uint64_t first = records->len ? ((struct raft_log_record *)records->pdata[0])->index
+					      : from->index;
+		uint64_t next = first + records->len;
+
+		if (from->index > next || (!records->len && from->index > snapshot_index + 1))
+			return damaged(error, name, "records are missing");
+		g_ptr_array_set_size(records,
+				     from->index < first ? 0 : (gint)(from->index - first));
+		record = g_new0(struct raft_log_record, 1);
+		record->index = from->index;
+		record->term = from->term;
+		record->command = g_bytes_new(from->command.sw_blob_val, from->command.sw_blob_len);
+		g_ptr_array_add(records, record);
+		segment->last = MAX(segment->last, from->index);
+	}
+	return true;
+}
+
+/// Tells whether a valid frame follows a bad one. Each frame is synced before the next one is
+/// written, so what precedes a valid frame was once whole.
+static bool valid_frame_follows(const guint8 *data, gsize len)
+{
+	const guint32 magic = GUINT32_TO_BE(FRAME_MAGIC);
+
+	for (gsize i = 1; i + sizeof(struct frame_header) <= len; i++)
+		if (memcmp(data + i, &magic, sizeof(magic)) == 0 && check_frame(data + i, len - i))
+			return true;
+	return false;
+}
+
+static bool load_segment(struct storage *s, const char *name, bool is_last, uint64_t snapshot_index,
+			 GPtrArray *records, GError **error)
+{
+	g_autoptr(GByteArray) data = s->fs.ops->read(s->fs.ctx, name);
+	struct segment *segment = g_new0(struct segment, 1);
+	gsize at = 0;
+
+	segment->name = g_strdup(name);
+	g_ptr_array_add(s->segments, segment);
+	if (!data)
+		return fail(error, "cannot read", name);
+	while (at < data->len) {
+		gsize size = check_frame(data->data + at, data->len - at);
+		raft_frame frame;
+		bool ok;
+
+		if (!size)
+			break;
+		if (!codec_decode(CODEC_PROC(raft_frame),
+				  data->data + at + sizeof(struct frame_header),
+				  size - sizeof(struct frame_header), &frame, sizeof(frame)))
+			return damaged(error, name, "malformed frame");
+		ok = add_records(&frame, name, snapshot_index, records, segment, error);
+		codec_free(CODEC_PROC(raft_frame), &frame);
+		if (!ok)
+			return false;
+		at += size;
+	}
+	if (at < data->len && (!is_last || valid_frame_follows(data->data + at, data->len - at)))
+		return damaged(error, name, "damaged before the last frame");
+	if (at < data->len &&
+	    (!s->fs.ops->truncate(s->fs.ctx, name, at) || !s->fs.ops->sync(s->fs.ctx, name)))
+		return fail(error, "cannot truncate", name);
+	segment->size = at;
+	return true;
+}
+
+static bool load_segments(struct storage *s, uint64_t snapshot_index, GPtrArray *records,
+			  GError **error)
+{
+	g_auto(GStrv) names = s->fs.ops->list(s->fs.ctx);
+	const char *last = NULL;
+
+	for (int i = 0; names[i]; i++)
+		if (g_str_has_prefix(names[i], SEGMENT_PREFIX))
+			last = names[i];
+	for (int i = 0; names[i]; i++) {
+		if (!g_str_has_prefix(names[i], SEGMENT_PREFIX))
+			continue;
+		if (!load_segment(s, names[i], names[i] == last, snapshot_index, records, error))
+			return false;
+		s->sequence = g_ascii_strtoull(names[i] + strlen(SEGMENT_PREFIX), NULL, 16);
+	}
+	return true;
+}
+
+static bool drop_segments(struct storage *s, uint64_t keep_from, bool all, GError **error)
+{
+	bool dropped = false;
+
+	while (s->segments->len > (all ? 0 : 1)) {
+		struct segment *oldest = s->segments->pdata[0];
+
+		if (!all && oldest->last >= keep_from)
+			break;
+		if (!s->fs.ops->remove(s->fs.ctx, oldest->name))
+			return fail(error, "cannot remove", oldest->name);
+		g_ptr_array_remove_index(s->segments, 0);
+		dropped = true;
+	}
+	if (dropped && !s->fs.ops->sync_folder(s->fs.ctx))
+		return fail(error, "cannot sync", "folder");
+	return true;
+}
+
+/// Tells whether the records continue the snapshot. They don't after a stop between storing a
+/// leader's snapshot and dropping the records that it replaced.
+static bool follows_snapshot(const struct raft_recovered *r)
+{
+	const struct raft_log_record *first = r->records->pdata[0];
+	const struct raft_log_record *last = r->records->pdata[r->records->len - 1];
+	const struct raft_log_record *at;
+
+	if (last->index < r->snapshot.index)
+		return false;
+	if (first->index > r->snapshot.index)
+		return true;
+	at = r->records->pdata[r->snapshot.index - first->index];
+	return at->term == r->snapshot.term;
+}
+
+static bool load(struct storage *s, struct raft_recovered *out, GError **error)
+{
+	bool has_meta;
+	bool has_snapshot;
+
+	if (!read_whole_file(s, META_NAME, CODEC_PROC(raft_meta), &out->meta, sizeof(out->meta),
+			     &has_meta, error) ||
+	    !read_whole_file(s, SNAPSHOT_NAME, CODEC_PROC(raft_snapshot), &out->snapshot,
+			     sizeof(out->snapshot), &has_snapshot, error) ||
+	    !load_segments(s, out->snapshot.index, out->records, error))
+		return false;
+	if (!has_meta && (has_snapshot || out->records->len))
+		return damaged(error, META_NAME, "missing");
+	if (!out->records->len || follows_snapshot(out))
+		return true;
+	g_ptr_array_set_size(out->records, 0);
+	return drop_segments(s, 0, true, error);
+}
+
+static void release_recovered(struct raft_recovered *r)
+{
+	codec_free(CODEC_PROC(raft_meta), &r->meta);
+	codec_free(CODEC_PROC(raft_snapshot), &r->snapshot);
+	g_ptr_array_unref(r->records);
+	memset(r, 0, sizeof(*r));
+}
+
+struct storage *storage_open(struct fs fs, struct raft_recovered *recovered, GError **error)
+{
+	struct storage *s = g_new0(struct storage, 1);
+
+	memset(recovered, 0, sizeof(*recovered));
+	recovered->records = g_ptr_array_new_with_free_func(raft_log_record_free);
+	s->fs = fs;
+	s->segments = g_ptr_array_new_with_free_func(segment_free);
+	if (load(s, recovered, error))
+		return s;
+	release_recovered(recovered);
+	storage_free(s);
+	return NULL;
+}
+
+void storage_free(struct storage *s)
+{
+	g_ptr_array_unref(s->segments);
+	g_free(s);
+}
+
+/* Writing. */
+
+static struct segment *new_segment(struct storage *s)
+{
+	struct segment *segment = g_new0(struct segment, 1);
+
+	s->sequence++;
+	segment->name = g_strdup_printf(SEGMENT_PREFIX "%016" PRIx64, s->sequence);
+	g_ptr_array_add(s->segments, segment);
+	return segment;
+}
+
+static GByteArray *encode_records(GPtrArray *records, struct segment *segment)
+{
+	raft_frame frame = {
+		.records =
+			{
+				.records_len = records->len,
+				.records_val = g_new0(raft_record, records->len),
+			},
+	};
+	GByteArray *out;
+
+	for (guint i = 0; i < records->len; i++) {
+		const struct raft_log_record *from = records->pdata[i];
+		raft_record *to = &frame.records.records_val[i];
+		gsize len;
+
+		to->index = from->index;
+		to->term = from->term;
+		to->command.sw_blob_val = (char *)g_bytes_get_data(from->command, &len);
+		to->command.sw_blob_len = len;
+		segment->last = MAX(segment->last, from->index);
+	}
+	out = encode_frame(CODEC_PROC(raft_frame), &frame);
+	g_free(frame.records.records_val);
+	return out;
+}
+
+static bool append_records(struct storage *s, GPtrArray *records, GError **error)
+{
+	struct segment *segment =
+		s->segments->len ? s->segments->pdata[s->segments->len - 1] : NULL;
+	bool created = !segment || segment->size >= SEGMENT_BYTES;
+	g_autoptr(GByteArray) frame = NULL;
+
+	if (created)
+		segment = new_segment(s);
+	frame = encode_records(records, segment);
+	if (!s->fs.ops->append(s->fs.ctx, segment->name, frame->data, frame->len) ||
+	    !s->fs.ops->sync(s->fs.ctx, segment->name))
+		return fail(error, "cannot append to", segment->name);
+	if (created && !s->fs.ops->sync_folder(s->fs.ctx))
+		return fail(error, "cannot sync the folder of", segment->name);
+	segment->size += frame->len;
+	return true;
+}
+
+static bool write_snapshot(struct storage *s, const struct raft_effect *e, GError **error)
+{
+	return write_whole_file(s, SNAPSHOT_NEW, SNAPSHOT_NAME, CODEC_PROC(raft_snapshot),
+				&e->u.save.snapshot, error) &&
+	       drop_segments(s, e->u.save.keep_from, e->u.save.reset, error);
+}
+
+bool storage_write(struct storage *s, GPtrArray *effects, GError **error)
+{
+	for (guint i = 0; i < effects->len; i++) {
+		const struct raft_effect *e = effects->pdata[i];
+		bool ok = true;
+
+		switch (e->type) {
+		case RAFT_SAVE_META:
+			ok = write_whole_file(s, META_NEW, META_NAME, CODEC_PROC(raft_meta),
+					      &e->u.meta, error);
+			break;
+		case RAFT_APPEND_LOG:
+			ok = append_records(s, e->u.records, error);
+			break;
+		case RAFT_SAVE_SNAPSHOT:
+			ok = write_snapshot(s, e, error);
+			break;
+		case RAFT_SEND:
+			break;
+		}
+		if (!ok)
+			return false;
+	}
+	return true;
+}
--- /dev/null
+++ b/src/sesamewood/rpc/rpc_client.c
@@ -0,0 +1,246 @@
+#include "rpc/rpc_client.h"
+
+#include "rpc/rpc_procs.h"
+#include "rpc/rpc_stream.h"
+
+#include <errno.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define RECONNECT_DELAY_S 0.05
+#define CALL_HEADER_BYTES 256
+#define MS_PER_S 1000.0
+#define OUTBOX_CALLS_MAX 4096
+
+struct rpc_client {
+	struct ev_loop *loop;
+	char *address;
+	struct rpc_stream *stream;
+	GHashTable *calls; ///< of struct call, by xid
+	GPtrArray *outbox; ///< encoded calls that wait for a connection
+	ev_timer reconnect;
+	uint32_t next_xid;
+};
+
+struct call {
+	struct rpc_client *client;
+	uint32_t xid;
+	const struct rpc_proc *proc;
+	rpc_reply_fn fn;
+	void *ctx;
+	ev_timer timer;
+};
+
+static void complete(struct call *call, enum rpc_result result, const void *reply)
+{
+	g_hash_table_remove(call->client->calls, GUINT_TO_POINTER(call->xid));
+	ev_timer_stop(call->client->loop, &call->timer);
+	if (call->fn)
+		call->fn(call->ctx, result, reply);
+	g_free(call);
+}
+
+static void disconnect(struct rpc_client *c)
+{
+	g_autoptr(GList) calls = g_hash_table_get_values(c->calls);
+	struct rpc_stream *s = g_steal_pointer(&c->stream);
+
+	if (s)
+		rpc_stream_close(s);
+	g_ptr_array_set_size(c->outbox, 0);
+	if (!ev_is_active(&c->reconnect)) {
+		ev_timer_set(&c->reconnect, RECONNECT_DELAY_S, 0.);
+		ev_timer_start(c->loop, &c->reconnect);
+	}
+	for (GList *l = calls; l; l = l->next)
+		complete(l->data, RPC_NO_REPLY, NULL);
+}
+
+static void on_closed(void *ctx)
+{
+	disconnect(ctx);
+}
+
+static void finish_call(struct call *call, XDR *xdr)
+{
+	const struct rpc_proc *proc = call->proc;
+	g_autofree void *reply = NULL;
+
+	if (!proc->reply) {
+		complete(call, RPC_ANSWERED, NULL);
+		return;
+	}
+	reply = g_malloc0(proc->reply_size);
+	if (proc->reply(xdr, reply))
+		complete(call, RPC_ANSWERED, reply);
+	else
+		complete(call, RPC_NO_REPLY, NULL);
+	codec_free(proc->reply, reply);
+}
+
+static bool_t skip_results(XDR *xdr, ...)
+{
+	(void)xdr;
+	return TRUE;
+}
+
+static void on_record(void *ctx, const guint8 *data, gsize len)
+{
+	struct rpc_client *c = ctx;
+	struct rpc_msg msg = {0};
+	struct call *call;
+	XDR xdr;
+
+	xdrmem_create(&xdr, (char *)data, len, XDR_DECODE);
+	msg.acpted_rply.ar_results.proc = (xdrproc_t)(void *)skip_results;
+	if (!xdr_replymsg(&xdr, &msg)) {
+		disconnect(c);
+		return;
+	}
+	call = g_hash_table_lookup(c->calls, GUINT_TO_POINTER(msg.rm_xid));
+	if (!call)
+		return;
+	if (msg.rm_reply.rp_stat != MSG_ACCEPTED || msg.acpted_rply.ar_stat != SUCCESS)
+		complete(call, RPC_NO_REPLY, NULL);
+	else
+		finish_call(call, &xdr);
+}
+
+static const struct rpc_stream_ops stream_ops = {
+	.on_record = on_record,
+	.on_closed = on_closed,
+};
+
+static void connect_now(struct rpc_client *c)
+{
+	struct sockaddr_in address;
+	int fd;
+
+	if (!rpc_parse_address(c->address, &address))
+		return;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return;
+	if (connect(fd, (struct sockaddr *)&address, sizeof(address)) < 0 && errno != EINPROGRESS) {
+		close(fd);
+		return;
+	}
+	c->stream = rpc_stream_new(c->loop, fd, &stream_ops, c);
+	for (guint i = 0; i < c->outbox->len; i++) {
+		GByteArray *record = c->outbox->pdata[i];
+
+		rpc_stream_send(c->stream, record->data, record->len);
+	}
+	g_ptr_array_set_size(c->outbox, 0);
+}
+
+static void on_reconnect(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	struct rpc_client *c = w->data;
+
+	(void)loop;
+	(void)revents;
+	if (!c->stream && g_hash_table_size(c->calls))
+		connect_now(c);
+}
+
+static void on_call_timeout(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	(void)loop;
+	(void)revents;
+	disconnect(((struct call *)w->data)->client);
+}
+
+struct rpc_client *rpc_client_new(struct ev_loop *loop, const char *address)
+{
+	struct rpc_client *c = g_new0(struct rpc_client, 1);
+
+	c->loop = loop;
+	c->address = g_strdup(address);
+	c->calls = g_hash_table_new(NULL, NULL);
+	c->outbox = g_ptr_array_new_with_free_func((GDestroyNotify)g_byte_array_unref);
+	c->next_xid = g_random_int();
+	ev_timer_init(&c->reconnect, on_reconnect, 0., 0.);
+	c->reconnect.data = c;
+	return c;
+}
+
+void rpc_client_free(struct rpc_client *c)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, c->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		ev_timer_stop(c->loop, &((struct call *)value)->timer);
+		g_free(value);
+	}
+	g_hash_table_unref(c->calls);
+	ev_timer_stop(c->loop, &c->reconnect);
+	if (c->stream)
+		rpc_stream_close(c->stream);
+	g_ptr_array_unref(c->outbox);
+	g_free(c->address);
+	g_free(c);
+}
+
+static GByteArray *encode_call(uint32_t xid, const struct rpc_proc *proc, const void *args)
+{
+	gsize size = CALL_HEADER_BYTES + (proc->args ? xdr_sizeof(proc->args, (void *)args) : 0);
+	GByteArray *out = g_byte_array_sized_new(size);
+	struct rpc_msg msg = {
+		.rm_xid = xid,
+		.rm_direction = CALL,
+		.rm_call =
+			{
+				.cb_rpcvers = RPC_MSG_VERSION,
+				.cb_prog = SESAMEWOOD_PROGRAM,
+				.cb_vers = SESAMEWOOD_V1,
+				.cb_proc = proc->number,
+				.cb_cred = _null_auth,
+				.cb_verf = _null_auth,
+			},
+	};
+	XDR xdr;
+
+	g_byte_array_set_size(out, size);
+	xdrmem_create(&xdr, (char *)out->data, size, XDR_ENCODE);
+	if (!xdr_callmsg(&xdr, &msg) || (proc->args && !proc->args(&xdr, (void *)args))) {
+		g_byte_array_unref(out);
+		return NULL;
+	}
+	g_byte_array_set_size(out, xdr_getpos(&xdr));
+	return out;
+}
+
+void rpc_client_call(struct rpc_client *c, uint32_t proc, const void *args, clock_ms_t timeout_ms,
+		     rpc_reply_fn fn, void *ctx)
+{
+	struct call *call = g_new0(struct call, 1);
+	GByteArray *record;
+
+	*call = (struct call){
+		.client = c,
+		.xid = ++c->next_xid,
+		.proc = rpc_proc_find(proc),
+		.fn = fn,
+		.ctx = ctx,
+	};
+	ev_timer_init(&call->timer, on_call_timeout, timeout_ms / MS_PER_S, 0.);
+	call->timer.data = call;
+	ev_timer_start(c->loop, &call->timer);
+	g_hash_table_insert(c->calls, GUINT_TO_POINTER(call->xid), call);
+	record = encode_call(call->xid, call->proc, args);
+	if (!record)
+		return;
+	if (!c->stream && !ev_is_active(&c->reconnect))
+		connect_now(c);
+	if (c->stream) {
+		rpc_stream_send(c->stream, record->data, record->len);
+		g_byte_array_unref(record);
+	} else if (c->outbox->len < OUTBOX_CALLS_MAX) {
+		g_ptr_array_add(c->outbox, record);
+	} else {
+		g_byte_array_unref(record);
+	}
+}
--- /dev/null
+++ b/src/sesamewood/rpc/rpc_server.c
@@ -0,0 +1,179 @@
+#include "rpc/rpc_server.h"
+
+#include "rpc/rpc_procs.h"
+#include "rpc/rpc_stream.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define REPLY_HEADER_BYTES 256
+#define LISTEN_BACKLOG 128
+
+struct rpc_server {
+	struct ev_loop *loop;
+	ev_io acceptor;
+	rpc_handler_fn fn;
+	void *ctx;
+};
+
+/// One accepted connection, kept until its last request is answered.
+struct connection {
+	struct rpc_server *server;
+	struct rpc_stream *stream; ///< NULL once closed
+	unsigned int refs;
+};
+
+struct rpc_request {
+	struct connection *connection;
+	const struct rpc_proc *proc;
+	uint32_t xid;
+};
+
+static void connection_unref(struct connection *c)
+{
+	if (--c->refs == 0)
+		g_free(c);
+}
+
+static void send_reply(struct connection *c, uint32_t xid, enum accept_stat stat, xdrproc_t proc,
+		       const void *reply)
+{
+	gsize size = REPLY_HEADER_BYTES + (proc ? xdr_sizeof(proc, (void *)reply) : 0);
+	g_autoptr(GByteArray) out = g_byte_array_sized_new(size);
+	struct rpc_msg msg = {.rm_xid = xid, .rm_direction = REPLY};
+	XDR xdr;
+
+	if (!c->stream)
+		return;
+	msg.rm_reply.rp_stat = MSG_ACCEPTED;
+	msg.acpted_rply.ar_verf = _null_auth;
+	msg.acpted_rply.ar_stat = stat;
+	if (stat == PROG_MISMATCH) {
+		msg.acpted_rply.ar_vers.low = SESAMEWOOD_V1;
+		msg.acpted_rply.ar_vers.high = SESAMEWOOD_V1;
+	}
+	msg.acpted_rply.ar_results.where = (char *)reply;
+	msg.acpted_rply.ar_results.proc = proc ? proc : (xdrproc_t)(void *)xdr_void;
+	g_byte_array_set_size(out, size);
+	xdrmem_create(&xdr, (char *)out->data, size, XDR_ENCODE);
+	if (!xdr_replymsg(&xdr, &msg))
+		return;
+	rpc_stream_send(c->stream, out->data, xdr_getpos(&xdr));
+}
+
+void rpc_request_reply(struct rpc_request *req, const void *reply)
+{
+	send_reply(req->connection, req->xid, SUCCESS, req->proc->reply, reply);
+	connection_unref(req->connection);
+	g_free(req);
+}
+
+void rpc_request_refuse(struct rpc_request *req)
+{
+	send_reply(req->connection, req->xid, PROC_UNAVAIL, NULL, NULL);
+	connection_unref(req->connection);
+	g_free(req);
+}
+
+static void dispatch(struct connection *c, const struct rpc_msg *msg, XDR *xdr)
+{
+	const struct rpc_proc *proc = rpc_proc_find(msg->rm_call.cb_proc);
+	struct rpc_request *req;
+	g_autofree void *args = NULL;
+
+	if (!proc) {
+		send_reply(c, msg->rm_xid, PROC_UNAVAIL, NULL, NULL);
+		return;
+	}
+	args = g_malloc0(proc->args_size);
+	if (!proc->args(xdr, args)) {
+		codec_free(proc->args, args);
+		send_reply(c, msg->rm_xid, GARBAGE_ARGS, NULL, NULL);
+		return;
+	}
+	req = g_new0(struct rpc_request, 1);
+	*req = (struct rpc_request){.connection = c, .proc = proc, .xid = msg->rm_xid};
+	c->refs++;
+	c->server->fn(c->server->ctx, req, proc->number, args);
+	codec_free(proc->args, args);
+}
+
+static void on_closed(void *ctx)
+{
+	struct connection *c = ctx;
+	struct rpc_stream *s = g_steal_pointer(&c->stream);
+
+	if (s)
+		rpc_stream_close(s);
+	connection_unref(c);
+}
+
+static void on_record(void *ctx, const guint8 *data, gsize len)
+{
+	struct connection *c = ctx;
+	char cred[MAX_AUTH_BYTES];
+	char verf[MAX_AUTH_BYTES];
+	struct rpc_msg msg = {0};
+	XDR xdr;
+
+	msg.rm_call.cb_cred.oa_base = cred;
+	msg.rm_call.cb_verf.oa_base = verf;
+	xdrmem_create(&xdr, (char *)data, len, XDR_DECODE);
+	if (!xdr_callmsg(&xdr, &msg))
+		on_closed(c);
+	else if (msg.rm_call.cb_prog != SESAMEWOOD_PROGRAM)
+		send_reply(c, msg.rm_xid, PROG_UNAVAIL, NULL, NULL);
+	else if (msg.rm_call.cb_vers != SESAMEWOOD_V1)
+		send_reply(c, msg.rm_xid, PROG_MISMATCH, NULL, NULL);
+	else if (msg.rm_call.cb_proc == SW_PROC_NULL)
+		send_reply(c, msg.rm_xid, SUCCESS, NULL, NULL);
+	else
+		dispatch(c, &msg, &xdr);
+}
+
+static const struct rpc_stream_ops stream_ops = {
+	.on_record = on_record,
+	.on_closed = on_closed,
+};
+
+static void on_acceptable(struct ev_loop *loop, ev_io *w, int revents)
+{
+	struct rpc_server *server = w->data;
+	int fd = accept4(w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	struct connection *c;
+
+	(void)revents;
+	if (fd < 0)
+		return;
+	c = g_new0(struct connection, 1);
+	c->server = server;
+	c->refs = 1;
+	c->stream = rpc_stream_new(loop, fd, &stream_ops, c);
+}
+
+struct rpc_server *rpc_server_new(struct ev_loop *loop, const char *address, rpc_handler_fn fn,
+				  void *ctx)
+{
+	struct rpc_server *server;
+	struct sockaddr_in addr;
+	int on = 1;
+	int fd;
+
+	if (!rpc_parse_address(address, &addr))
+		return NULL;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return NULL;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&addr, sizeof(addr)) < 0 ||
+	    listen(fd, LISTEN_BACKLOG) < 0) {
+		close(fd);
+		return NULL;
+	}
+	server = g_new0(struct rpc_server, 1);
+	*server = (struct rpc_server){.loop = loop, .fn = fn, .ctx = ctx};
+	ev_io_init(&server->acceptor, on_acceptable, fd, EV_READ);
+	server->acceptor.data = server;
+	ev_io_start(loop, &server->acceptor);
+	return server;
+}
--- /dev/null
+++ b/src/sesamewood/rpc/sesamewood.x
@@ -0,0 +1,418 @@
+/*
+ * Messages between sesamewood processes, and the records of the replicated log.
+ *
+ * Times are milliseconds; a field that ends in _wall_ms is wall-clock time, all
+ * others are durations. Regenerate the committed code with scripts/rpcgen.
+ */
+
+const SW_NAME_MAX = 64;
+const SW_ADDRESS_MAX = 64;
+const SW_TABLE_MAX = 1048576;
+const SW_BLOB_MAX = 16777216;
+const SW_LIST_MAX = 16384;
+const SW_KEY_BYTES = 16;
+
+typedef string sw_name<SW_NAME_MAX>;
+typedef string sw_address<SW_ADDRESS_MAX>;
+typedef opaque sw_key[SW_KEY_BYTES];
+typedef opaque sw_blob<SW_BLOB_MAX>;
+
+enum sw_table {
+	SW_TABLE_ROUTES = 0,
+	SW_TABLE_POOLS = 1
+};
+
+/* Life of an instance's grant. */
+enum sw_phase {
+	SW_PHASE_IDLE = 0,     /* granted to no entry */
+	SW_PHASE_ACTIVE = 1,   /* granted to one entry */
+	SW_PHASE_REVOKING = 2  /* its entry was asked to stop dispatch and acknowledge */
+};
+
+enum sw_reason {
+	SW_REASON_NONE = 0,
+	SW_REASON_SURGE = 1,    /* moved to a pool that needs capacity */
+	SW_REASON_RETURN = 2,   /* moved back to its home pool */
+	SW_REASON_TABLE = 3,    /* the pools table places it elsewhere */
+	SW_REASON_LEAVING = 4,  /* the endpoint announced that it is leaving */
+	SW_REASON_ENTRY = 5,    /* re-granted to another entry in the same pool */
+	SW_REASON_FAILED = 6    /* the endpoint stopped announcing itself */
+};
+
+struct sw_announcement {
+	sw_name instance;
+	unsigned hyper incarnation;
+	sw_address address;
+	sw_name zone;
+	sw_name rack;
+	sw_name service;
+	unsigned int slots;
+	unsigned int connections;
+	bool leaving;
+};
+
+struct sw_instance {
+	sw_announcement endpoint;
+	unsigned int id;
+	sw_name home;     /* pool that the pools table names for it, or "" */
+	sw_name pool;     /* pool it belongs to, or "" */
+	sw_name target;   /* pool it goes to when revoked */
+	sw_name entry;    /* entry that may dispatch to it, or "" */
+	bool lent;        /* in a pool other than its home by decision of the policy */
+	bool dirty;       /* an earlier owner may still have requests running on it */
+	sw_phase phase;
+	sw_reason reason;
+	unsigned hyper epoch;
+	unsigned hyper modified_index;
+};
+
+struct sw_entry_session {
+	sw_name entry;
+	unsigned hyper session;
+	sw_address address;
+	bool clean;  /* the previous session released every grant before it ended */
+	unsigned hyper index;
+};
+
+struct sw_put {
+	sw_table table;
+	unsigned hyper base_version;
+	sw_name request_id;
+	string json<SW_TABLE_MAX>;
+};
+
+struct sw_put_result {
+	sw_name request_id;
+	sw_table table;
+	bool accepted;
+	unsigned hyper table_version;
+	unsigned hyper digest;
+};
+
+struct sw_revoke {
+	sw_name instance;
+	unsigned hyper epoch;
+	sw_name target;
+	sw_reason reason;
+};
+
+struct sw_grant {
+	sw_name instance;
+	unsigned hyper epoch;
+	sw_name pool;
+	sw_name entry;
+	bool lent;
+	bool unclean;    /* the previous owner did not acknowledge */
+};
+
+struct sw_clean {
+	sw_name instance;
+	unsigned hyper epoch;
+};
+
+struct sw_forget {
+	sw_name instance;
+	unsigned hyper incarnation;
+};
+
+enum sw_claim_state {
+	SW_CLAIM_OPEN = 0,      /* may be running */
+	SW_CLAIM_RAN = 1,       /* the owner holds the answer */
+	SW_CLAIM_UNKNOWN = 2,   /* the owner ended without an answer: may have run */
+	SW_CLAIM_RELEASED = 3   /* did not run: the key is free again */
+};
+
+struct sw_claim {
+	sw_key key;
+	unsigned hyper digest;
+	sw_name entry;
+	unsigned hyper session;
+	unsigned hyper attempt;
+	sw_claim_state state;
+	hyper at_wall_ms;
+};
+
+struct sw_member {
+	unsigned int node;
+	unsigned hyper uid;
+};
+
+struct sw_members {
+	sw_member members<16>;
+};
+
+enum sw_command_type {
+	SW_COMMAND_NOOP = 0,
+	SW_COMMAND_MEMBERS = 1,
+	SW_COMMAND_PUT = 2,
+	SW_COMMAND_ANNOUNCE = 3,
+	SW_COMMAND_REVOKE = 4,
+	SW_COMMAND_GRANT = 5,
+	SW_COMMAND_FORGET = 6,
+	SW_COMMAND_SESSION = 7,
+	SW_COMMAND_CLAIM = 8,
+	SW_COMMAND_CLAIM_END = 9,
+	SW_COMMAND_CLEAN = 10
+};
+
+union sw_command switch (sw_command_type type) {
+case SW_COMMAND_NOOP:
+	void;
+case SW_COMMAND_MEMBERS:
+	sw_members members;
+case SW_COMMAND_PUT:
+	sw_put put;
+case SW_COMMAND_ANNOUNCE:
+	sw_announcement announce;
+case SW_COMMAND_REVOKE:
+	sw_revoke revoke;
+case SW_COMMAND_GRANT:
+	sw_grant grant;
+case SW_COMMAND_FORGET:
+	sw_forget forget;
+case SW_COMMAND_SESSION:
+	sw_entry_session session;
+case SW_COMMAND_CLAIM:
+	sw_claim claim;
+case SW_COMMAND_CLAIM_END:
+	sw_claim claim_end;
+case SW_COMMAND_CLEAN:
+	sw_clean clean;
+};
+
+/* State of the fleet state machine, as stored in a snapshot. */
+struct sw_fleet_snapshot {
+	unsigned hyper applied_index;
+	string routes<SW_TABLE_MAX>;
+	unsigned hyper routes_version;
+	string pools<SW_TABLE_MAX>;
+	unsigned hyper pools_version;
+	hyper clock_wall_ms;
+	sw_instance instances<SW_LIST_MAX>;
+	sw_entry_session sessions<SW_LIST_MAX>;
+	sw_claim claims<1048576>;
+	sw_put_result results<SW_LIST_MAX>;
+};
+
+/* Replication. */
+
+enum raft_message_type {
+	RAFT_PREVOTE = 0,
+	RAFT_PREVOTE_REPLY = 1,
+	RAFT_VOTE = 2,
+	RAFT_VOTE_REPLY = 3,
+	RAFT_APPEND = 4,
+	RAFT_APPEND_REPLY = 5,
+	RAFT_SNAPSHOT = 6,
+	RAFT_JOIN = 7,
+	RAFT_PROBE = 8,
+	RAFT_PROBE_REPLY = 9
+};
+
+struct raft_record {
+	unsigned hyper index;
+	unsigned hyper term;
+	sw_blob command;
+};
+
+struct raft_message {
+	raft_message_type type;
+	unsigned int from;
+	unsigned hyper from_uid;
+	unsigned int to;
+	unsigned hyper to_uid;      /* 0: any */
+	unsigned hyper term;
+	unsigned hyper index;       /* last log index, previous index, match index or snapshot index */
+	unsigned hyper log_term;    /* term at index */
+	unsigned hyper commit;
+	bool reject;
+	hyper echo_ms;              /* sender's monotonic clock, returned by the reply */
+	sw_members members;         /* snapshot and probe replies */
+	raft_record records<SW_LIST_MAX>;
+	sw_blob snapshot;
+};
+
+/* Files of a control replica. */
+
+struct raft_meta {
+	unsigned hyper uid;
+	unsigned hyper term;
+	unsigned int voted_for;
+	sw_members base;      /* membership before the first record */
+};
+
+struct raft_snapshot {
+	unsigned hyper index;
+	unsigned hyper term;
+	sw_members members;
+	sw_blob data;
+};
+
+struct raft_frame {
+	raft_record records<SW_LIST_MAX>;
+};
+
+/* Entries and control. */
+
+struct sw_pool_report {
+	sw_name pool;
+	unsigned int in_use;
+	unsigned int queued;
+	unsigned int oldest_wait_ms;
+	unsigned int arrivals;
+};
+
+struct sw_ack {
+	sw_name instance;
+	unsigned hyper epoch;
+};
+
+struct sw_renew_args {
+	sw_name entry;
+	unsigned hyper session;
+	sw_address address;
+	unsigned hyper have_index;
+	bool draining;
+	bool detach;
+	sw_ack acks<SW_LIST_MAX>;
+	sw_pool_report reports<SW_LIST_MAX>;
+	sw_announcement announcements<SW_LIST_MAX>;
+	unsigned int heard<SW_LIST_MAX>;    /* ids of instances heard since the last renewal */
+	unsigned int suspects<SW_LIST_MAX>; /* ids of instances whose connections fail */
+};
+
+enum sw_status {
+	SW_OK = 0,
+	SW_NOT_LEADER = 1,
+	SW_BUSY = 2,
+	SW_REFUSED = 3,
+	SW_CONFLICT = 4
+};
+
+struct sw_table_text {
+	sw_table table;
+	unsigned hyper table_version;
+	string json<SW_TABLE_MAX>;
+};
+
+struct sw_peer {
+	sw_name entry;
+	sw_address address;
+};
+
+struct sw_renew_reply {
+	sw_status status;
+	unsigned int leader;          /* node, 0 when unknown */
+	unsigned int lease_ms;
+	unsigned hyper index;
+	bool full;                    /* replaces the whole view */
+	sw_table_text tables<2>;
+	sw_instance instances<SW_LIST_MAX>;
+	unsigned int forgotten<SW_LIST_MAX>;
+	sw_peer peers<256>;
+	bool detached;
+};
+
+struct sw_watch_args {
+	sw_name entry;
+	unsigned hyper session;
+	unsigned hyper have_index;
+};
+
+struct sw_watch_reply {
+	sw_status status;
+	unsigned int leader;
+	unsigned hyper index;
+};
+
+struct sw_claim_args {
+	sw_claim claims<SW_LIST_MAX>;
+};
+
+struct sw_claim_result {
+	sw_status status;             /* SW_CONFLICT: another request holds the key */
+	sw_claim holder;
+};
+
+struct sw_claim_reply {
+	sw_status status;
+	unsigned int leader;
+	sw_claim_result results<SW_LIST_MAX>;
+};
+
+struct sw_admin_args {
+	string method<16>;
+	string path<4096>;
+	string if_match<64>;
+	string request_id<SW_NAME_MAX>;
+	string body<SW_TABLE_MAX>;
+};
+
+struct sw_admin_reply {
+	sw_status status;
+	unsigned int leader;
+	unsigned int http_status;
+	string content_type<64>;
+	string etag<64>;
+	sw_blob body;
+};
+
+/* Entries among themselves. */
+
+struct sw_loan {
+	unsigned hyper id;
+	sw_name instance;
+	unsigned hyper incarnation;
+	sw_address address;
+	sw_name pool;
+	unsigned hyper epoch;
+	unsigned int expires_ms;   /* from the moment the borrower sent its request */
+	unsigned int host_connections;
+};
+
+struct sw_borrow_args {
+	sw_name entry;
+	sw_name pool;
+	unsigned int count;
+	unsigned int wait_ms;      /* how long the lender may hold the call */
+};
+
+struct sw_borrow_reply {
+	sw_status status;
+	sw_loan loans<256>;
+};
+
+struct sw_return_args {
+	unsigned hyper loans<256>;
+};
+
+struct sw_leaving_args {
+	sw_announcement announcement;
+};
+
+struct sw_answer_args {
+	sw_key key;
+	unsigned hyper digest;
+};
+
+struct sw_answer_reply {
+	sw_status status;
+	unsigned int http_status;
+	string content_type<256>;
+	sw_blob body;
+};
+
+program SESAMEWOOD_PROGRAM {
+	version SESAMEWOOD_V1 {
+		void SW_PROC_NULL(void) = 0;
+		void SW_PROC_RAFT(raft_message) = 1;
+		sw_renew_reply SW_PROC_RENEW(sw_renew_args) = 2;
+		sw_watch_reply SW_PROC_WATCH(sw_watch_args) = 3;
+		sw_claim_reply SW_PROC_CLAIM(sw_claim_args) = 4;
+		sw_admin_reply SW_PROC_ADMIN(sw_admin_args) = 5;
+		sw_borrow_reply SW_PROC_BORROW(sw_borrow_args) = 6;
+		void SW_PROC_RETURN(sw_return_args) = 7;
+		void SW_PROC_LEAVING(sw_leaving_args) = 8;
+		sw_answer_reply SW_PROC_ANSWER(sw_answer_args) = 9;
+	} = 1;
+} = 0x20005e5a;
