--- /dev/null
+++ b/src/sesamewood/entry/loans.c
@@ -0,0 +1,261 @@
+#include "base/codec.h"
+#include "entry/entry_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define LOANS_PER_CALL_MAX 8
+#define LEND_WAIT_MS 300
+#define BORROW_PAUSE_MS 50
+
+void loans_free_held(void *p)
+{
+	struct held_loan *loan = p;
+
+	g_free(loan->lender);
+	g_free(loan->instance);
+	g_free(loan->address);
+	g_free(loan);
+}
+
+/* Borrowing. */
+
+/// @return addresses of the other entries that own usable instances of the pool, sorted
+static GPtrArray *find_lenders(const struct entry *e, const struct pool_state *pool)
+{
+	GPtrArray *out = g_ptr_array_new();
+
+	for (guint n = 0; n < e->instances->len; n++) {
+		const struct instance *i = e->instances->pdata[n];
+		char *address;
+
+		if (!i || !i->known || i->leaving || i->record.phase != SW_PHASE_ACTIVE ||
+		    !g_str_equal(i->record.pool, pool->name) ||
+		    g_str_equal(i->record.entry, e->settings.name))
+			continue;
+		address = g_hash_table_lookup(e->peers, i->record.entry);
+		if (address && !g_ptr_array_find(out, address, NULL))
+			g_ptr_array_add(out, address);
+	}
+	return out;
+}
+
+void loans_borrow(struct entry *e, clock_ms_t now, struct pool_state *pool)
+{
+	g_autoptr(GPtrArray) lenders = NULL;
+	struct entry_effect *effect;
+	uint32_t wanted = MIN(g_queue_get_length(&pool->waiters), LOANS_PER_CALL_MAX);
+
+	if (now < pool->borrow_at)
+		return;
+	lenders = find_lenders(e, pool);
+	if (pool->borrowing >= MIN(lenders->len, g_queue_get_length(&pool->waiters)))
+		return;
+	effect = entry_add_effect(e, EFFECT_BORROW, 0);
+	effect->u.borrow.address = g_strdup(lenders->pdata[pool->next_peer++ % lenders->len]);
+	effect->u.borrow.pool = g_strdup(pool->name);
+	effect->u.borrow.count = wanted;
+	effect->u.borrow.wait_ms = LEND_WAIT_MS;
+	pool->borrowing++;
+}
+
+static void take_loan(struct entry *e, struct pool_state *pool, const sw_loan *from,
+		      const struct entry_event *event)
+{
+	struct held_loan *loan = g_new0(struct held_loan, 1);
+
+	(void)e;
+	*loan = (struct held_loan){
+		.id = from->id,
+		.lender = g_strdup(event->u.borrow.lender),
+		.instance = g_strdup(from->instance),
+		.address = g_strdup(from->address),
+		.epoch = from->epoch,
+		.expires_at = event->u.borrow.sent_at + from->expires_ms,
+	};
+	g_ptr_array_add(pool->loans, loan);
+}
+
+void loans_give_back(struct entry *e, struct pool_state *pool, struct held_loan *loan)
+{
+	struct entry_effect *effect = entry_add_effect(e, EFFECT_RETURN, 0);
+
+	effect->u.give_back.address = g_strdup(loan->lender);
+	effect->u.give_back.loan = loan->id;
+	g_ptr_array_remove(pool->loans, loan);
+}
+
+static void give_back_unused(struct entry *e, struct pool_state *pool)
+{
+	for (guint i = pool->loans->len; i > 0; i--) {
+		struct held_loan *loan = pool->loans->pdata[i - 1];
+
+		if (!loan->in_use)
+			loans_give_back(e, pool, loan);
+	}
+}
+
+void loans_received(struct entry *e, clock_ms_t now, const struct entry_event *event)
+{
+	struct pool_state *pool = view_pool(e, event->u.borrow.pool);
+	const sw_borrow_reply *reply = event->u.borrow.reply;
+
+	pool->borrowing--;
+	if (!reply || reply->status != SW_OK)
+		pool->borrow_at = now + BORROW_PAUSE_MS;
+	for (u_int i = 0; reply && i < reply->loans.loans_len; i++)
+		take_loan(e, pool, &reply->loans.loans_val[i], event);
+	dispatch_pump(e, now, pool);
+	give_back_unused(e, pool);
+}
+
+struct held_loan *loans_choose(struct pool_state *pool, clock_ms_t now, const struct entry *e,
+			       const struct request *r)
+{
+	for (guint n = 0; n < pool->loans->len; n++) {
+		struct held_loan *loan = pool->loans->pdata[n];
+		const struct instance *i = g_hash_table_lookup(e->by_name, loan->instance);
+		bool tried = false;
+
+		for (uint32_t t = 0; i && t < r->n_tried; t++)
+			tried = tried || r->tried[t] == i->record.id;
+		if (!loan->in_use && now < loan->expires_at && !tried && !(i && i->leaving))
+			return loan;
+	}
+	return NULL;
+}
+
+/* Lending. */
+
+static void reply_loans(struct entry *e, uint64_t token, sw_status status, GArray *loans)
+{
+	sw_borrow_reply *reply = &entry_add_effect(e, EFFECT_LEND, token)->u.lend;
+
+	reply->status = status;
+	if (!loans || !loans->len)
+		return;
+	reply->loans.loans_len = loans->len;
+	reply->loans.loans_val = calloc(loans->len, sizeof(sw_loan));
+	memcpy(reply->loans.loans_val, loans->data, loans->len * sizeof(sw_loan));
+}
+
+static sw_loan lend_slot(struct entry *e, clock_ms_t now, struct instance *i, uint32_t expires_ms)
+{
+	struct given_loan given = {
+		.id = ++e->next_loan,
+		.instance = i->record.id,
+		.until =
+			now + expires_ms + e->settings.loan_margin_ms + e->settings.deadline_max_ms,
+	};
+
+	i->lent++;
+	g_array_append_val(e->given, given);
+	return (sw_loan){
+		.id = given.id,
+		.instance = strdup(i->record.endpoint.instance),
+		.incarnation = i->record.endpoint.incarnation,
+		.address = strdup(i->record.endpoint.address),
+		.pool = strdup(i->record.pool),
+		.epoch = i->record.epoch,
+		.expires_ms = expires_ms,
+		.host_connections = i->record.endpoint.connections,
+	};
+}
+
+bool loans_grant(struct entry *e, clock_ms_t now, struct pool_state *pool, struct waiter *w)
+{
+	g_autoptr(GArray) loans = g_array_new(FALSE, FALSE, sizeof(sw_loan));
+	uint32_t expires_ms = MIN((clock_ms_t)e->settings.loan_ms, e->lease_until - now);
+
+	while (loans->len < w->u.loan.count) {
+		struct instance *i = dispatch_choose(e, now, pool, NULL);
+		sw_loan loan;
+
+		if (!i)
+			break;
+		loan = lend_slot(e, now, i, expires_ms);
+		g_array_append_val(loans, loan);
+	}
+	if (!loans->len)
+		return false;
+	reply_loans(e, w->u.loan.token, SW_OK, loans);
+	g_queue_remove(&pool->waiters, w);
+	g_free(w);
+	return true;
+}
+
+void loans_lend(struct entry *e, clock_ms_t now, const struct entry_event *event)
+{
+	const sw_borrow_args *args = event->u.lend.args;
+	struct pool_state *pool = g_hash_table_lookup(e->pools, args->pool);
+	struct waiter *w;
+
+	if (!pool || !pool->owned->len || !entry_has_lease(e, now)) {
+		reply_loans(e, event->u.lend.token, SW_REFUSED, NULL);
+		return;
+	}
+	w = g_new0(struct waiter, 1);
+	*w = (struct waiter){.type = WAITER_LOAN, .since = now};
+	w->u.loan.token = event->u.lend.token;
+	w->u.loan.count = MIN(args->count, LOANS_PER_CALL_MAX);
+	w->u.loan.until = now + args->wait_ms;
+	g_queue_push_tail(&pool->waiters, w);
+	dispatch_pump(e, now, pool);
+}
+
+static void end_given(struct entry *e, clock_ms_t now, guint n)
+{
+	struct given_loan given = g_array_index(e->given, struct given_loan, n);
+	struct instance *i = e->instances->pdata[given.instance];
+
+	g_array_remove_index_fast(e->given, n);
+	if (!i)
+		return;
+	i->lent--;
+	dispatch_slot_freed(e, i);
+	if (i->known && *i->record.pool)
+		dispatch_pump(e, now, view_pool(e, i->record.pool));
+}
+
+void loans_returned(struct entry *e, clock_ms_t now, const struct entry_event *event)
+{
+	const sw_return_args *args = event->u.returned;
+
+	for (u_int i = 0; i < args->loans.loans_len; i++)
+		for (guint n = 0; n < e->given->len; n++)
+			if (g_array_index(e->given, struct given_loan, n).id ==
+			    args->loans.loans_val[i]) {
+				end_given(e, now, n);
+				break;
+			}
+}
+
+static void expire_waiters(struct entry *e, clock_ms_t now, struct pool_state *pool)
+{
+	for (GList *l = pool->waiters.head; l;) {
+		struct waiter *w = l->data;
+		GList *link = l;
+
+		l = l->next;
+		if (w->type != WAITER_LOAN || (now < w->u.loan.until && entry_has_lease(e, now)))
+			continue;
+		reply_loans(e, w->u.loan.token, SW_BUSY, NULL);
+		g_queue_delete_link(&pool->waiters, link);
+		g_free(w);
+	}
+}
+
+void loans_expire(struct entry *e, clock_ms_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	for (guint n = e->given->len; n > 0; n--)
+		if (now >= g_array_index(e->given, struct given_loan, n - 1).until)
+			end_given(e, now, n - 1);
+	g_hash_table_iter_init(&iter, e->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		expire_waiters(e, now, value);
+		give_back_unused(e, value);
+	}
+}
--- /dev/null
+++ b/src/sesamewood/entry/routing.h
@@ -0,0 +1,17 @@
+#ifndef SESAMEWOOD_ENTRY_ROUTING_H
+#define SESAMEWOOD_ENTRY_ROUTING_H
+
+/// @file
+/// Matching of requests to routes.
+
+#include "base/tables.h"
+#include "entry/entry_defs.h"
+
+/// @return the first route that matches, or NULL
+const struct route *routing_match(const struct tables *t, const char *method, const char *host,
+				  const char *path, entry_header_fn header, const void *ctx);
+
+/// Tells whether HTTP defines a method as idempotent (RFC 9110, section 9.2.2).
+bool routing_method_is_idempotent(const char *method);
+
+#endif
