--- a/src/sesamewood/control/raft.c
+++ b/src/sesamewood/control/raft.c
@@ -4,6 +4,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define BATCH_RECORDS_MAX 512
 #define FRAME_RECORDS_MAX 4096
@@ -433,6 +434,15 @@
 	}
 }
 
+/// Tells whether the log still holds the follower's next record and the term of the one before.
+static bool can_append(const struct raft *r, const struct peer *p)
+{
+	if (p->next > r->snapshot.index)
+		return true;
+	return r->log->len && p->next >= r->first &&
+	       (p->next == 1 || raft_term_at(r, p->next - 1) != 0);
+}
+
 /// Sends an append message: with records if there are some and none are on their way.
 static void send_append(struct raft *r, struct peer *p, clock_ms_t now)
 {
@@ -441,7 +451,7 @@
 
 	if (!p->uid)
 		return;
-	if (p->next <= r->snapshot.index && (!r->log->len || p->next < r->first)) {
+	if (!can_append(r, p)) {
 		if (!busy)
 			send_snapshot(r, p, now);
 		return;
@@ -918,7 +928,8 @@
 	struct raft *r = g_new0(struct raft, 1);
 
 	r->settings = *settings;
-	r->random = g_rand_new_with_seed((guint32)(settings->seed ^ settings->node));
+	r->random = g_rand_new_with_seed(
+		(guint32)XXH64(&settings->seed, sizeof(settings->seed), settings->node));
 	r->effects = g_ptr_array_new_with_free_func(raft_effect_free);
 	r->meta = recovered->meta;
 	r->snapshot = recovered->snapshot;
