fix(control): budgets count proposed acts and restarting instances; no crash on a late claim end

Also: the wait for runs of a lapsed owner allows for clocks that differ in rate; an instance handed to another entry of its pool is acknowledged at once, so that a planned stop of an entry takes nothing out of service.

--- a/src/sesamewood/control/control.c
+++ b/src/sesamewood/control/control.c
@@ -68,7 +68,7 @@
 static void set_holder(sw_claim_result *result, const struct fleet_outcome *outcome)
 {
 	result->status = outcome->status;
-	if (outcome->status == SW_CONFLICT)
+	if (outcome->holder.entry)
 		codec_copy(CODEC_PROC(sw_claim), &outcome->holder, &result->holder,
 			   sizeof(result->holder));
 	else
@@ -255,6 +255,9 @@
 	if (!codec_decode(CODEC_PROC(sw_command), data, len, &command, sizeof(command)))
 		return;
 	outcome = fleet_apply(c->fleet, record->index, &command);
+	if (command.type == SW_COMMAND_ANNOUNCE && outcome.status == SW_OK)
+		moves_registered(c, now,
+				 fleet_instance(c->fleet, command.sw_command_u.announce.instance));
 	if (changes_view(&command, &outcome)) {
 		c->view_index = record->index;
 		c->decide = true;
--- a/src/sesamewood/control/control_defs.h
+++ b/src/sesamewood/control/control_defs.h
@@ -22,6 +22,12 @@
 	bool policy;		   ///< whether instances are moved on demand
 };
 
+/// An entry's acknowledgement of a revocation.
+struct ack {
+	uint64_t epoch;
+	bool busy; ///< requests still run
+};
+
 /// An entry that is attached to this leader.
 struct session {
 	char *entry;
@@ -31,7 +37,7 @@
 	clock_ms_t lease_until; ///< as control counts it
 	clock_ms_t clean_after; ///< requests of an earlier session may run until then
 	bool draining;
-	GHashTable *acks;   ///< latest acknowledged epoch (uint64_t *) by instance name
+	GHashTable *acks;   ///< latest struct ack by instance name
 	GPtrArray *reports; ///< of sw_pool_report
 };
 
--- a/src/sesamewood/control/fleet.h
+++ b/src/sesamewood/control/fleet.h
@@ -42,7 +42,8 @@
 struct fleet_outcome {
 	sw_status status;
 	uint64_t table_version; ///< of a put: the new or, on conflict, the current version
-	sw_claim holder;	///< of a claim: who holds the key; valid until the next command
+	sw_claim holder; ///< of a refused claim: who holds the key, else empty; valid until the
+			 ///< next command
 };
 
 struct fleet *fleet_new(void);
--- a/src/sesamewood/control/moves.c
+++ b/src/sesamewood/control/moves.c
@@ -5,6 +5,9 @@
 
 #include <string.h>
 
+#define PERCENT 100
+#define CLOCK_RATE_PERCENT 10 ///< by how much the clocks of two machines may differ in rate
+
 static struct health *health_of(struct control *c, const sw_instance *i)
 {
 	if (i->id >= c->health->len)
@@ -12,6 +15,11 @@
 	return &g_array_index(c->health, struct health, i->id);
 }
 
+void moves_registered(struct control *c, clock_ms_t now, const sw_instance *i)
+{
+	health_of(c, i)->heard_at = now;
+}
+
 static void update_one(struct control *c, clock_ms_t now, const sw_instance *i)
 {
 	struct health *h = health_of(c, i);
@@ -131,6 +139,11 @@
 
 /* The state of an owner. */
 
+clock_ms_t moves_longest_run_ms(const struct control *c)
+{
+	return (clock_ms_t)c->settings.deadline_max_ms * (PERCENT + CLOCK_RATE_PERCENT) / PERCENT;
+}
+
 static bool owner_alive(const struct control *c, clock_ms_t now, const sw_instance *i)
 {
 	const struct session *s = g_hash_table_lookup(c->sessions, i->entry);
@@ -148,18 +161,19 @@
 		s ? s->lease_until
 		  : c->leading_since + c->settings.lease_ms + c->settings.lease_margin_ms;
 
-	return lapsed + c->settings.deadline_max_ms;
+	return lapsed + moves_longest_run_ms(c);
 }
 
-static bool is_acked(const struct control *c, clock_ms_t now, const sw_instance *i)
+/// @return the owner's acknowledgement of the revocation, or NULL
+static const struct ack *find_ack(const struct control *c, clock_ms_t now, const sw_instance *i)
 {
 	const struct session *s = g_hash_table_lookup(c->sessions, i->entry);
-	const uint64_t *epoch;
+	const struct ack *ack;
 
 	if (!s || now < s->clean_after)
-		return false;
-	epoch = g_hash_table_lookup(s->acks, i->endpoint.instance);
-	return epoch && *epoch == i->epoch;
+		return NULL;
+	ack = g_hash_table_lookup(s->acks, i->endpoint.instance);
+	return ack && ack->epoch == i->epoch ? ack : NULL;
 }
 
 /// Tells whether requests of earlier owners may still run on the instance.
@@ -169,7 +183,7 @@
 
 	return i->dirty && (!h->dirty_since || now < h->dirty_since + c->settings.lease_ms +
 							       c->settings.lease_margin_ms +
-							       c->settings.deadline_max_ms);
+							       moves_longest_run_ms(c));
 }
 
 static void propose_clean(struct control *c, const sw_instance *i)
@@ -222,11 +236,14 @@
 {
 	bool same_pool = g_str_equal(i->target, i->pool);
 	const char *target = i->endpoint.leaving ? "" : i->target;
+	const struct ack *ack = find_ack(c, now, i);
 
 	if (*target && !tables_pool(c->fleet->tables, target))
 		target = i->home;
-	if (is_acked(c, now, i)) {
-		if (same_pool || !is_dirty(c, now, i))
+	if (ack) {
+		if (same_pool && *target)
+			place(c, now, i, target, ack->busy);
+		else if (!ack->busy && !is_dirty(c, now, i))
 			place(c, now, i, target, false);
 		return;
 	}
@@ -248,7 +265,7 @@
 		propose_revoke(c, i, "", SW_REASON_LEAVING);
 	else if (now - h->heard_at > c->settings.forget_ms)
 		propose_revoke(c, i, "", SW_REASON_FAILED);
-	else if (!g_str_equal(desired, i->pool))
+	else if (!g_str_equal(desired, i->pool) && (!*desired || budget_admits_edit(c, now, i)))
 		propose_revoke(c, i, desired, SW_REASON_TABLE);
 	else if (!owner_alive(c, now, i))
 		place(c, now, i, i->pool, true);
--- a/src/sesamewood/control/sessions.c
+++ b/src/sesamewood/control/sessions.c
@@ -1,12 +1,11 @@
 #include "control/sessions.h"
 
 #include "base/codec.h"
+#include "control/moves.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#define HYPER_BYTES sizeof(uint64_t)
-
 void session_free(void *p)
 {
 	struct session *s = p;
@@ -90,7 +89,7 @@
 		return NULL;
 	s = attach(c, args);
 	if (!known->clean)
-		s->clean_after = now + c->settings.deadline_max_ms;
+		s->clean_after = now + moves_longest_run_ms(c);
 	return s;
 }
 
@@ -98,10 +97,10 @@
 {
 	for (u_int i = 0; i < args->acks.acks_len; i++) {
 		const sw_ack *ack = &args->acks.acks_val[i];
-		uint64_t epoch = ack->epoch;
+		struct ack *copy = g_new(struct ack, 1);
 
-		g_hash_table_replace(s->acks, g_strdup(ack->instance),
-				     g_memdup2(&epoch, HYPER_BYTES));
+		*copy = (struct ack){.epoch = ack->epoch, .busy = ack->busy};
+		g_hash_table_replace(s->acks, g_strdup(ack->instance), copy);
 		c->decide = true;
 	}
 }
--- a/src/sesamewood/entry/view.c
+++ b/src/sesamewood/entry/view.c
@@ -113,9 +113,6 @@
 		     (record->endpoint.incarnation == news->incarnation &&
 		      record->endpoint.leaving >= news->leaving)))
 		g_hash_table_remove(e->news, news->instance);
-	if (record->phase == SW_PHASE_REVOKING && g_str_equal(record->entry, e->settings.name) &&
-	    !i->in_use && !i->lent)
-		e->renew_urgent = true;
 }
 
 static void forget_instance(struct entry *e, uint32_t id)
@@ -201,18 +198,28 @@
 
 /* Renewing. */
 
+/// Tells whether a revocation can be acknowledged: when nothing runs any more, or at once where
+/// the instance only changes its entry.
+static bool may_ack(const struct entry *e, const struct instance *i)
+{
+	if (!i->known || i->record.phase != SW_PHASE_REVOKING ||
+	    !g_str_equal(i->record.entry, e->settings.name))
+		return false;
+	return (!i->in_use && !i->lent) || g_str_equal(i->record.target, i->record.pool);
+}
+
 static void fill_acks(const struct entry *e, sw_renew_args *args)
 {
 	args->acks.acks_val = calloc(e->instances->len + 1, sizeof(sw_ack));
 	for (guint n = 0; n < e->instances->len; n++) {
 		const struct instance *i = e->instances->pdata[n];
 
-		if (!i || !i->known || i->record.phase != SW_PHASE_REVOKING || i->in_use ||
-		    i->lent || !g_str_equal(i->record.entry, e->settings.name))
+		if (!i || !may_ack(e, i))
 			continue;
 		args->acks.acks_val[args->acks.acks_len++] = (sw_ack){
 			.instance = strdup(i->record.endpoint.instance),
 			.epoch = i->record.epoch,
+			.busy = i->in_use || i->lent,
 		};
 	}
 }
--- a/src/sesamewood/rpc/sesamewood.x
+++ b/src/sesamewood/rpc/sesamewood.x
@@ -265,6 +265,7 @@
 struct sw_ack {
 	sw_name instance;
 	unsigned hyper epoch;
+	bool busy;      /* requests still run; only where the instance stays in its pool */
 };
 
 struct sw_renew_args {
