test: promises under failure with real processes

One pool (leader, entry, endpoint killed; entry and leader frozen), at most once (broken answers, endpoints, entries and control killed, resends), configuration (races, resends, roll-out, lost disk, hundreds of missed changes), planned stops.

--- a/src/sesamewood/base/tables.c
+++ b/src/sesamewood/base/tables.c
@@ -344,7 +344,7 @@
 	for (guint i = 0; i < rows->len; i++) {
 		const char *name = *(char *const *)rows->pdata[i];
 
-		if (!g_hash_table_add(seen, (char *)name))
+		if (*name && !g_hash_table_add(seen, (char *)name))
 			g_ptr_array_add(faults,
 					g_strdup_printf("$.%s[%u].name: duplicate name '%s'", key,
 							i, name));
--- /dev/null
+++ b/tests/functional/test_once.c
@@ -0,0 +1,206 @@
+/// @file
+/// "Not run" is true, and a non-idempotent request runs at most once, also when it is sent again
+/// through another entry while processes fail. Endpoints log each run by key.
+
+#include "harness.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+static const struct harness_settings seven = {.entries = 7};
+
+static void assert_once(struct harness *h)
+{
+	struct run_report runs = harness_runs(h);
+
+	g_assert_cmpint(runs.runs, >, 100);
+	g_assert_cmpint(runs.keys_run_twice, ==, 0);
+	g_assert_cmpint(runs.not_run_but_run, ==, 0);
+	g_assert_cmpint(runs.ran_but_not_run, ==, 0);
+}
+
+static void report(const char *what, const struct load_result *r)
+{
+	g_test_message("%s: %ld ran, %ld not run, %ld may have run, %ld without an answer", what,
+		       r->ran, r->not_run, r->may_have_run, r->errors);
+}
+
+/// Requests whose endpoint misbehaves, sent with keys and resent through other entries.
+static void test_broken_answers(void)
+{
+	static const char *const behaviours[] = {"close", "short", "garbage",	"unframed",
+						 "chunk", "long",  "late-close"};
+	struct harness *h = harness_new(&seven);
+
+	harness_two_pools(h);
+	for (size_t i = 0; i < G_N_ELEMENTS(behaviours); i++) {
+		g_autofree char *flags = g_strdup_printf(
+			"--path=/a --method=POST --keyed --body=50 --duration=500 --concurrency=6 "
+			"--resends=2 --pause=20 --headers=Fake-Behaviour:%s",
+			behaviours[i]);
+		struct load_result r = harness_load_end(harness_load(h, flags));
+		bool whole = g_str_equal(behaviours[i], "long") ||
+			     g_str_equal(behaviours[i], "late-close");
+
+		report(behaviours[i], &r);
+		g_assert_cmpint(r.errors, ==, 0);
+		g_assert_cmpint(r.not_run, ==, 0);
+		if (whole)
+			g_assert_cmpint(r.may_have_run, ==, 0);
+		else
+			g_assert_cmpint(r.ran, ==, 0);
+	}
+	assert_once(h);
+	harness_free(h);
+}
+
+/// Without a key too, a non-idempotent request is not retried after it may have run.
+static void test_unkeyed_is_not_retried(void)
+{
+	struct harness *h = harness_new(&seven);
+	struct load_result r;
+
+	harness_two_pools(h);
+	r = harness_load_end(harness_load(h, "--path=/a --method=POST --duration=1000 --pause=10 "
+					     "--headers=Fake-Behaviour:close"));
+	g_assert_cmpint(r.may_have_run, >, 50);
+	g_assert_cmpint(r.ran, ==, 0);
+	assert_once(h);
+	harness_free(h);
+}
+
+static void test_endpoints_killed(void)
+{
+	struct harness *h = harness_new(&seven);
+	struct program *load;
+	struct load_result r;
+
+	harness_two_pools(h);
+	load = harness_load(h, "--path=/a --method=POST --keyed --duration=5000 --concurrency=40 "
+			       "--resends=8");
+	g_usleep(1000000);
+	program_kill(&h->endpoints[0]);
+	g_usleep(1000000);
+	harness_reincarnate(h, &h->endpoints[0], 2);
+	r = harness_load_end(load);
+	report("endpoints killed", &r);
+	g_assert_cmpint(r.errors, ==, 0);
+	assert_once(h);
+	harness_free(h);
+}
+
+static void test_entries_killed(void)
+{
+	struct harness *h = harness_new(&seven);
+	struct program *load;
+	struct load_result r;
+
+	harness_two_pools(h);
+	load = harness_load(h, "--path=/a --method=POST --keyed --duration=8000 --concurrency=40 "
+			       "--resends=8 --body=200");
+	for (int i = 0; i < 7; i++) {
+		g_usleep(900000);
+		program_kill(&h->entries[i]);
+		g_usleep(100000);
+		program_start(h, &h->entries[i]);
+	}
+	r = harness_load_end(load);
+	report("entries killed", &r);
+	assert_once(h);
+	harness_free(h);
+}
+
+static void test_control_killed(void)
+{
+	struct harness *h = harness_new(&seven);
+	struct program *load;
+	struct load_result r;
+
+	harness_two_pools(h);
+	load = harness_load(h, "--path=/a --method=POST --keyed --duration=8000 --concurrency=40 "
+			       "--resends=8 --headers=Fake-Delay:5");
+	for (int i = 0; i < 4; i++) {
+		unsigned int leader = harness_leader(h);
+
+		program_kill(&h->controls[leader]);
+		g_usleep(700000);
+		program_start(h, &h->controls[leader]);
+		g_usleep(700000);
+	}
+	r = harness_load_end(load);
+	report("control killed", &r);
+	g_assert_cmpint(r.errors, ==, 0);
+	assert_once(h);
+	harness_free(h);
+}
+
+/* Resends by hand. */
+
+static long post(struct harness *h, unsigned int entry, const char *key, const char *body,
+		 const char *more, char **answer, char **head)
+{
+	g_autofree char *url = harness_entry_url(h, entry, "/a");
+	g_autofree char *idempotency = g_strconcat("Idempotency-Key: ", key, NULL);
+	g_autofree char *request = g_strconcat("X-Request-Key: ", key, NULL);
+	const char *const headers[] = {idempotency, request, more, NULL};
+
+	return harness_http("POST", url, headers, body, answer, head);
+}
+
+/// A resend after a whole answer gets the first answer, through any entry.
+static void test_resend_gets_first_answer(void)
+{
+	struct harness *h = harness_new(&seven);
+	g_autofree char *first = NULL;
+	g_autofree char *body = NULL;
+
+	harness_two_pools(h);
+	g_assert_cmpint(post(h, 0, "one", "x", NULL, &first, NULL), ==, 200);
+	g_usleep(100000);
+	for (unsigned int i = 0; i < 7; i++) {
+		g_autofree char *again = NULL;
+		g_autofree char *head = NULL;
+
+		g_assert_cmpint(post(h, i, "one", "x", NULL, &again, &head), ==, 200);
+		g_assert_cmpstr(again, ==, first);
+		g_assert_nonnull(strstr(head, "Sesamewood-Verdict: ran"));
+	}
+	g_assert_cmpint(post(h, 1, "one", "y", NULL, &body, NULL), ==, 422);
+	program_kill(&h->controls[harness_leader(h)]);
+	g_assert_cmpint(post(h, 2, "one", "x", NULL, NULL, NULL), ==, 200);
+	g_assert_cmpint(harness_runs(h).runs, ==, 1);
+	harness_free(h);
+}
+
+/// What did not run frees its key.
+static void test_not_run_frees_the_key(void)
+{
+	struct harness *h = harness_new(&seven);
+	struct program *endpoint = harness_endpoint(h, "a-", 1, NULL);
+	g_autofree char *head = NULL;
+
+	harness_put(h, "pools", "{\"pools\":[{\"name\":\"a\",\"instances\":[\"a-*\"]}]}");
+	harness_put(h, "routes", "{\"routes\":[{\"name\":\"a\",\"pool\":\"a\"}]}");
+	g_assert_true(harness_wait(harness_count(h, "a", "active") == 1, 10000));
+	program_kill(endpoint);
+	g_assert_cmpint(post(h, 0, "two", "x", NULL, NULL, &head), ==, 502);
+	g_assert_nonnull(strstr(head, "Sesamewood-Verdict: not-run"));
+	harness_reincarnate(h, endpoint, 2);
+	g_assert_true(harness_wait(post(h, 1, "two", "x", NULL, NULL, NULL) == 200, 5000));
+	harness_free(h);
+}
+
+int main(int argc, char **argv)
+{
+	harness_init(&argc, &argv);
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/once/broken_answers", test_broken_answers);
+	g_test_add_func("/once/unkeyed_is_not_retried", test_unkeyed_is_not_retried);
+	g_test_add_func("/once/endpoints_killed", test_endpoints_killed);
+	g_test_add_func("/once/entries_killed", test_entries_killed);
+	g_test_add_func("/once/control_killed", test_control_killed);
+	g_test_add_func("/once/resend_gets_first_answer", test_resend_gets_first_answer);
+	g_test_add_func("/once/not_run_frees_the_key", test_not_run_frees_the_key);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/functional/test_pools.c
@@ -0,0 +1,260 @@
+/// @file
+/// Each instance in exactly one pool, and no new work for one that leaves, while processes fail.
+/// Judged by what the stand-in endpoints logged.
+
+#include "harness.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+static const struct harness_settings seven = {
+	.entries = 7,
+	.control_flags = "--deadline-max=2000 --probation=500",
+	.entry_flags = "--deadline-max=2000",
+};
+
+#define ROUTES                                                                                     \
+	"{\"routes\":["                                                                            \
+	"{\"name\":\"s\",\"match\":{\"path_prefix\":\"/s\"},\"pool\":\"s\",\"deadline_ms\":2000}," \
+	"{\"name\":\"a\",\"pool\":\"a\",\"deadline_ms\":2000}]}"
+
+/// Both pools surge in turn, so that instances move to and fro.
+struct surges {
+	struct program *loads[4];
+};
+
+static void surge_in_turn(struct harness *h, struct surges *s)
+{
+	static const char *const flags[] = {
+		"--path=/a --duration=3000 --concurrency=120",
+		"--path=/s --duration=9000 --concurrency=8 --headers=Fake-Delay:150",
+		"--path=/a --duration=9000 --concurrency=8 --headers=Fake-Delay:150",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(flags); i++)
+		s->loads[i] = harness_load(h, flags[i]);
+	g_usleep(3500000);
+	s->loads[3] = harness_load(h, "--path=/s --duration=5000 --concurrency=110");
+}
+
+static void end_surges(struct surges *s, struct load_result *sum)
+{
+	*sum = (struct load_result){0};
+	for (size_t i = 0; i < G_N_ELEMENTS(s->loads); i++) {
+		struct load_result r = harness_load_end(s->loads[i]);
+
+		sum->ok += r.ok;
+		sum->ran += r.ran;
+		sum->not_run += r.not_run;
+		sum->may_have_run += r.may_have_run;
+		sum->errors += r.errors;
+	}
+}
+
+static void assert_one_pool(struct harness *h)
+{
+	struct run_report runs = harness_runs(h);
+
+	g_assert_cmpint(runs.runs, >, 1000);
+	g_assert_cmpint(runs.pool_overlaps, ==, 0);
+	g_assert_cmpint(runs.not_run_but_run, ==, 0);
+	g_assert_cmpint(harness_status(h, "moves"), >, 0);
+}
+
+static struct harness *start(void)
+{
+	struct harness *h = harness_new(&seven);
+
+	harness_two_pools(h);
+	harness_put(h, "routes", ROUTES);
+	return h;
+}
+
+static void test_leader_killed(void)
+{
+	struct harness *h = start();
+	struct load_result sum;
+	struct surges s;
+
+	surge_in_turn(h, &s);
+	program_kill(&h->controls[harness_leader(h)]);
+	end_surges(&s, &sum);
+	g_assert_cmpint(sum.errors, ==, 0);
+	g_assert_cmpint(sum.ok, ==, sum.ran);
+	assert_one_pool(h);
+	harness_free(h);
+}
+
+static void test_entry_killed_and_restarted(void)
+{
+	struct harness *h = start();
+	struct load_result sum;
+	struct surges s;
+
+	surge_in_turn(h, &s);
+	program_kill(&h->entries[1]);
+	g_usleep(500000);
+	program_start(h, &h->entries[1]);
+	program_kill(&h->entries[4]);
+	end_surges(&s, &sum);
+	assert_one_pool(h);
+	harness_free(h);
+}
+
+/// A stopped entry's instances go to others; when it goes on, it must not use what it had.
+static void test_entry_frozen_past_its_lease(void)
+{
+	struct harness *h = start();
+	struct load_result sum;
+	struct surges s;
+
+	surge_in_turn(h, &s);
+	program_signal(&h->entries[0], SIGSTOP);
+	program_signal(&h->entries[3], SIGSTOP);
+	g_usleep(4500000);
+	program_signal(&h->entries[0], SIGCONT);
+	g_usleep(300000);
+	program_signal(&h->entries[3], SIGCONT);
+	end_surges(&s, &sum);
+	assert_one_pool(h);
+	harness_free(h);
+}
+
+static void test_leader_frozen_and_resumed(void)
+{
+	struct harness *h = start();
+	struct load_result sum;
+	struct surges s;
+	unsigned int old;
+
+	surge_in_turn(h, &s);
+	old = harness_leader(h);
+	program_signal(&h->controls[old], SIGSTOP);
+	g_usleep(3000000);
+	program_signal(&h->controls[old], SIGCONT);
+	end_surges(&s, &sum);
+	g_assert_cmpint(sum.errors, ==, 0);
+	g_assert_cmpuint(harness_leader(h), !=, old);
+	assert_one_pool(h);
+	harness_free(h);
+}
+
+static void test_endpoint_restarts_during_moves(void)
+{
+	struct harness *h = start();
+	struct load_result sum;
+	struct surges s;
+
+	surge_in_turn(h, &s);
+	program_kill(&h->endpoints[1]);
+	harness_reincarnate(h, &h->endpoints[1], 2);
+	end_surges(&s, &sum);
+	assert_one_pool(h);
+	harness_free(h);
+}
+
+/* Leaving. */
+
+/// @return time of the last run of an instance whose name starts with a prefix, ms; 0: none
+static gint64 last_start(struct harness *h, const char *prefix)
+{
+	g_autofree char *path = g_build_filename(h->folder, "runs", NULL);
+	g_autofree char *text = NULL;
+	g_auto(GStrv) lines = NULL;
+	gint64 last = 0;
+
+	g_file_get_contents(path, &text, NULL, NULL);
+	lines = g_strsplit(text ? text : "", "\n", -1);
+	for (int i = 0; lines[i]; i++) {
+		g_auto(GStrv) f = g_strsplit(lines[i], " ", -1);
+
+		if (g_strv_length(f) == 8 && g_str_has_prefix(f[1], prefix) &&
+		    g_str_equal(f[6], "start"))
+			last = g_ascii_strtoll(f[0], NULL, 10);
+	}
+	return last;
+}
+
+static struct harness *start_with_leaver(struct program **leaver)
+{
+	struct harness *h = start();
+
+	*leaver = harness_endpoint(h, "a-x", 2, NULL);
+	g_assert_true(harness_wait(harness_count(h, "a", "active") == 10, 5000));
+	return h;
+}
+
+static void test_leaving_gets_no_new_work(void)
+{
+	struct program *leaver;
+	struct harness *h = start_with_leaver(&leaver);
+	struct program *load = harness_load(h, "--path=/a --duration=5000 --concurrency=70");
+	struct load_result r;
+	gint64 left_at;
+
+	g_usleep(1500000);
+	program_signal(leaver, SIGUSR1);
+	left_at = clock_wall();
+	r = harness_load_end(load);
+	g_assert_cmpint(r.errors + r.may_have_run + r.not_run, ==, 0);
+	g_assert_cmpint(last_start(h, "a-x"), >, 0);
+	g_assert_cmpint(last_start(h, "a-x"), <, left_at + 2000);
+	harness_free(h);
+}
+
+/// An endpoint that leaves while control has no leader.
+static void test_leaving_during_failover(void)
+{
+	struct program *leaver;
+	struct harness *h = start_with_leaver(&leaver);
+	struct program *load = harness_load(h, "--path=/a --duration=6000 --concurrency=70");
+	struct load_result r;
+	gint64 left_at;
+
+	g_usleep(1500000);
+	program_kill(&h->controls[harness_leader(h)]);
+	program_signal(leaver, SIGUSR1);
+	left_at = clock_wall();
+	r = harness_load_end(load);
+	g_assert_cmpint(r.errors + r.may_have_run, ==, 0);
+	g_assert_cmpint(last_start(h, "a-x"), <, left_at + 2000);
+	harness_free(h);
+}
+
+static void test_removed_from_table_gets_no_new_work(void)
+{
+	struct program *leaver;
+	struct harness *h = start_with_leaver(&leaver);
+	struct program *load = harness_load(h, "--path=/a --duration=5000 --concurrency=70");
+	struct load_result r;
+	gint64 removed_at;
+
+	g_usleep(1500000);
+	harness_put(h, "pools",
+		    "{\"pools\":[{\"name\":\"a\",\"instances\":[\"a-1\",\"a-2\",\"a-3\",\"a-4\"],"
+		    "\"max_out\":4},{\"name\":\"s\",\"instances\":[\"s-*\"],\"spare\":true,"
+		    "\"max_out\":8,\"min_instances\":0}]}");
+	removed_at = clock_wall();
+	r = harness_load_end(load);
+	g_assert_cmpint(r.errors + r.may_have_run, ==, 0);
+	g_assert_cmpint(last_start(h, "a-x"), <, removed_at + 2000);
+	harness_free(h);
+}
+
+int main(int argc, char **argv)
+{
+	harness_init(&argc, &argv);
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/pools/leader_killed", test_leader_killed);
+	g_test_add_func("/pools/entry_killed_and_restarted", test_entry_killed_and_restarted);
+	g_test_add_func("/pools/entry_frozen_past_its_lease", test_entry_frozen_past_its_lease);
+	g_test_add_func("/pools/leader_frozen_and_resumed", test_leader_frozen_and_resumed);
+	g_test_add_func("/pools/endpoint_restarts_during_moves",
+			test_endpoint_restarts_during_moves);
+	g_test_add_func("/pools/leaving_gets_no_new_work", test_leaving_gets_no_new_work);
+	g_test_add_func("/pools/leaving_during_failover", test_leaving_during_failover);
+	g_test_add_func("/pools/removed_from_table_gets_no_new_work",
+			test_removed_from_table_gets_no_new_work);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/functional/test_stops.c
@@ -0,0 +1,92 @@
+/// @file
+/// Planned stops under load: every program ends with status 0 and cuts nothing.
+
+#include "harness.h"
+
+#include <signal.h>
+#include <string.h>
+
+static const struct harness_settings seven = {.entries = 7};
+
+static void assert_nothing_cut(const struct load_result *r)
+{
+	g_assert_cmpint(r->ok, >, 500);
+	g_assert_cmpint(r->ok, ==, r->ran);
+	g_assert_cmpint(r->errors, ==, 0);
+	g_assert_cmpint(r->may_have_run, ==, 0);
+	g_assert_cmpint(r->not_run, ==, 0);
+}
+
+static void test_entries_stop_one_by_one(void)
+{
+	struct harness *h = harness_new(&seven);
+	struct program *load;
+	struct load_result r;
+
+	harness_two_pools(h);
+	load = harness_load(h,
+			    "--path=/a --method=POST --duration=9000 --concurrency=30 --pause=5");
+	for (int i = 0; i < 3; i++) {
+		g_usleep(500000);
+		program_signal(&h->entries[i], SIGTERM);
+		g_assert_cmpint(program_wait(&h->entries[i]), ==, 0);
+		g_usleep(300000);
+		program_start(h, &h->entries[i]);
+		g_usleep(700000);
+	}
+	r = harness_load_end(load);
+	assert_nothing_cut(&r);
+	g_assert_cmpint(harness_runs(h).pool_overlaps, ==, 0);
+	harness_free(h);
+}
+
+static void test_controls_stop_one_by_one(void)
+{
+	struct harness *h = harness_new(&seven);
+	struct program *load;
+	struct load_result r;
+
+	harness_two_pools(h);
+	load = harness_load(h, "--path=/a --method=POST --keyed --duration=9000 --concurrency=30 "
+			       "--pause=5");
+	for (int i = 0; i < 3; i++) {
+		g_usleep(500000);
+		program_signal(&h->controls[i], SIGTERM);
+		g_assert_cmpint(program_wait(&h->controls[i]), ==, 0);
+		program_start(h, &h->controls[i]);
+		g_usleep(1500000);
+	}
+	r = harness_load_end(load);
+	assert_nothing_cut(&r);
+	harness_free(h);
+}
+
+/// A long request in flight ends before its entry does.
+static void test_long_request_is_not_cut(void)
+{
+	struct harness *h = harness_new(&seven);
+	struct program *load;
+	struct load_result r;
+
+	harness_two_pools(h);
+	load = harness_load(h, "--path=/a --method=POST --duration=100 --concurrency=14 "
+			       "--headers=Fake-Delay:4000");
+	g_usleep(500000);
+	for (int i = 0; i < 6; i++)
+		program_signal(&h->entries[i], SIGTERM);
+	r = harness_load_end(load);
+	g_assert_cmpint(r.ok, ==, 14);
+	for (int i = 0; i < 6; i++)
+		g_assert_cmpint(program_wait(&h->entries[i]), ==, 0);
+	harness_free(h);
+}
+
+int main(int argc, char **argv)
+{
+	harness_init(&argc, &argv);
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/stops/entries_stop_one_by_one", test_entries_stop_one_by_one);
+	g_test_add_func("/stops/controls_stop_one_by_one", test_controls_stop_one_by_one);
+	g_test_add_func("/stops/long_request_is_not_cut", test_long_request_is_not_cut);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/functional/test_tables.c
@@ -0,0 +1,300 @@
+/// @file
+/// Configuration: racing operators, resends, roll-out on all entries, and no way back.
+
+#include "harness.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#define IN_FORCE_MS 2000
+
+static const struct harness_settings seven = {.entries = 7};
+
+static const char *const one_pool = "{\"pools\":[{\"name\":\"a\",\"instances\":[\"a-*\"]}]}";
+
+static char *route_table(int n)
+{
+	return g_strdup_printf("{\"routes\":[{\"name\":\"r%d\",\"pool\":\"a\"}]}", n);
+}
+
+/// One put of the routes table.
+///
+/// @return status
+static long put(struct harness *h, unsigned int replica, gint64 version, const char *request_id,
+		const char *json, gint64 *new_version)
+{
+	g_autofree char *url = harness_admin_url(h, replica, "/v1/tables/routes");
+	g_autofree char *match = g_strdup_printf("If-Match: \"%" G_GINT64_FORMAT "\"", version);
+	g_autofree char *id = g_strconcat("Request-Id: ", request_id, NULL);
+	const char *const headers[] = {match, id, NULL};
+	g_autofree char *body = NULL;
+	long status = harness_http("PUT", url, headers, json, &body, NULL);
+	g_autoptr(JsonNode) n = status == 200 ? json_from_string(body, NULL) : NULL;
+
+	if (n && new_version)
+		*new_version = json_object_get_int_member(json_node_get_object(n), "version");
+	return status;
+}
+
+static void test_racing_operators(void)
+{
+	struct harness *h = harness_new(&seven);
+	gint64 base;
+
+	harness_leader(h);
+	harness_put(h, "pools", one_pool);
+	base = harness_status(h, "routes_version");
+	for (int round = 0; round < 20; round++) {
+		int won = 0;
+		gint64 winner = 0;
+
+		for (unsigned int editor = 0; editor < 3; editor++) {
+			g_autofree char *json = route_table(round * 3 + (int)editor);
+			g_autofree char *id = g_strdup_printf("race-%d-%u", round, editor);
+			gint64 version = 0;
+			long status = put(h, editor, base, id, json, &version);
+
+			g_assert_true(status == 200 || status == 412);
+			won += status == 200;
+			if (status == 200)
+				winner = version;
+			g_assert_cmpint(put(h, (editor + 1) % 3, base, id, json, &version), ==,
+					status);
+			if (status == 200)
+				g_assert_cmpint(version, ==, winner);
+		}
+		g_assert_cmpint(won, ==, 1);
+		g_assert_cmpint(harness_status(h, "routes_version"), ==, winner);
+		base = winner;
+	}
+	harness_free(h);
+}
+
+/// @return entries that have at least this version in force
+static int entries_at(struct harness *h, gint64 version)
+{
+	int n = 0;
+
+	for (unsigned int i = 0; i < h->settings.entries; i++) {
+		g_autofree char *url = g_strdup_printf("http://%s:%u/metrics", h->host, 7800 + i);
+
+		n += harness_metric(url, "sesamewood_entry_routes_version") >= version;
+	}
+	return n;
+}
+
+static void test_in_force_on_all_entries(void)
+{
+	struct harness *h = harness_new(&seven);
+	clock_ms_t longest = 0;
+
+	harness_put(h, "pools", one_pool);
+	for (int i = 0; i < 20; i++) {
+		g_autofree char *json = route_table(i);
+		clock_ms_t from = clock_monotonic();
+		gint64 version = harness_put(h, "routes", json);
+
+		g_assert_true(harness_wait(entries_at(h, version) == 7, IN_FORCE_MS));
+		longest = MAX(longest, clock_monotonic() - from);
+		g_assert_true(harness_wait(harness_in_force(h, version), IN_FORCE_MS));
+	}
+	g_test_message("longest from put to seen on all entries, polling included: %" PRId64 " ms",
+		       longest);
+	harness_free(h);
+}
+
+/// A frozen entry does not hold back the report for longer than its lease, serves nothing on what
+/// it had, and comes back with the table in force.
+static void test_frozen_entry_does_not_serve_old_table(void)
+{
+	struct harness *h = harness_new(&seven);
+	g_autofree char *url = NULL;
+	g_autofree char *body = NULL;
+	gint64 version;
+
+	harness_two_pools(h);
+	url = harness_entry_url(h, 0, "/a");
+	g_assert_cmpint(harness_http("GET", url, NULL, NULL, NULL, NULL), ==, 200);
+	program_signal(&h->entries[0], SIGSTOP);
+	version = harness_put(h, "routes", "{\"routes\":[]}");
+	g_assert_true(harness_wait(harness_in_force(h, version), 3000));
+	program_signal(&h->entries[0], SIGCONT);
+	g_assert_cmpint(harness_http("GET", url, NULL, NULL, &body, NULL), !=, 200);
+	g_assert_true(harness_wait(entries_at(h, version) == 7, IN_FORCE_MS));
+	harness_free(h);
+}
+
+/// Checks that what was accepted is still there, on every replica that answers.
+static void assert_kept(struct harness *h, gint64 version, const char *json)
+{
+	for (unsigned int i = 0; i < HARNESS_CONTROLS; i++) {
+		g_autofree char *url = harness_admin_url(h, i, "/v1/tables/routes");
+		g_autofree char *etag = g_strdup_printf("\"%" G_GINT64_FORMAT "\"", version);
+		g_autofree char *body = NULL;
+		g_autofree char *head = NULL;
+
+		if (harness_http("GET", url, NULL, NULL, &body, &head) != 200)
+			continue;
+		g_assert_cmpstr(body, ==, json);
+		g_assert_nonnull(strstr(head, etag));
+	}
+}
+
+static void test_survives_leader_kills(void)
+{
+	struct harness *h = harness_new(&seven);
+
+	harness_put(h, "pools", one_pool);
+	for (int i = 0; i < 6; i++) {
+		g_autofree char *json = route_table(i);
+		gint64 version = harness_put(h, "routes", json);
+		unsigned int leader = harness_leader(h);
+
+		program_kill(&h->controls[leader]);
+		harness_leader(h);
+		assert_kept(h, version, json);
+		g_assert_true(harness_wait(entries_at(h, version) == 7, IN_FORCE_MS));
+		program_start(h, &h->controls[leader]);
+		harness_wait(harness_status(h, "leader") > 0, 5000);
+	}
+	harness_free(h);
+}
+
+/// A put that is sent again and again while the leader is killed takes effect once.
+static void test_resend_over_failover(void)
+{
+	struct harness *h = harness_new(&seven);
+	gint64 base;
+
+	harness_put(h, "pools", one_pool);
+	base = harness_status(h, "routes_version");
+	for (int i = 0; i < 4; i++) {
+		g_autofree char *json = route_table(i);
+		g_autofree char *id = g_strdup_printf("over-%d", i);
+		unsigned int leader = harness_leader(h);
+		gint64 version = 0;
+		gint64 again = 0;
+
+		put(h, leader, base, id, json, NULL);
+		program_kill(&h->controls[leader]);
+		g_assert_true(harness_wait(
+			put(h, (leader + 1) % 3, base, id, json, &version) == 200, 10000));
+		program_start(h, &h->controls[leader]);
+		g_assert_true(harness_wait(put(h, leader, base, id, json, &again) == 200, 10000));
+		g_assert_cmpint(again, ==, version);
+		g_assert_cmpint(harness_status(h, "routes_version"), ==, version);
+		base = version;
+	}
+	harness_free(h);
+}
+
+static void test_restart_of_two_replicas(void)
+{
+	struct harness *h = harness_new(&seven);
+	g_autofree char *json = route_table(7);
+	gint64 version;
+	unsigned int leader;
+
+	harness_put(h, "pools", one_pool);
+	version = harness_put(h, "routes", json);
+	leader = harness_leader(h);
+	program_kill(&h->controls[leader]);
+	program_kill(&h->controls[(leader + 1) % 3]);
+	program_start(h, &h->controls[leader]);
+	program_start(h, &h->controls[(leader + 1) % 3]);
+	harness_leader(h);
+	assert_kept(h, version, json);
+	harness_free(h);
+}
+
+/// A replica that lost its disk comes back as a learner, is made a member, and the cluster then
+/// survives the loss of another replica with nothing accepted lost.
+static void test_lost_disk(void)
+{
+	struct harness *h = harness_new(&seven);
+	g_autofree char *json = route_table(3);
+	unsigned int leader;
+	unsigned int lost;
+	gint64 version;
+	g_autofree char *command = NULL;
+
+	harness_put(h, "pools", one_pool);
+	version = harness_put(h, "routes", json);
+	leader = harness_leader(h);
+	lost = (leader + 1) % 3;
+	program_kill(&h->controls[lost]);
+	command = g_strdup_printf("%s/data-%u", h->folder, lost + 1);
+	{
+		g_autofree char *moved = g_strconcat(command, ".lost", NULL);
+
+		g_assert_cmpint(rename(command, moved), ==, 0);
+	}
+	program_start(h, &h->controls[lost]);
+	g_usleep(3000000);
+	program_kill(&h->controls[(leader + 2) % 3]);
+	g_assert_true(harness_wait(harness_status(h, "leader") > 0, 10000));
+	{
+		g_autofree char *next = route_table(4);
+
+		assert_kept(h, version, json);
+		version = harness_put(h, "routes", next);
+		program_start(h, &h->controls[(leader + 2) % 3]);
+		g_usleep(1000000);
+		program_kill(&h->controls[leader]);
+		harness_leader(h);
+		assert_kept(h, version, next);
+	}
+	harness_free(h);
+}
+
+/// An entry and a replica that miss hundreds of changes catch up.
+static void test_hundreds_of_changes(void)
+{
+	struct harness *h = harness_new(&(struct harness_settings){
+		.entries = 7,
+		.control_flags = "--snapshot-records=50",
+	});
+	unsigned int leader;
+	unsigned int missing;
+	gint64 version = 0;
+	g_autofree char *json = NULL;
+
+	harness_put(h, "pools", one_pool);
+	leader = harness_leader(h);
+	missing = (leader + 1) % 3;
+	program_kill(&h->entries[6]);
+	program_kill(&h->controls[missing]);
+	version = harness_status(h, "routes_version");
+	for (int i = 0; i < 300; i++) {
+		g_autofree char *id = g_strdup_printf("many-%d", i);
+
+		g_free(json);
+		json = route_table(i);
+		g_assert_cmpint(put(h, leader, version, id, json, &version), ==, 200);
+	}
+	program_start(h, &h->entries[6]);
+	program_start(h, &h->controls[missing]);
+	g_assert_true(harness_wait(entries_at(h, version) == 7, 10000));
+	g_usleep(1500000);
+	program_kill(&h->controls[leader]);
+	harness_leader(h);
+	assert_kept(h, version, json);
+	harness_free(h);
+}
+
+int main(int argc, char **argv)
+{
+	harness_init(&argc, &argv);
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/tables/racing_operators", test_racing_operators);
+	g_test_add_func("/tables/in_force_on_all_entries", test_in_force_on_all_entries);
+	g_test_add_func("/tables/frozen_entry_does_not_serve_old_table",
+			test_frozen_entry_does_not_serve_old_table);
+	g_test_add_func("/tables/survives_leader_kills", test_survives_leader_kills);
+	g_test_add_func("/tables/resend_over_failover", test_resend_over_failover);
+	g_test_add_func("/tables/restart_of_two_replicas", test_restart_of_two_replicas);
+	g_test_add_func("/tables/lost_disk", test_lost_disk);
+	g_test_add_func("/tables/hundreds_of_changes", test_hundreds_of_changes);
+	return g_test_run();
+}
