--- /dev/null
+++ b/bench/bench_entry.c
@@ -0,0 +1,105 @@
+/// @file
+/// Cost of an entry, against a direct connection from the same callers to the same endpoint.
+
+#include "harness.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define TARGET_ADDED_MS 0.5
+#define TARGET_RATE 8000.0
+#define TARGET_MEMORY_MB 32.0
+#define KB_PER_MB 1024.0
+
+/// @return processor time used by a program, s
+static double cpu_s(const struct program *p)
+{
+	g_autofree char *path =
+		g_strdup_printf("/proc/%s/stat", g_subprocess_get_identifier(p->process));
+	g_autofree char *text = NULL;
+	unsigned long user;
+	unsigned long system;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL) ||
+	    sscanf(strrchr(text, ')'), ") %*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu",
+		   &user, &system) != 2)
+		return 0;
+	return (double)(user + system) / (double)sysconf(_SC_CLK_TCK);
+}
+
+/// @return resident memory of a program, MB
+static double memory_mb(const struct program *p)
+{
+	g_autofree char *path =
+		g_strdup_printf("/proc/%s/status", g_subprocess_get_identifier(p->process));
+	g_autofree char *text = NULL;
+	const char *at;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		return 0;
+	at = strstr(text, "VmRSS:");
+	return at ? (double)atol(at + strlen("VmRSS:")) / KB_PER_MB : 0;
+}
+
+static struct load_result run(struct harness *h, const char *entries, const char *flags)
+{
+	g_autofree char *line = g_strdup_printf("%s --entries=%s --health=", flags, entries);
+
+	return harness_load_end(harness_load(h, line));
+}
+
+int main(int argc, char **argv)
+{
+	const struct harness_settings settings = {
+		.entries = 1,
+		.entry_flags = "--host-connections=64",
+	};
+	g_autofree char *direct = NULL;
+	g_autofree char *through = NULL;
+	struct load_result d;
+	struct load_result t;
+	struct harness *h;
+	double cpu;
+	double rate;
+
+	harness_init(&argc, &argv);
+	h = harness_new(&settings);
+	harness_endpoint(h, "a-", 4, "--slots=64 --delay=0");
+	harness_put(h, "pools", "{\"pools\":[{\"name\":\"a\",\"instances\":[\"a-*\"]}]}");
+	harness_put(h, "routes", "{\"routes\":[{\"name\":\"a\",\"pool\":\"a\"}]}");
+	harness_wait(harness_count(h, "a", "active") == 4, 10000);
+	direct = g_strdup_printf("%s:9000", h->host);
+	through = g_strdup_printf("%s:8080", h->host);
+
+	d = run(h, direct, "--duration=4000 --concurrency=32");
+	cpu = cpu_s(&h->entries[0]);
+	t = run(h, through, "--duration=4000 --concurrency=32");
+	cpu = cpu_s(&h->entries[0]) - cpu;
+	rate = (double)t.ok / cpu;
+	printf("full load, 32 callers: direct %.0f/s, through the entry %.0f/s (%.2f of direct)\n",
+	       d.rate, t.rate, t.rate / d.rate);
+	printf("per entry core: %.0f requests/s (target %.0f)\n", rate, TARGET_RATE);
+
+	d = run(h, direct, "--duration=4000 --concurrency=8 --pause=2");
+	t = run(h, through, "--duration=4000 --concurrency=8 --pause=2");
+	printf("about half load: direct p50 %ld us at %.0f/s, through p50 %ld us at %.0f/s, added "
+	       "%.3f ms (target %.1f)\n",
+	       d.p50_us, d.rate, t.p50_us, t.rate, (double)(t.p50_us - d.p50_us) / 1000,
+	       TARGET_ADDED_MS);
+
+	cpu = cpu_s(&h->entries[0]);
+	t = run(h, through, "--duration=4000 --concurrency=32 --method=POST --keyed --body=100");
+	cpu = cpu_s(&h->entries[0]) - cpu;
+	printf("keyed posts: %.0f/s, %.0f per entry core, p50 %ld us, p99 %ld us\n", t.rate,
+	       (double)t.ok / cpu, t.p50_us, t.p99_us);
+
+	t = run(h, through,
+		"--duration=4000 --concurrency=1000 --pause=200 --method=POST --body=1024");
+	printf("1,000 connections with 1 KiB bodies: entry memory %.1f MB (target %.0f), %ld "
+	       "answered, %ld errors\n",
+	       memory_mb(&h->entries[0]), TARGET_MEMORY_MB, t.ok, t.errors + t.not_run);
+	harness_free(h);
+	return 0;
+}
--- a/src/sesamewood/control/control.c
+++ b/src/sesamewood/control/control.c
@@ -400,6 +400,7 @@
 	c->health = g_array_new(FALSE, TRUE, sizeof(struct health));
 	c->waits = g_hash_table_new(NULL, NULL);
 	c->watchers = g_ptr_array_new_with_free_func(g_free);
+	c->placed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	c->rollouts = g_array_new(FALSE, FALSE, sizeof(struct rollout));
 	c->replies = g_ptr_array_new_with_free_func(reply_free);
 	if (recovered->snapshot.index)
@@ -421,6 +422,7 @@
 	g_hash_table_unref(c->waits);
 	g_ptr_array_unref(c->watchers);
 	g_array_unref(c->rollouts);
+	g_hash_table_unref(c->placed);
 	g_ptr_array_unref(c->replies);
 	g_free(c);
 }
--- a/src/sesamewood/control/control_defs.h
+++ b/src/sesamewood/control/control_defs.h
@@ -47,7 +47,9 @@
 	clock_ms_t heard_at;
 	clock_ms_t probation_until;
 	clock_ms_t dirty_since;
-	uint64_t proposed_index; ///< a command about it is in the log up to here
+	uint64_t proposed_index;    ///< a command about it is in the log up to here
+	const char *proposed_entry; ///< interned; of a grant among these commands, or NULL
+	const char *proposed_pool;
 	bool suspected;
 };
 
@@ -131,7 +133,8 @@
 	uint64_t view_index; ///< latest command that entries must see
 	uint64_t leading_term;
 	clock_ms_t leading_since;
-	bool decide; ///< something changed that moves depend on
+	GHashTable *placed; ///< instances granted, by entry and by entry and pool; for one pass
+	bool decide;	    ///< something changed that moves depend on
 };
 
 #endif
--- a/src/sesamewood/control/moves.c
+++ b/src/sesamewood/control/moves.c
@@ -93,22 +93,43 @@
 	};
 
 	propose(c, i, &command);
+	health_of(c, i)->proposed_entry = NULL;
 }
 
 /* Choice of an entry. */
 
-static uint32_t count_granted(const struct control *c, const char *entry, const char *pool)
+static uint32_t count_placed(const struct control *c, const char *entry, const char *pool)
 {
-	uint32_t n = 0;
+	g_autofree char *key = g_strconcat(entry, "/", pool, NULL);
 
-	for (guint i = 0; i < c->fleet->instances->len; i++) {
-		const sw_instance *instance = c->fleet->instances->pdata[i];
+	return GPOINTER_TO_UINT(g_hash_table_lookup(c->placed, key));
+}
+
+static void add_placed(struct control *c, const char *entry, const char *pool)
+{
+	char *key = g_strconcat(entry, "/", pool, NULL);
+
+	g_hash_table_replace(c->placed, key, GUINT_TO_POINTER(count_placed(c, entry, pool) + 1));
+	if (*pool)
+		add_placed(c, entry, "");
+}
+
+/// Counts what each entry holds, or will when the commands in the log are applied.
+static void count_all_placed(struct control *c)
+{
+	g_hash_table_remove_all(c->placed);
+	for (guint n = 0; n < c->fleet->instances->len; n++) {
+		const sw_instance *i = c->fleet->instances->pdata[n];
+		const struct health *h;
 
-		if (instance && g_str_equal(instance->entry, entry) &&
-		    (!pool || g_str_equal(instance->pool, pool)))
-			n++;
+		if (!i)
+			continue;
+		h = health_of(c, i);
+		if (h->proposed_index > c->fleet->applied_index && h->proposed_entry)
+			add_placed(c, h->proposed_entry, h->proposed_pool);
+		else if (*i->entry && *i->pool)
+			add_placed(c, i->entry, i->pool);
 	}
-	return n;
 }
 
 /// @return the attached entry with fewest instances of the pool, then of all pools; or NULL
@@ -126,8 +147,8 @@
 
 		if (s->draining || now >= s->lease_until)
 			continue;
-		score = (uint64_t)count_granted(c, s->entry, pool) << 32 |
-			count_granted(c, s->entry, NULL);
+		score = (uint64_t)count_placed(c, s->entry, pool) << 32 |
+			count_placed(c, s->entry, "");
 		if (score < best_score ||
 		    (score == best_score && best && strcmp(s->entry, best) < 0)) {
 			best = s->entry;
@@ -202,9 +223,17 @@
 		  bool unclean)
 {
 	const char *entry = *pool ? choose_entry(c, now, pool) : "";
+	struct health *h = health_of(c, i);
 
-	if (entry)
-		propose_grant(c, i, pool, entry, unclean);
+	if (!entry)
+		return;
+	propose_grant(c, i, pool, entry, unclean);
+	h->proposed_entry = NULL;
+	if (!*entry)
+		return;
+	h->proposed_entry = g_intern_string(entry);
+	h->proposed_pool = g_intern_string(pool);
+	add_placed(c, entry, pool);
 }
 
 static void decide_idle(struct control *c, clock_ms_t now, const sw_instance *i)
@@ -392,6 +421,7 @@
 void moves_decide(struct control *c, clock_ms_t now)
 {
 	moves_update_health(c, now);
+	count_all_placed(c);
 	for (guint n = 0; n < c->fleet->instances->len; n++)
 		if (c->fleet->instances->pdata[n])
 			decide_one(c, now, c->fleet->instances->pdata[n]);
--- a/src/sesamewood/entry/main.c
+++ b/src/sesamewood/entry/main.c
@@ -64,7 +64,7 @@
 	{"eject", OPTION_NUMBER, "2000", 10, 600000, "ms", NULL, "How long it is ejected", NULL, 0},
 	{"retry-percent", OPTION_NUMBER, "10", 0, 100, "percent", NULL,
 	 "Retries allowed per 100 successes", NULL, 0},
-	{"head-bytes", OPTION_NUMBER, "16384", 4096, 1048576, "bytes", NULL,
+	{"head-bytes", OPTION_NUMBER, "8192", 4096, 1048576, "bytes", NULL,
 	 "Memory for one connection and its request head", NULL, 0},
 	{"body-bytes", OPTION_NUMBER, "1048576", 0, 1073741824, "bytes", NULL,
 	 "Longest request body", NULL, 0},
--- a/tests/fakes/load.c
+++ b/tests/fakes/load.c
@@ -356,8 +356,6 @@
 	loop = ev_default_loop(0);
 	entries = g_strsplit(options_text(options, "entries"), ",", -1);
 	health = g_strsplit(options_text(options, "health"), ",", -1);
-	if (!**health)
-		*health = NULL;
 	healthy = g_new(bool, g_strv_length(entries));
 	for (guint i = 0; entries[i]; i++)
 		healthy[i] = true;
--- a/tests/functional/test_path.c
+++ b/tests/functional/test_path.c
@@ -4,6 +4,7 @@
 #include "harness.h"
 
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 
 static const struct harness_settings seven = {.entries = 7};
@@ -71,6 +72,24 @@
 	harness_free(h);
 }
 
+/// Every entry gets its share of a pool's instances.
+static void test_spreads_instances_over_entries(void)
+{
+	struct harness *h = harness_new(&seven);
+	int owned[HARNESS_ENTRIES_MAX] = {0};
+
+	harness_two_pools(h);
+	for (int i = 1; i <= 8; i++) {
+		g_autofree char *name = g_strdup_printf("a-%d", i);
+		g_autofree char *entry = harness_instance(h, name, "entry");
+
+		owned[atoi(entry + strlen("entry-")) - 1]++;
+	}
+	for (int i = 0; i < HARNESS_ENTRIES_MAX; i++)
+		g_assert_true(owned[i] == 1 || owned[i] == 2);
+	harness_free(h);
+}
+
 /* Bad input. */
 
 static void assert_refused(const char *method, const char *url, const char *content, long status,
@@ -131,6 +150,8 @@
 	g_test_add_func("/path/serves", test_serves);
 	g_test_add_func("/path/surge_moves_and_returns", test_surge_moves_and_returns);
 	g_test_add_func("/path/survives_kills", test_survives_kills);
+	g_test_add_func("/path/spreads_instances_over_entries",
+			test_spreads_instances_over_entries);
 	g_test_add_func("/path/refuses_bad_input", test_refuses_bad_input);
 	g_test_add_func("/path/needs_token", test_needs_token);
 	return g_test_run();
