--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 PACKAGES = gcc g++ make cmake pkg-config libev-dev libmicrohttpd-dev \
 	libcurl4-openssl-dev libtirpc-dev libglib2.0-dev libjson-glib-dev \
 	libxxhash-dev librapidcheck-dev
+TEST_PACKAGES = clang libclang-rt-14-dev
 
-.PHONY: all deps build demo test bench bench-policy lint format clean
+.PHONY: all deps build demo test bench bench-policy lint format clean $(BUILD)-sanitized $(BUILD)-fuzz
 
 all: build
 
@@ -19,7 +20,16 @@
 demo: build
 	@$(BUILD)/demo --programs=$(BUILD)
 
-test: build
+$(BUILD)-sanitized: deps
+	@cmake -S . -B $@ -DSANITIZE=ON -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	@cmake --build $@ -j $(JOBS) -- --no-print-directory -s unit-tables unit-raft property-raft property-fleet
+
+$(BUILD)-fuzz: deps
+	@scripts/install-packages $(TEST_PACKAGES)
+	@CC=clang CXX=clang++ cmake -S . -B $@ -DFUZZ=ON -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	@cmake --build $@ -j $(JOBS) -- --no-print-directory -s fuzz-parsers
+
+test: build $(BUILD)-sanitized $(BUILD)-fuzz
 	@scripts/run-tests $(BUILD)
 
 bench: build
@@ -32,4 +42,4 @@
 	@git ls-files '*.c' '*.h' '*.cc' | grep -v generated | xargs clang-format -i
 
 clean:
-	rm -rf $(BUILD)
+	rm -rf $(BUILD) $(BUILD)-sanitized $(BUILD)-fuzz
--- a/src/sesamewood/control/fleet.c
+++ b/src/sesamewood/control/fleet.c
@@ -316,7 +316,7 @@
 
 	if (!instance)
 		return (struct fleet_outcome){.status = SW_CONFLICT};
-	if (*instance->pool && !g_str_equal(instance->pool, grant->pool))
+	if (*instance->pool && *grant->pool && !g_str_equal(instance->pool, grant->pool))
 		f->moves++;
 	codec_set_string(&instance->pool, grant->pool);
 	codec_set_string(&instance->entry, grant->entry);
--- a/src/sesamewood/control/main.c
+++ b/src/sesamewood/control/main.c
@@ -9,6 +9,7 @@
 #include "base/options.h"
 #include "control/control.h"
 #include "control/storage.h"
+#include "control/trace.h"
 #include "rpc/rpc_client.h"
 #include "rpc/rpc_server.h"
 
@@ -58,6 +59,8 @@
 	{"snapshot-records", OPTION_NUMBER, "10000", 10, 1000000, "records", NULL,
 	 "Log records between snapshots", NULL, 0},
 	{"policy", OPTION_CHOICE, "on", 0, 0, "", "on|off", "Move instances on demand", NULL, 0},
+	{"trace-file", OPTION_TEXT, "", 0, 0, "", "a file",
+	 "Record all events for sesamewood-replay; needs an empty data folder", NULL, 0},
 	{"log-level", OPTION_CHOICE, "info", 0, 0, "", "error|warning|info|debug",
 	 "Least severe level logged", NULL, 0},
 	{0},
@@ -78,6 +81,7 @@
 	struct ev_loop *loop;
 	struct control *control;
 	struct storage *storage;
+	struct trace *trace; ///< NULL: events are not recorded
 	struct http_server *http;
 	GHashTable *callers; ///< struct caller by token
 	uint64_t next_token;
@@ -95,10 +99,19 @@
 
 /* Events. */
 
-static void step(struct shell *sh, struct control_event event)
+static void feed(struct shell *sh, struct control_event event)
 {
+	clock_ms_t now = clock_monotonic();
+
 	event.wall_ms = clock_wall();
-	control_step(sh->control, clock_monotonic(), &event);
+	if (sh->trace)
+		trace_event(sh->trace, now, &event);
+	control_step(sh->control, now, &event);
+}
+
+static void step(struct shell *sh, struct control_event event)
+{
+	feed(sh, event);
 	sh->pending = true;
 }
 
@@ -231,16 +244,13 @@
 	for (;;) {
 		g_autoptr(GPtrArray) effects = NULL;
 
-		control_step(
-			sh->control, clock_monotonic(),
-			&(struct control_event){.type = CONTROL_FLUSH, .wall_ms = clock_wall()});
+		feed(sh, (struct control_event){.type = CONTROL_FLUSH});
 		effects = raft_take_effects(sh->control->raft);
 		if (!effects->len)
 			break;
 		if (needs_storage(effects)) {
 			write_effects(sh, effects);
-			control_step(sh->control, clock_monotonic(),
-				     &(struct control_event){.type = CONTROL_PERSISTED});
+			feed(sh, (struct control_event){.type = CONTROL_PERSISTED});
 		}
 		send_effects(sh, effects);
 	}
@@ -544,6 +554,22 @@
 	}
 }
 
+static void start_reducer(struct shell *sh, const struct control_settings *settings,
+			  struct raft_recovered *recovered)
+{
+	const char *path = options_text(options, "trace-file");
+	clock_ms_t now = clock_monotonic();
+
+	if (*path && recovered->meta.uid)
+		fault("trace-file", path, "unset, unless the data folder is empty");
+	if (*path) {
+		sh->trace = trace_open(path, settings, now);
+		if (!sh->trace)
+			fault("trace-file", path, "a file that can be written");
+	}
+	sh->control = control_new(settings, recovered, now);
+}
+
 int main(int argc, char **argv)
 {
 	struct shell sh = {.loop = ev_default_loop(0)};
@@ -562,7 +588,7 @@
 	sh.callers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	sh.sync_ms = metrics_get(METRIC_HISTOGRAM, "sesamewood_control_sync_ms", "",
 				 "time to store one batch of log records, ms");
-	sh.control = control_new(&settings, &recovered, clock_monotonic());
+	start_reducer(&sh, &settings, &recovered);
 	listen_or_exit(&sh, address);
 	start_watchers(&sh);
 	log_info("started", "RPC", address, "ADMIN", options_text(options, "admin"));
--- a/tests/fakes/endpoint.c
+++ b/tests/fakes/endpoint.c
@@ -64,7 +64,6 @@
 static char **zones;
 static int log_fd = -1;
 static bool leaving;
-static guint next_target;
 static char *answer_body;
 
 /* Log. */
@@ -275,7 +274,7 @@
 
 static void announce(const struct instance *i)
 {
-	const char *target = targets[next_target++ % g_strv_length(targets)];
+	const char *target = targets[g_random_int() % g_strv_length(targets)];
 	struct post *p = g_new0(struct post, 1);
 	g_autofree char *json = g_strdup_printf(
 		"{\"instance\":\"%s\",\"incarnation\":%" PRId64 ",\"address\":\"%s\","
@@ -353,7 +352,6 @@
 		log_fd = open(path, O_WRONLY | O_CREAT | O_APPEND, 0600);
 	for (int i = 0; names[i]; i++)
 		add_instance(names[i], (int)options_number(options, "port") + i);
-	next_target = g_random_int();
 	ev_timer_init(&announcer, on_announce_timer, 0.,
 		      options_number(options, "announce-interval") / MS_PER_S);
 	ev_signal_init(&leaver, on_leave, SIGUSR1);
--- /dev/null
+++ b/tests/unit/fuzz_parsers.c
@@ -0,0 +1,76 @@
+/// @file
+/// libFuzzer target over the parsers of outside input: the first byte chooses the parser.
+
+#include "base/codec.h"
+#include "base/tables.h"
+#include "control/trace.h"
+#include "entry/announcement.h"
+#include "rpc/rpc_procs.h"
+
+#include <stdint.h>
+#include <string.h>
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t len);
+
+static void fuzz_tables(const char *text, size_t len, bool routes)
+{
+	g_autoptr(GPtrArray) faults = g_ptr_array_new_with_free_func(g_free);
+	g_autoptr(GPtrArray) rows = routes ? tables_parse_routes(text, len, faults)
+					   : tables_parse_pools(text, len, faults);
+
+	g_assert_true(!rows || !faults->len);
+}
+
+static void fuzz_announcement(const char *text, size_t len)
+{
+	g_autoptr(GPtrArray) faults = g_ptr_array_new_with_free_func(g_free);
+	sw_announcement a;
+
+	announcement_parse(text, len, &a, faults);
+	codec_free(CODEC_PROC(sw_announcement), &a);
+}
+
+static void fuzz_records(const uint8_t *data, size_t len, uint32_t number)
+{
+	const struct rpc_proc *proc = rpc_proc_find(number);
+	g_autofree void *args = g_malloc0(proc->args_size);
+	sw_command command;
+
+	if (codec_decode(proc->args, data, len, args, proc->args_size))
+		codec_free(proc->args, args);
+	if (codec_decode(CODEC_PROC(sw_command), data, len, &command, sizeof(command)))
+		codec_free(CODEC_PROC(sw_command), &command);
+}
+
+static void fuzz_trace(const char *text)
+{
+	struct trace_line line;
+
+	trace_parse(text, &line);
+	trace_line_clear(&line);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t len)
+{
+	g_autofree char *text = len ? g_strndup((const char *)data + 1, len - 1) : NULL;
+
+	if (!len)
+		return 0;
+	switch (data[0] % 5) {
+	case 0:
+		fuzz_tables((const char *)data + 1, len - 1, true);
+		break;
+	case 1:
+		fuzz_tables((const char *)data + 1, len - 1, false);
+		break;
+	case 2:
+		fuzz_announcement((const char *)data + 1, len - 1);
+		break;
+	case 3:
+		fuzz_records(data + 1, len - 1, 1 + data[0] / 5 % 9);
+		break;
+	default:
+		fuzz_trace(text);
+	}
+	return 0;
+}
