--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 
 bench: build
 	@$(BUILD)/bench-entry --programs=$(BUILD)
+	@$(BUILD)/bench-control
 
 lint:
 	@scripts/lint
--- a/src/sesamewood/control/control.c
+++ b/src/sesamewood/control/control.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #define WATCH_MS 5000
+#define DECIDE_MS 100
 #define ROLLOUTS_MAX 64
 
 static void reply_free(void *p)
@@ -344,8 +345,9 @@
 	update_leadership(c, now);
 	if (!c->leading_term || !raft_leads(c->raft, now))
 		return;
-	if (c->decide || tick) {
+	if (c->decide || (tick && now >= c->decided_at + DECIDE_MS)) {
 		c->decide = false;
+		c->decided_at = now;
 		moves_decide(c, now);
 	}
 	update_rollouts(c, now);
--- a/src/sesamewood/control/control_defs.h
+++ b/src/sesamewood/control/control_defs.h
@@ -134,7 +134,9 @@
 	uint64_t leading_term;
 	clock_ms_t leading_since;
 	GHashTable *placed; ///< instances granted, by entry and by entry and pool; for one pass
-	bool decide;	    ///< something changed that moves depend on
+	bool placed_counted;
+	clock_ms_t decided_at;
+	bool decide; ///< something changed that moves depend on
 };
 
 #endif
--- a/src/sesamewood/control/moves.c
+++ b/src/sesamewood/control/moves.c
@@ -118,6 +118,7 @@
 static void count_all_placed(struct control *c)
 {
 	g_hash_table_remove_all(c->placed);
+	c->placed_counted = true;
 	for (guint n = 0; n < c->fleet->instances->len; n++) {
 		const sw_instance *i = c->fleet->instances->pdata[n];
 		const struct health *h;
@@ -133,13 +134,15 @@
 }
 
 /// @return the attached entry with fewest instances of the pool, then of all pools; or NULL
-static const char *choose_entry(const struct control *c, clock_ms_t now, const char *pool)
+static const char *choose_entry(struct control *c, clock_ms_t now, const char *pool)
 {
 	const char *best = NULL;
 	uint64_t best_score = UINT64_MAX;
 	GHashTableIter iter;
 	gpointer value;
 
+	if (!c->placed_counted)
+		count_all_placed(c);
 	g_hash_table_iter_init(&iter, c->sessions);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct session *s = value;
@@ -323,47 +326,59 @@
 
 /* Moves on demand. */
 
-static void add_reports(const struct control *c, clock_ms_t now, struct policy_pool *p)
+static void add_instances(const struct control *c, GHashTable *by_name)
 {
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, c->sessions);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct session *s = value;
-
-		for (guint i = 0; i < s->reports->len && now < s->lease_until; i++) {
-			const sw_pool_report *r = s->reports->pdata[i];
+	for (guint n = 0; n < c->fleet->instances->len; n++) {
+		const sw_instance *i = c->fleet->instances->pdata[n];
+		struct policy_pool *p;
 
-			if (!g_str_equal(r->pool, p->config->name))
-				continue;
-			p->in_use += r->in_use;
-			p->queued += r->queued;
-			p->oldest_wait_ms = MAX(p->oldest_wait_ms, r->oldest_wait_ms);
+		if (!i || i->phase == SW_PHASE_IDLE)
+			continue;
+		p = g_hash_table_lookup(by_name, i->phase == SW_PHASE_ACTIVE ? i->pool : i->target);
+		if (!p)
+			continue;
+		if (i->phase == SW_PHASE_REVOKING) {
+			p->arriving++;
+		} else if (!g_array_index(c->health, struct health, i->id).suspected) {
+			p->serving++;
+			p->slots += i->endpoint.slots;
 		}
 	}
 }
 
-static struct policy_pool observe_pool(const struct control *c, clock_ms_t now,
-				       const struct pool *pool)
+static void add_reports(const struct session *s, GHashTable *by_name)
 {
-	struct policy_pool p = {.config = pool};
+	for (guint i = 0; i < s->reports->len; i++) {
+		const sw_pool_report *r = s->reports->pdata[i];
+		struct policy_pool *p = g_hash_table_lookup(by_name, r->pool);
 
-	for (guint n = 0; n < c->fleet->instances->len; n++) {
-		const sw_instance *i = c->fleet->instances->pdata[n];
-
-		if (!i)
+		if (!p)
 			continue;
-		if (g_str_equal(i->pool, pool->name) && i->phase == SW_PHASE_ACTIVE &&
-		    !g_array_index(c->health, struct health, i->id).suspected) {
-			p.serving++;
-			p.slots += i->endpoint.slots;
-		} else if (i->phase == SW_PHASE_REVOKING && g_str_equal(i->target, pool->name)) {
-			p.arriving++;
-		}
+		p->in_use += r->in_use;
+		p->queued += r->queued;
+		p->oldest_wait_ms = MAX(p->oldest_wait_ms, r->oldest_wait_ms);
+	}
+}
+
+/// Gathers what is known of all pools, in the order of the pools table.
+static struct policy_pool *observe_pools(const struct control *c, clock_ms_t now)
+{
+	GPtrArray *rows = c->fleet->tables->pools;
+	struct policy_pool *pools = g_new0(struct policy_pool, rows->len + 1);
+	g_autoptr(GHashTable) by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	gpointer value;
+
+	for (guint i = 0; i < rows->len; i++) {
+		pools[i].config = rows->pdata[i];
+		g_hash_table_insert(by_name, pools[i].config->name, &pools[i]);
 	}
-	add_reports(c, now, &p);
-	return p;
+	add_instances(c, by_name);
+	g_hash_table_iter_init(&iter, c->sessions);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (now < ((struct session *)value)->lease_until)
+			add_reports(value, by_name);
+	return pools;
 }
 
 /// @return the instance of pool @p from that best moves to @p to within the budget, or NULL:
@@ -403,12 +418,10 @@
 static void decide_moves(struct control *c, clock_ms_t now)
 {
 	GPtrArray *rows = c->fleet->tables->pools;
-	g_autofree struct policy_pool *pools = g_new0(struct policy_pool, rows->len + 1);
+	g_autofree struct policy_pool *pools = observe_pools(c, now);
 	struct policy_move moves[POLICY_MOVES_MAX];
 	unsigned int n;
 
-	for (guint i = 0; i < rows->len; i++)
-		pools[i] = observe_pool(c, now, rows->pdata[i]);
 	n = policy_decide(c->policy, now, pools, rows->len, moves);
 	for (unsigned int i = 0; i < n; i++) {
 		const struct pool *from = rows->pdata[moves[i].from];
@@ -421,7 +434,7 @@
 void moves_decide(struct control *c, clock_ms_t now)
 {
 	moves_update_health(c, now);
-	count_all_placed(c);
+	c->placed_counted = false;
 	for (guint n = 0; n < c->fleet->instances->len; n++)
 		if (c->fleet->instances->pdata[n])
 			decide_one(c, now, c->fleet->instances->pdata[n]);
--- a/src/sesamewood/control/sessions.c
+++ b/src/sesamewood/control/sessions.c
@@ -3,6 +3,7 @@
 #include "base/codec.h"
 #include "control/moves.h"
 
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -143,12 +144,11 @@
 
 static void record_heard(struct control *c, clock_ms_t now, const sw_renew_args *args)
 {
-	for (u_int i = 0; i < args->heard.heard_len; i++) {
-		uint32_t id = args->heard.heard_val[i];
+	guint n = MIN(c->health->len, args->heard.heard_len * CHAR_BIT);
 
-		if (id < c->health->len)
-			g_array_index(c->health, struct health, id).heard_at = now;
-	}
+	for (guint i = 0; i < n; i++)
+		if (args->heard.heard_val[i / CHAR_BIT] & 1 << i % CHAR_BIT)
+			g_array_index(c->health, struct health, i).heard_at = now;
 }
 
 /* What an entry is told. */
@@ -262,9 +262,11 @@
 	s->have_index = args->have_index;
 	s->draining = args->draining;
 	record_acks(c, s, args);
-	record_reports(s, args);
 	record_announcements(c, args);
-	record_heard(c, now, args);
+	if (args->reporting) {
+		record_reports(s, args);
+		record_heard(c, now, args);
+	}
 	fill_view(c, args, reply);
 	reply->detached = detach(c, args);
 }
--- a/src/sesamewood/entry/entry_defs.h
+++ b/src/sesamewood/entry/entry_defs.h
@@ -36,7 +36,7 @@
 	uint32_t failures; ///< in a row
 	double success;	   ///< moving average, 0 to 1
 	clock_ms_t ejected_until;
-	bool heard; ///< announced itself since the last renewal
+	bool heard; ///< announced itself since the last report
 };
 
 /// A slot that another entry lent to this one.
@@ -84,7 +84,6 @@
 	GPtrArray *owned;   ///< struct instance that this entry may dispatch to
 	GPtrArray *loans;   ///< struct held_loan
 	uint32_t in_use;    ///< own requests that run
-	uint32_t arrivals;  ///< since the last renewal
 	uint32_t borrowing; ///< open calls to peers
 	uint32_t next_peer;
 	clock_ms_t borrow_at; ///< not before
@@ -265,6 +264,7 @@
 	clock_ms_t lease_until;
 	clock_ms_t renew_at;
 	clock_ms_t renew_sent_at;
+	clock_ms_t report_at; ///< next regular report
 	bool renew_open;
 	bool renew_urgent;
 	bool draining;
--- a/src/sesamewood/entry/requests.c
+++ b/src/sesamewood/entry/requests.c
@@ -72,7 +72,6 @@
 		.instance = ENTRY_NO_INSTANCE,
 	};
 	memcpy(r->key, event->u.request.key, SW_KEY_BYTES);
-	r->pool->arrivals++;
 	g_hash_table_insert(e->requests, &r->id, r);
 	return r;
 }
--- a/src/sesamewood/entry/view.c
+++ b/src/sesamewood/entry/view.c
@@ -1,6 +1,7 @@
 #include "base/codec.h"
 #include "entry/entry_internal.h"
 
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,6 +9,7 @@
 #define URGENT_SPACING_MS 10
 #define SURGE_WAIT_MS 50
 #define SURGE_REPORT_MS 100
+#define REPORT_MS 1000
 
 #define HTTP_OK 200
 #define HTTP_CONFLICT 409
@@ -254,16 +256,14 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct pool_state *pool = value;
 
-		if (!pool->in_use && !pool->waiters.length && !pool->arrivals)
+		if (!pool->in_use && !pool->waiters.length)
 			continue;
 		args->reports.reports_val[args->reports.reports_len++] = (sw_pool_report){
 			.pool = strdup(pool->name),
 			.in_use = pool->in_use,
 			.queued = count_waiting(pool),
 			.oldest_wait_ms = oldest_wait(pool, now),
-			.arrivals = pool->arrivals,
 		};
-		pool->arrivals = 0;
 	}
 }
 
@@ -284,14 +284,15 @@
 
 static void fill_heard(struct entry *e, sw_renew_args *args)
 {
-	args->heard.heard_val = calloc(e->instances->len + 1, sizeof(u_int));
+	args->heard.heard_len = e->instances->len / CHAR_BIT + 1;
+	args->heard.heard_val = calloc(args->heard.heard_len, 1);
 	for (guint n = 0; n < e->instances->len; n++) {
 		struct instance *i = e->instances->pdata[n];
 
 		if (!i || !i->known || !i->heard)
 			continue;
 		i->heard = false;
-		args->heard.heard_val[args->heard.heard_len++] = n;
+		args->heard.heard_val[n / CHAR_BIT] |= (char)(1 << n % CHAR_BIT);
 	}
 }
 
@@ -307,7 +308,7 @@
 	return true;
 }
 
-static void send_renewal(struct entry *e, clock_ms_t now)
+static void send_renewal(struct entry *e, clock_ms_t now, bool reports)
 {
 	sw_renew_args *args = &entry_add_effect(e, EFFECT_RENEW, 0)->u.renew;
 
@@ -318,9 +319,13 @@
 	args->draining = e->draining;
 	args->detach = e->draining && !g_hash_table_size(e->requests) && owns_nothing(e);
 	fill_acks(e, args);
-	fill_reports(e, now, args);
 	fill_news(e, args);
-	fill_heard(e, args);
+	if (reports) {
+		args->reporting = true;
+		e->report_at = now + REPORT_MS;
+		fill_reports(e, now, args);
+		fill_heard(e, args);
+	}
 	e->renew_open = true;
 	e->renew_urgent = false;
 	e->renew_sent_at = now;
@@ -344,11 +349,11 @@
 
 void view_renew(struct entry *e, clock_ms_t now)
 {
-	bool urgent = (e->renew_urgent || has_surge(e, now)) &&
-		      now >= e->renew_sent_at + URGENT_SPACING_MS;
+	bool surge = has_surge(e, now);
+	bool urgent = (e->renew_urgent || surge) && now >= e->renew_sent_at + URGENT_SPACING_MS;
 
 	if (!e->renew_open && !e->detached && (urgent || now >= e->renew_at))
-		send_renewal(e, now);
+		send_renewal(e, now, surge || now >= e->report_at);
 }
 
 /* Announcements. */
--- a/src/sesamewood/rpc/sesamewood.x
+++ b/src/sesamewood/rpc/sesamewood.x
@@ -259,7 +259,6 @@
 	unsigned int in_use;
 	unsigned int queued;
 	unsigned int oldest_wait_ms;
-	unsigned int arrivals;
 };
 
 struct sw_ack {
@@ -276,10 +275,10 @@
 	bool draining;
 	bool detach;
 	sw_ack acks<SW_LIST_MAX>;
+	bool reporting;                     /* reports and heard replace the earlier ones */
 	sw_pool_report reports<SW_LIST_MAX>;
 	sw_announcement announcements<SW_LIST_MAX>;
-	unsigned int heard<SW_LIST_MAX>;    /* ids of instances heard since the last renewal */
-	unsigned int suspects<SW_LIST_MAX>; /* ids of instances whose connections fail */
+	opaque heard<SW_LIST_MAX>;          /* bit set of ids heard since the last report */
 };
 
 enum sw_status {
