--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 bench: build
 	@$(BUILD)/bench-entry --programs=$(BUILD)
 	@$(BUILD)/bench-control
+	@$(BUILD)/bench-storage
 
 lint:
 	@scripts/lint
--- a/src/sesamewood/control/fs.c
+++ b/src/sesamewood/control/fs.c
@@ -154,3 +154,15 @@
 	fs->ctx = f;
 	return true;
 }
+
+void fs_close_folder(struct fs *fs)
+{
+	struct folder *f = fs->ctx;
+
+	forget_open_file(f);
+	g_free(f->open_name);
+	g_free(f->path);
+	close(f->fd);
+	g_free(f);
+	fs->ctx = NULL;
+}
--- a/src/sesamewood/control/fs.h
+++ b/src/sesamewood/control/fs.h
@@ -36,4 +36,7 @@
 /// @return false with errno set
 bool fs_open_folder(struct fs *fs, const char *path);
 
+/// Closes a folder on disk and gives up its lock.
+void fs_close_folder(struct fs *fs);
+
 #endif
--- a/src/sesamewood/control/policy.c
+++ b/src/sesamewood/control/policy.c
@@ -2,7 +2,7 @@
 
 #include <math.h>
 
-#define FALL_TIME_MS 5000.0
+#define FALL_TIME_MS 1500.0
 #define UTILISATION 0.85
 #define WAIT_TOLERATED_MS 50
 #define SLOTS_DEFAULT 8
@@ -63,12 +63,13 @@
 	return MAX(n, (int)pool->config->min_instances);
 }
 
+/// Tells whether requests wait although every slot is taken, or for longer than is tolerated.
 static bool is_short(const struct policy_pool *pool)
 {
-	bool empty = pool->serving + pool->arriving == 0;
+	bool all_busy = pool->in_use + pool->queued > pool->slots;
 
 	return pool->config->borrow && pool->queued &&
-	       (empty || pool->oldest_wait_ms >= WAIT_TOLERATED_MS);
+	       (all_busy || pool->oldest_wait_ms >= WAIT_TOLERATED_MS);
 }
 
 /// @return the pool that can spare most: spare pools first, then by slack; or -1
--- a/src/sesamewood/entry/dispatch.c
+++ b/src/sesamewood/entry/dispatch.c
@@ -183,8 +183,13 @@
 		if (!serve(e, now, pool, l->data))
 			misses++;
 	}
-	if (has_waiting_request(pool))
-		loans_borrow(e, now, pool);
+	if (!has_waiting_request(pool)) {
+		pool->queued_since = 0;
+		return;
+	}
+	if (!pool->queued_since)
+		pool->queued_since = now;
+	loans_borrow(e, now, pool);
 }
 
 /* Finishing. */
--- a/src/sesamewood/entry/entry_defs.h
+++ b/src/sesamewood/entry/entry_defs.h
@@ -86,7 +86,8 @@
 	uint32_t in_use;    ///< own requests that run
 	uint32_t borrowing; ///< open calls to peers
 	uint32_t next_peer;
-	clock_ms_t borrow_at; ///< not before
+	clock_ms_t borrow_at;	 ///< not before
+	clock_ms_t queued_since; ///< requests have waited without a break; 0: none waits
 };
 
 enum request_state {
--- a/src/sesamewood/entry/view.c
+++ b/src/sesamewood/entry/view.c
@@ -341,9 +341,12 @@
 	if (now < e->renew_sent_at + SURGE_REPORT_MS)
 		return false;
 	g_hash_table_iter_init(&iter, e->pools);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (oldest_wait(value, now) >= SURGE_WAIT_MS)
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct pool_state *pool = value;
+
+		if (pool->queued_since && now - pool->queued_since >= SURGE_WAIT_MS)
 			return true;
+	}
 	return false;
 }
 
