--- a/src/sesamewood/entry/main.c
+++ b/src/sesamewood/entry/main.c
@@ -749,12 +749,18 @@
 	control_link_flush(sh->control);
 }
 
+/// Tells whether no lease is held any more: handed back, or run out where control is not reached.
+static bool has_handed_back(const struct shell *sh)
+{
+	return sh->entry->detached || !entry_has_lease(sh->entry, clock_monotonic());
+}
+
 static void on_exit_check(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	struct shell *sh = w->data;
 
 	(void)revents;
-	if (http_server_active(sh->callers) || !sh->entry->detached)
+	if (http_server_active(sh->callers) || !has_handed_back(sh))
 		return;
 	log_info("stopped");
 	ev_break(loop, EVBREAK_ALL);
--- a/tests/functional/harness.c
+++ b/tests/functional/harness.c
@@ -544,16 +544,20 @@
 
 void harness_two_pools(struct harness *h)
 {
+	gint64 version;
+
 	harness_endpoint(h, "a-", 8, NULL);
 	harness_endpoint(h, "s-", 8, NULL);
 	harness_put(h, "pools",
 		    "{\"pools\":[{\"name\":\"a\",\"instances\":[\"a-*\"],\"max_out\":4},"
 		    "{\"name\":\"s\",\"instances\":[\"s-*\"],\"spare\":true,\"max_out\":8,"
 		    "\"min_instances\":0}]}");
-	harness_put(
+	version = harness_put(
 		h, "routes",
 		"{\"routes\":[{\"name\":\"s\",\"match\":{\"path_prefix\":\"/s\"},\"pool\":\"s\"},"
 		"{\"name\":\"a\",\"pool\":\"a\"}]}");
+	if (!harness_wait(harness_in_force(h, version), READY_TIMEOUT_MS))
+		g_error("tables are not in force; logs in %s", h->folder);
 	if (!harness_wait(harness_count(h, "a", "active") == 8 &&
 				  harness_count(h, "s", "active") == 8,
 			  READY_TIMEOUT_MS))
--- a/tests/functional/test_once.c
+++ b/tests/functional/test_once.c
@@ -182,9 +182,11 @@
 	struct harness *h = harness_new(&seven);
 	struct program *endpoint = harness_endpoint(h, "a-", 1, NULL);
 	g_autofree char *head = NULL;
+	gint64 version;
 
 	harness_put(h, "pools", "{\"pools\":[{\"name\":\"a\",\"instances\":[\"a-*\"]}]}");
-	harness_put(h, "routes", "{\"routes\":[{\"name\":\"a\",\"pool\":\"a\"}]}");
+	version = harness_put(h, "routes", "{\"routes\":[{\"name\":\"a\",\"pool\":\"a\"}]}");
+	g_assert_true(harness_wait(harness_in_force(h, version), 2000));
 	g_assert_true(harness_wait(harness_count(h, "a", "active") == 1, 10000));
 	program_kill(endpoint);
 	g_assert_cmpint(post(h, 0, "two", "x", NULL, NULL, &head), ==, 502);
--- a/tests/functional/test_stops.c
+++ b/tests/functional/test_stops.c
@@ -81,6 +81,19 @@
 	harness_free(h);
 }
 
+/// An entry that can't reach control ends when its lease is over.
+static void test_entry_stops_without_control(void)
+{
+	struct harness *h = harness_new(&seven);
+
+	for (int i = 0; i < HARNESS_CONTROLS; i++)
+		program_kill(&h->controls[i]);
+	program_signal(&h->entries[0], SIGTERM);
+	g_assert_true(harness_wait(!g_subprocess_get_identifier(h->entries[0].process), 8000));
+	g_assert_cmpint(program_wait(&h->entries[0]), ==, 0);
+	harness_free(h);
+}
+
 int main(int argc, char **argv)
 {
 	harness_init(&argc, &argv);
@@ -88,5 +101,6 @@
 	g_test_add_func("/stops/entries_stop_one_by_one", test_entries_stop_one_by_one);
 	g_test_add_func("/stops/controls_stop_one_by_one", test_controls_stop_one_by_one);
 	g_test_add_func("/stops/long_request_is_not_cut", test_long_request_is_not_cut);
+	g_test_add_func("/stops/entry_stops_without_control", test_entry_stops_without_control);
 	return g_test_run();
 }
