--- a/src/sesamewood/base/http_server.c
+++ b/src/sesamewood/base/http_server.c
@@ -1,4 +1,5 @@
 #include "base/http_server.h"
+#include "base/http_status.h"
 
 #include "base/options.h"
 
@@ -10,7 +11,6 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#define HTTP_CONTENT_TOO_LARGE 413
 #define SWEEP_S 0.1
 #define BODY_INITIAL_BYTES 64
 
--- a/src/sesamewood/base/options.c
+++ b/src/sesamewood/base/options.c
@@ -208,3 +208,10 @@
 {
 	return options_get(options, name)->value;
 }
+
+void options_fault(const struct option *options, const char *name, const char *allowed)
+{
+	fprintf(stderr, "--%s: wrong value '%s'; allowed: %s\n", name, options_text(options, name),
+		allowed);
+	exit(EXIT_USAGE);
+}
--- a/src/sesamewood/base/options.h
+++ b/src/sesamewood/base/options.h
@@ -47,6 +47,11 @@
 /// @return the text of a setting
 const char *options_text(const struct option *options, const char *name);
 
+/// Reports a setting that can't be used, with its flag, value and allowed range, and exits with
+/// status 2.
+void options_fault(const struct option *options, const char *name, const char *allowed)
+	__attribute__((noreturn));
+
 /// Splits "IP:port".
 ///
 /// @return false if it isn't an address
--- a/src/sesamewood/burn/main.c
+++ b/src/sesamewood/burn/main.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/http_client.h"
+#include "base/http_status.h"
 #include "base/options.h"
 #include "base/tables.h"
 
@@ -135,7 +136,7 @@
 		http_client_request("GET", url, NULL, NULL, REQUEST_TIMEOUT_MS);
 	g_auto(GStrv) lines = NULL;
 
-	if (r->status != 200) {
+	if (r->status != HTTP_OK) {
 		fprintf(stderr, "entry %s did not answer; it is left out\n", address);
 		return;
 	}
@@ -164,7 +165,7 @@
 		g_autoptr(http_result_t) r =
 			http_client_request("GET", url, headers, NULL, REQUEST_TIMEOUT_MS);
 
-		if (r->status == 200)
+		if (r->status == HTTP_OK)
 			return tables_parse_pools(r->body, strlen(r->body), faults);
 	}
 	fprintf(stderr, "control was not reached\n");
--- a/src/sesamewood/control/admin.c
+++ b/src/sesamewood/control/admin.c
@@ -1,6 +1,7 @@
 #include "control/admin.h"
 
 #include "base/codec.h"
+#include "base/http_status.h"
 #include "control/budget.h"
 #include "control/sessions.h"
 
@@ -11,16 +12,6 @@
 #define PAGE_DEFAULT 100
 #define PAGE_MAX 1000
 
-#define HTTP_OK 200
-#define HTTP_BAD_REQUEST 400
-#define HTTP_NOT_FOUND 404
-#define HTTP_METHOD_NOT_ALLOWED 405
-#define HTTP_CONFLICT 409
-#define HTTP_PRECONDITION_FAILED 412
-#define HTTP_UNPROCESSABLE 422
-#define HTTP_PRECONDITION_REQUIRED 428
-#define HTTP_UNAVAILABLE 503
-
 #define TYPE_JSON "application/json"
 #define TYPE_PROBLEM "application/problem+json"
 
--- a/src/sesamewood/control/main.c
+++ b/src/sesamewood/control/main.c
@@ -4,6 +4,7 @@
 
 #include "base/codec.h"
 #include "base/http_server.h"
+#include "base/http_status.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/options.h"
@@ -26,11 +27,6 @@
 #define DRAIN_S 0.2
 #define EXIT_FAULT 1
 #define EXIT_DISK 3
-#define HTTP_OK 200
-#define HTTP_BAD_REQUEST 400
-#define HTTP_UNAUTHORIZED 401
-#define HTTP_UNPROCESSABLE 422
-#define HTTP_UNAVAILABLE 503
 
 static struct option options[] = {
 	{"node", OPTION_NUMBER, NULL, 1, RAFT_NODES_MAX, "", NULL, "Own number among the replicas",
@@ -398,12 +394,6 @@
 
 /* Start and stop. */
 
-static void fault(const char *flag, const char *value, const char *what)
-{
-	g_printerr("--%s: wrong value '%s'; allowed: %s\n", flag, value, what);
-	exit(2);
-}
-
 /// Reads --peers; connects to all but the own node.
 ///
 /// @return own address
@@ -419,7 +409,7 @@
 
 		if (i >= RAFT_NODES_MAX || !node || node > RAFT_NODES_MAX || *end != '=' ||
 		    !options_split_address(end + 1, NULL, NULL))
-			fault(o->name, o->value, o->range_text);
+			options_fault(options, o->name, o->range_text);
 		raft->nodes[i] = node;
 		if (node == raft->node) {
 			own = g_strdup(end + 1);
@@ -429,7 +419,7 @@
 		sh->peers[sh->n_peers++].client = rpc_client_new(sh->loop, end + 1);
 	}
 	if (!own)
-		fault(o->name, o->value, "a list that holds the own node");
+		options_fault(options, o->name, "a list that holds the own node");
 	return own;
 }
 
@@ -440,11 +430,12 @@
 
 	if (!*path) {
 		if (!g_str_has_prefix(admin, "127."))
-			fault("admin", admin, "a loopback address, unless --token-file is set");
+			options_fault(options, "admin",
+				      "a loopback address, unless --token-file is set");
 		return;
 	}
 	if (!g_file_get_contents(path, &sh->token, NULL, NULL) || !*g_strstrip(sh->token))
-		fault("token-file", path, "a readable file that holds a token");
+		options_fault(options, "token-file", "a readable file that holds a token");
 }
 
 static void on_exit_timer(struct ev_loop *loop, ev_timer *w, int revents)
@@ -561,11 +552,11 @@
 	clock_ms_t now = clock_monotonic();
 
 	if (*path && recovered->meta.uid)
-		fault("trace-file", path, "unset, unless the data folder is empty");
+		options_fault(options, "trace-file", "unset, unless the data folder is empty");
 	if (*path) {
 		sh->trace = trace_open(path, settings, now);
 		if (!sh->trace)
-			fault("trace-file", path, "a file that can be written");
+			options_fault(options, "trace-file", "a file that can be written");
 	}
 	sh->control = control_new(settings, recovered, now);
 }
--- a/src/sesamewood/control/raft.c
+++ b/src/sesamewood/control/raft.c
@@ -1,4 +1,4 @@
-#include "control/raft.h"
+#include "control/raft_internal.h"
 
 #include "base/codec.h"
 
@@ -7,267 +7,11 @@
 #include <xxhash.h>
 
 #define BATCH_RECORDS_MAX 512
-#define FRAME_RECORDS_MAX 4096
 #define LEASE_PERCENT 90 ///< share of the least election timeout that a leader counts on
 #define RESEND_MS 1000
-#define PROBE_INTERVAL_MS 200
 #define LEARNER_LAG_MAX 64
 
-/// Replication state of one other node.
-struct peer {
-	uint32_t node;
-	uint64_t uid;
-	uint64_t match;
-	uint64_t next;
-	clock_ms_t busy_until; ///< a batch is on its way until then
-	clock_ms_t acked_echo; ///< own clock when the latest acknowledged message was sent
-	bool granted;
-	bool learner; ///< catching up, with an identity that is not a member yet
-};
-
-struct raft {
-	struct raft_settings settings;
-	GRand *random;
-	GPtrArray *effects;
-
-	raft_meta meta;
-	GPtrArray *log; ///< struct raft_log_record, from snapshot.index + 1 or earlier
-	uint64_t first; ///< index of log->pdata[0]
-	raft_snapshot snapshot;
-	sw_members members;	///< latest in the log
-	uint64_t members_index; ///< where they stand
-
-	enum raft_role role;
-	uint32_t leader;
-	uint64_t commit;
-	uint64_t applied;
-	uint64_t persisted;
-	uint64_t term_start; ///< index of the leader's first record
-	clock_ms_t heard_at; ///< last contact from a leader, or the start
-	clock_ms_t deadline; ///< next election
-	clock_ms_t beat_at;
-	clock_ms_t probe_at;
-	struct peer peers[RAFT_NODES_MAX];
-	unsigned int n_peers;
-};
-
-void raft_log_record_free(void *p)
-{
-	struct raft_log_record *record = p;
-
-	g_bytes_unref(record->command);
-	g_free(record);
-}
-
-void raft_effect_free(void *p)
-{
-	struct raft_effect *e = p;
-
-	switch (e->type) {
-	case RAFT_SAVE_META:
-		codec_free(CODEC_PROC(raft_meta), &e->u.meta);
-		break;
-	case RAFT_APPEND_LOG:
-		g_ptr_array_unref(e->u.records);
-		break;
-	case RAFT_SAVE_SNAPSHOT:
-		codec_free(CODEC_PROC(raft_snapshot), &e->u.save.snapshot);
-		break;
-	case RAFT_SEND:
-		codec_free(CODEC_PROC(raft_message), &e->u.message);
-		break;
-	}
-	g_free(e);
-}
-
-static struct raft_effect *add_effect(struct raft *r, enum raft_effect_type type)
-{
-	struct raft_effect *e = g_new0(struct raft_effect, 1);
-
-	e->type = type;
-	g_ptr_array_add(r->effects, e);
-	return e;
-}
-
-GPtrArray *raft_take_effects(struct raft *r)
-{
-	GPtrArray *out = r->effects;
-
-	r->effects = g_ptr_array_new_with_free_func(raft_effect_free);
-	return out;
-}
-
-static void save_meta(struct raft *r)
-{
-	struct raft_effect *e = add_effect(r, RAFT_SAVE_META);
-
-	codec_copy(CODEC_PROC(raft_meta), &r->meta, &e->u.meta, sizeof(raft_meta));
-}
-
-/* Log access. */
-
-uint64_t raft_last_index(const struct raft *r)
-{
-	return r->log->len ? r->first + r->log->len - 1 : r->snapshot.index;
-}
-
-uint64_t raft_term_at(const struct raft *r, uint64_t index)
-{
-	if (index == r->snapshot.index)
-		return r->snapshot.term;
-	if (!r->log->len || index < r->first || index > raft_last_index(r))
-		return 0;
-	return ((struct raft_log_record *)r->log->pdata[index - r->first])->term;
-}
-
-static const struct raft_log_record *record_at(const struct raft *r, uint64_t index)
-{
-	return r->log->pdata[index - r->first];
-}
-
-static bool read_members(GBytes *command, sw_members *out)
-{
-	gsize len;
-	const void *data = g_bytes_get_data(command, &len);
-	sw_command c;
-	bool found;
-
-	if (!codec_decode(CODEC_PROC(sw_command), data, len, &c, sizeof(c)))
-		return false;
-	found = c.type == SW_COMMAND_MEMBERS;
-	if (found)
-		codec_copy(CODEC_PROC(sw_members), &c.sw_command_u.members, out, sizeof(*out));
-	codec_free(CODEC_PROC(sw_command), &c);
-	return found;
-}
-
-/// Cheap test by the leading XDR enum, to spare decoding every record.
-static bool is_members_command(GBytes *command)
-{
-	gsize len;
-	const guint8 *data = g_bytes_get_data(command, &len);
-
-	return len >= 4 && !data[0] && !data[1] && !data[2] && data[3] == SW_COMMAND_MEMBERS;
-}
-
-static void set_members(struct raft *r, const sw_members *m, uint64_t index)
-{
-	sw_members copy;
-
-	if (!codec_copy(CODEC_PROC(sw_members), m, &copy, sizeof(copy)))
-		return;
-	codec_free(CODEC_PROC(sw_members), &r->members);
-	r->members = copy;
-	r->members_index = index;
-}
-
-/// Finds the latest membership in the log, after records were removed or loaded.
-static void reload_members(struct raft *r)
-{
-	for (guint i = r->log->len; i > 0; i--) {
-		const struct raft_log_record *record = r->log->pdata[i - 1];
-		sw_members m;
-
-		if (record->index <= r->snapshot.index)
-			break;
-		if (!is_members_command(record->command) || !read_members(record->command, &m))
-			continue;
-		set_members(r, &m, record->index);
-		codec_free(CODEC_PROC(sw_members), &m);
-		return;
-	}
-	set_members(r, r->snapshot.index ? &r->snapshot.members : &r->meta.base, r->snapshot.index);
-}
-
-static void append(struct raft *r, uint64_t term, GBytes *command)
-{
-	struct raft_log_record *record = g_new0(struct raft_log_record, 1);
-	struct raft_log_record *copy = g_new0(struct raft_log_record, 1);
-	struct raft_effect *last = r->effects->len ? r->effects->pdata[r->effects->len - 1] : NULL;
-
-	record->index = raft_last_index(r) + 1;
-	record->term = term;
-	record->command = g_bytes_ref(command);
-	*copy = *record;
-	g_bytes_ref(copy->command);
-	if (!r->log->len)
-		r->first = record->index;
-	g_ptr_array_add(r->log, record);
-	if (is_members_command(command)) {
-		sw_members m;
-
-		if (read_members(command, &m)) {
-			set_members(r, &m, record->index);
-			codec_free(CODEC_PROC(sw_members), &m);
-		}
-	}
-	if (!last || last->type != RAFT_APPEND_LOG || last->u.records->len >= FRAME_RECORDS_MAX) {
-		last = add_effect(r, RAFT_APPEND_LOG);
-		last->u.records = g_ptr_array_new_with_free_func(raft_log_record_free);
-	}
-	g_ptr_array_add(last->u.records, copy);
-}
-
-static void truncate_from(struct raft *r, uint64_t index)
-{
-	g_ptr_array_set_size(r->log, index - r->first);
-	r->persisted = MIN(r->persisted, index - 1);
-	if (r->members_index >= index)
-		reload_members(r);
-}
-
-/* Membership. */
-
-static uint64_t member_uid(const struct raft *r, uint32_t node)
-{
-	for (u_int i = 0; i < r->members.members.members_len; i++)
-		if (r->members.members.members_val[i].node == node)
-			return r->members.members.members_val[i].uid;
-	return 0;
-}
-
-bool raft_is_voter(const struct raft *r)
-{
-	return r->meta.uid && member_uid(r, r->settings.node) == r->meta.uid;
-}
-
-static bool is_member(const struct raft *r, uint32_t node, uint64_t uid)
-{
-	return uid && member_uid(r, node) == uid;
-}
-
-static unsigned int quorum(const struct raft *r)
-{
-	return r->members.members.members_len / 2 + 1;
-}
-
-static struct peer *find_peer(struct raft *r, uint32_t node)
-{
-	for (unsigned int i = 0; i < r->n_peers; i++)
-		if (r->peers[i].node == node)
-			return &r->peers[i];
-	return NULL;
-}
-
-static bool is_formed(const struct raft *r)
-{
-	return r->members.members.members_len > 0;
-}
-
-/* Messages. */
-
-static raft_message *send_to(struct raft *r, uint32_t node, uint64_t uid, raft_message_type type)
-{
-	raft_message *m = &add_effect(r, RAFT_SEND)->u.message;
-
-	m->type = type;
-	m->from = r->settings.node;
-	m->from_uid = r->meta.uid;
-	m->to = node;
-	m->to_uid = uid;
-	m->term = r->meta.term;
-	return m;
-}
+/* Elections. */
 
 static void reset_deadline(struct raft *r, clock_ms_t now)
 {
@@ -280,7 +24,7 @@
 	if (term > r->meta.term) {
 		r->meta.term = term;
 		r->meta.voted_for = 0;
-		save_meta(r);
+		raft_save_meta(r);
 	}
 	if (r->role != RAFT_FOLLOWER)
 		reset_deadline(r, now);
@@ -292,13 +36,13 @@
 {
 	for (unsigned int i = 0; i < r->n_peers; i++) {
 		struct peer *p = &r->peers[i];
-		uint64_t uid = member_uid(r, p->node);
+		uint64_t uid = raft_member_uid(r, p->node);
 		raft_message *m;
 
 		p->granted = false;
 		if (!uid)
 			continue;
-		m = send_to(r, p->node, uid, type);
+		m = raft_send_to(r, p->node, uid, type);
 		m->index = raft_last_index(r);
 		m->log_term = raft_term_at(r, m->index);
 		if (type == RAFT_PREVOTE)
@@ -333,14 +77,14 @@
 	for (unsigned int i = 0; i < r->n_peers; i++) {
 		struct peer *p = &r->peers[i];
 
-		p->uid = member_uid(r, p->node);
+		p->uid = raft_member_uid(r, p->node);
 		p->learner = false;
 		p->match = 0;
 		p->next = raft_last_index(r) + 1;
 		p->busy_until = 0;
 		p->acked_echo = INT64_MIN / 2;
 	}
-	append(r, r->meta.term, command);
+	raft_append(r, r->meta.term, command);
 	r->term_start = raft_last_index(r);
 }
 
@@ -350,10 +94,10 @@
 	r->leader = 0;
 	r->meta.term++;
 	r->meta.voted_for = r->settings.node;
-	save_meta(r);
+	raft_save_meta(r);
 	reset_deadline(r, now);
 	broadcast_vote_request(r, RAFT_VOTE);
-	if (count_votes(r) >= quorum(r))
+	if (count_votes(r) >= raft_quorum(r))
 		become_leader(r, now);
 }
 
@@ -363,7 +107,7 @@
 	r->leader = 0;
 	reset_deadline(r, now);
 	broadcast_vote_request(r, RAFT_PREVOTE);
-	if (count_votes(r) >= quorum(r))
+	if (count_votes(r) >= raft_quorum(r))
 		campaign(r, now);
 }
 
@@ -384,10 +128,10 @@
 
 	at[n++] = now;
 	for (unsigned int i = 0; i < r->n_peers; i++)
-		if (is_member(r, r->peers[i].node, r->peers[i].uid))
+		if (raft_is_member(r, r->peers[i].node, r->peers[i].uid))
 			at[n++] = r->peers[i].acked_echo;
 	qsort(at, n, sizeof(at[0]), compare_ms);
-	return n >= quorum(r) ? at[quorum(r) - 1] : INT64_MIN / 2;
+	return n >= raft_quorum(r) ? at[raft_quorum(r) - 1] : INT64_MIN / 2;
 }
 
 bool raft_leads(const struct raft *r, clock_ms_t now)
@@ -402,7 +146,7 @@
 
 static void send_snapshot(struct raft *r, struct peer *p, clock_ms_t now)
 {
-	raft_message *m = send_to(r, p->node, p->uid, RAFT_SNAPSHOT);
+	raft_message *m = raft_send_to(r, p->node, p->uid, RAFT_SNAPSHOT);
 
 	m->index = r->snapshot.index;
 	m->log_term = r->snapshot.term;
@@ -421,7 +165,7 @@
 	m->records.records_val = calloc(n ? n : 1, sizeof(raft_record));
 	m->records.records_len = n;
 	for (uint64_t i = 0; i < n; i++) {
-		const struct raft_log_record *from = record_at(r, p->next + i);
+		const struct raft_log_record *from = raft_record_at(r, p->next + i);
 		raft_record *to = &m->records.records_val[i];
 		gsize len;
 		const void *data = g_bytes_get_data(from->command, &len);
@@ -456,7 +200,7 @@
 			send_snapshot(r, p, now);
 		return;
 	}
-	m = send_to(r, p->node, p->uid, RAFT_APPEND);
+	m = raft_send_to(r, p->node, p->uid, RAFT_APPEND);
 	m->index = p->next - 1;
 	m->log_term = raft_term_at(r, m->index);
 	m->commit = r->commit;
@@ -500,12 +244,12 @@
 	if (raft_is_voter(r))
 		match[n++] = r->persisted;
 	for (unsigned int i = 0; i < r->n_peers; i++)
-		if (is_member(r, r->peers[i].node, r->peers[i].uid))
+		if (raft_is_member(r, r->peers[i].node, r->peers[i].uid))
 			match[n++] = r->peers[i].match;
-	if (n < quorum(r))
+	if (n < raft_quorum(r))
 		return;
 	qsort(match, n, sizeof(match[0]), compare_index);
-	index = match[quorum(r) - 1];
+	index = match[raft_quorum(r) - 1];
 	if (index > r->commit && raft_term_at(r, index) == r->meta.term)
 		r->commit = index;
 }
@@ -521,7 +265,7 @@
 {
 	if (r->role != RAFT_LEADER)
 		return 0;
-	append(r, r->meta.term, command);
+	raft_append(r, r->meta.term, command);
 	return raft_last_index(r);
 }
 
@@ -530,7 +274,7 @@
 	sw_command c = {.type = SW_COMMAND_MEMBERS, .sw_command_u.members = *members};
 	g_autoptr(GBytes) command = encode_command(&c);
 
-	append(r, r->meta.term, command);
+	raft_append(r, r->meta.term, command);
 }
 
 /// Brings a learner that has caught up into the membership, one change at a time: first its
@@ -539,7 +283,7 @@
 {
 	sw_member list[RAFT_NODES_MAX];
 	sw_members next = {.members = {.members_val = list}};
-	bool removes = member_uid(r, p->node) != 0;
+	bool removes = raft_member_uid(r, p->node) != 0;
 	u_int n = 0;
 
 	if (r->members_index > r->commit || r->commit < r->term_start ||
@@ -572,7 +316,7 @@
 	bool grant;
 	raft_message *reply;
 
-	if (!raft_is_voter(r) || !is_member(r, m->from, m->from_uid))
+	if (!raft_is_voter(r) || !raft_is_member(r, m->from, m->from_uid))
 		return;
 	if (!pre && !led && m->term > r->meta.term)
 		become_follower(r, now, m->term, 0);
@@ -583,11 +327,11 @@
 	if (grant && !pre) {
 		if (r->meta.voted_for != m->from) {
 			r->meta.voted_for = m->from;
-			save_meta(r);
+			raft_save_meta(r);
 		}
 		reset_deadline(r, now);
 	}
-	reply = send_to(r, m->from, m->from_uid, pre ? RAFT_PREVOTE_REPLY : RAFT_VOTE_REPLY);
+	reply = raft_send_to(r, m->from, m->from_uid, pre ? RAFT_PREVOTE_REPLY : RAFT_VOTE_REPLY);
 	reply->reject = !grant;
 	if (grant)
 		reply->term = m->term;
@@ -596,28 +340,28 @@
 static void receive_vote_reply(struct raft *r, clock_ms_t now, const raft_message *m)
 {
 	bool pre = m->type == RAFT_PREVOTE_REPLY;
-	struct peer *p = find_peer(r, m->from);
+	struct peer *p = raft_find_peer(r, m->from);
 
 	if (m->reject && m->term > r->meta.term) {
 		become_follower(r, now, m->term, 0);
 		return;
 	}
-	if (m->reject || !p || !is_member(r, m->from, m->from_uid))
+	if (m->reject || !p || !raft_is_member(r, m->from, m->from_uid))
 		return;
 	if (pre && r->role == RAFT_PRECANDIDATE && m->term == r->meta.term + 1) {
 		p->granted = true;
-		if (count_votes(r) >= quorum(r))
+		if (count_votes(r) >= raft_quorum(r))
 			campaign(r, now);
 	} else if (!pre && r->role == RAFT_CANDIDATE && m->term == r->meta.term) {
 		p->granted = true;
-		if (count_votes(r) >= quorum(r))
+		if (count_votes(r) >= raft_quorum(r))
 			become_leader(r, now);
 	}
 }
 
 static void reply_append(struct raft *r, const raft_message *m, uint64_t index, bool reject)
 {
-	raft_message *reply = send_to(r, m->from, m->from_uid, RAFT_APPEND_REPLY);
+	raft_message *reply = raft_send_to(r, m->from, m->from_uid, RAFT_APPEND_REPLY);
 
 	reply->index = index;
 	reply->reject = reject;
@@ -634,11 +378,11 @@
 		if (record->index <= r->commit || raft_term_at(r, record->index) == record->term)
 			continue;
 		if (record->index <= raft_last_index(r))
-			truncate_from(r, record->index);
+			raft_truncate_from(r, record->index);
 		if (record->index != raft_last_index(r) + 1)
 			return;
 		command = g_bytes_new(record->command.sw_blob_val, record->command.sw_blob_len);
-		append(r, record->term, command);
+		raft_append(r, record->term, command);
 	}
 }
 
@@ -696,8 +440,8 @@
 	r->commit = m->index;
 	r->applied = m->index;
 	r->persisted = m->index;
-	reload_members(r);
-	e = add_effect(r, RAFT_SAVE_SNAPSHOT);
+	raft_reload_members(r);
+	e = raft_add_effect(r, RAFT_SAVE_SNAPSHOT);
 	codec_copy(CODEC_PROC(raft_snapshot), &r->snapshot, &e->u.save.snapshot,
 		   sizeof(raft_snapshot));
 	e->u.save.keep_from = m->index + 1;
@@ -707,7 +451,7 @@
 
 static void receive_append_reply(struct raft *r, clock_ms_t now, const raft_message *m)
 {
-	struct peer *p = find_peer(r, m->from);
+	struct peer *p = raft_find_peer(r, m->from);
 
 	if (m->term > r->meta.term) {
 		become_follower(r, now, m->term, 0);
@@ -737,10 +481,10 @@
 
 static void receive_join(struct raft *r, const raft_message *m)
 {
-	struct peer *p = find_peer(r, m->from);
+	struct peer *p = raft_find_peer(r, m->from);
 
 	if (r->role != RAFT_LEADER || !p || (p->learner && p->uid == m->from_uid) ||
-	    is_member(r, m->from, m->from_uid))
+	    raft_is_member(r, m->from, m->from_uid))
 		return;
 	p->uid = m->from_uid;
 	p->learner = true;
@@ -748,83 +492,16 @@
 	p->next = 1;
 	p->busy_until = 0;
 }
-
-/* Forming a new cluster. */
-
-static void send_probe_reply(struct raft *r, const raft_message *m)
-{
-	raft_message *reply = send_to(r, m->from, m->from_uid, RAFT_PROBE_REPLY);
-
-	codec_copy(CODEC_PROC(sw_members), &r->members, &reply->members, sizeof(reply->members));
-}
-
-static void adopt_base(struct raft *r, const sw_members *members)
-{
-	codec_free(CODEC_PROC(sw_members), &r->meta.base);
-	codec_copy(CODEC_PROC(sw_members), members, &r->meta.base, sizeof(r->meta.base));
-	save_meta(r);
-	reload_members(r);
-}
-
-/// The lowest-numbered node forms the cluster, once all configured nodes have answered that they
-/// hold nothing.
-static void try_to_form(struct raft *r)
-{
-	sw_member list[RAFT_NODES_MAX] = {{.node = r->settings.node, .uid = r->meta.uid}};
-	sw_members members = {.members = {.members_len = 1, .members_val = list}};
-
-	for (unsigned int i = 0; i < r->n_peers; i++) {
-		if (!r->peers[i].uid || r->peers[i].node < r->settings.node)
-			return;
-		list[members.members.members_len++] =
-			(sw_member){.node = r->peers[i].node, .uid = r->peers[i].uid};
-	}
-	adopt_base(r, &members);
-}
-
-static void receive_probe_reply(struct raft *r, const raft_message *m)
-{
-	struct peer *p = find_peer(r, m->from);
-
-	if (is_formed(r) || !p)
-		return;
-	if (!m->members.members.members_len) {
-		p->uid = m->from_uid;
-		try_to_form(r);
-		return;
-	}
-	for (u_int i = 0; i < m->members.members.members_len; i++) {
-		const sw_member *member = &m->members.members.members_val[i];
-
-		if (member->node == r->settings.node && member->uid == r->meta.uid) {
-			adopt_base(r, &m->members);
-			return;
-		}
-	}
-	send_to(r, m->from, m->from_uid, RAFT_JOIN);
-}
-
-static void probe(struct raft *r, clock_ms_t now)
-{
-	if (now < r->probe_at)
-		return;
-	r->probe_at = now + PROBE_INTERVAL_MS;
-	for (unsigned int i = 0; i < r->n_peers; i++)
-		send_to(r, r->peers[i].node, 0, is_formed(r) ? RAFT_JOIN : RAFT_PROBE);
-	if (!r->n_peers && !is_formed(r))
-		try_to_form(r);
-}
-
 void raft_receive(struct raft *r, clock_ms_t now, const raft_message *m)
 {
 	if (m->to != r->settings.node || (m->to_uid && m->to_uid != r->meta.uid))
 		return;
 	switch (m->type) {
 	case RAFT_PROBE:
-		send_probe_reply(r, m);
+		raft_send_probe_reply(r, m);
 		break;
 	case RAFT_PROBE_REPLY:
-		receive_probe_reply(r, m);
+		raft_receive_probe_reply(r, m);
 		break;
 	case RAFT_JOIN:
 		receive_join(r, m);
@@ -867,7 +544,7 @@
 	for (unsigned int i = 0; i < r->n_peers; i++) {
 		struct peer *p = &r->peers[i];
 
-		if (!p->learner && !is_member(r, p->node, p->uid))
+		if (!p->learner && !raft_is_member(r, p->node, p->uid))
 			p->uid = 0;
 		send_append(r, p, now);
 	}
@@ -880,7 +557,7 @@
 		return;
 	}
 	if (!raft_is_voter(r)) {
-		probe(r, now);
+		raft_probe(r, now);
 		return;
 	}
 	if (now >= r->deadline)
@@ -892,7 +569,7 @@
 	if (r->applied >= r->commit)
 		return NULL;
 	r->applied++;
-	return record_at(r, r->applied);
+	return raft_record_at(r, r->applied);
 }
 
 void raft_compact(struct raft *r, GByteArray *data)
@@ -916,7 +593,7 @@
 		g_ptr_array_remove_range(r->log, 0, keep_from - r->first);
 		r->first = keep_from;
 	}
-	e = add_effect(r, RAFT_SAVE_SNAPSHOT);
+	e = raft_add_effect(r, RAFT_SAVE_SNAPSHOT);
 	codec_copy(CODEC_PROC(raft_snapshot), &r->snapshot, &e->u.save.snapshot,
 		   sizeof(raft_snapshot));
 	e->u.save.keep_from = keep_from;
@@ -947,9 +624,9 @@
 			r->peers[r->n_peers++].node = settings->nodes[i];
 	if (!r->meta.uid) {
 		r->meta.uid = settings->uid;
-		save_meta(r);
+		raft_save_meta(r);
 	}
-	reload_members(r);
+	raft_reload_members(r);
 	r->heard_at = now;
 	reset_deadline(r, now);
 	return r;
--- a/src/sesamewood/ctl/main.c
+++ b/src/sesamewood/ctl/main.c
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/http_client.h"
+#include "base/http_status.h"
 #include "base/options.h"
 #include "base/tables.h"
 
@@ -23,10 +24,6 @@
 #define EXIT_CONFLICT 4
 #define EXIT_NOT_IN_FORCE 5
 
-#define HTTP_OK 200
-#define HTTP_PRECONDITION_FAILED 412
-#define HTTP_UNAVAILABLE 503
-
 static struct option options[] = {
 	{"admin", OPTION_LIST, "127.0.0.1:7700", 0, 0, "", "IP:port,…",
 	 "Administration addresses of the control replicas", NULL, 0},
--- a/src/sesamewood/entry/dispatch.c
+++ b/src/sesamewood/entry/dispatch.c
@@ -1,10 +1,6 @@
+#include "base/http_status.h"
 #include "entry/entry_internal.h"
 
-#define HTTP_SERVER_ERROR 500
-#define HTTP_BAD_GATEWAY 502
-#define HTTP_UNAVAILABLE 503
-#define HTTP_GATEWAY_TIMEOUT 504
-
 #define SCAN_MAX 16 ///< waiters looked at behind one that can't start
 #define SUCCESS_WEIGHT 0.1
 #define SUCCESS_LEAST 0.05
--- a/src/sesamewood/entry/main.c
+++ b/src/sesamewood/entry/main.c
@@ -4,6 +4,7 @@
 
 #include "base/codec.h"
 #include "base/http_server.h"
+#include "base/http_status.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/options.h"
@@ -32,12 +33,6 @@
 #define HEALTH_TARGET "/sesamewood/v1/healthz"
 #define EXIT_FAULT 1
 
-#define HTTP_OK 200
-#define HTTP_BAD_REQUEST 400
-#define HTTP_NOT_FOUND 404
-#define HTTP_CONFLICT 409
-#define HTTP_UNAVAILABLE 503
-
 static struct option options[] = {
 	{"name", OPTION_TEXT, NULL, 0, 0, "", "a unique name", "Name of this entry", NULL, 0},
 	{"listen", OPTION_ADDRESS, "127.0.0.1:8080", 0, 0, "", "IP:port",
@@ -792,12 +787,6 @@
 
 /* Start. */
 
-static void fault(const char *flag, const char *value, const char *what)
-{
-	g_printerr("--%s: wrong value '%s'; allowed: %s\n", flag, value, what);
-	exit(2);
-}
-
 static char **read_control(void)
 {
 	const struct option *o = options_get(options, "control");
@@ -805,9 +794,9 @@
 
 	for (int i = 0; addresses[i]; i++)
 		if (!options_split_address(addresses[i], NULL, NULL))
-			fault(o->name, o->value, o->range_text);
+			options_fault(options, o->name, o->range_text);
 	if (!addresses[0])
-		fault(o->name, o->value, o->range_text);
+		options_fault(options, o->name, o->range_text);
 	return addresses;
 }
 
@@ -827,7 +816,7 @@
 	};
 
 	if (strlen(s.name) > SW_NAME_MAX || !*s.name)
-		fault("name", s.name, "1 to 64 bytes");
+		options_fault(options, "name", "1 to 64 bytes");
 	while (!s.session)
 		if (getrandom(&s.session, sizeof(s.session), 0) < 0)
 			exit(EXIT_FAULT);
--- a/src/sesamewood/entry/requests.c
+++ b/src/sesamewood/entry/requests.c
@@ -1,15 +1,11 @@
 #include "base/codec.h"
+#include "base/http_status.h"
 #include "entry/entry_internal.h"
 #include "entry/routing.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#define HTTP_NOT_FOUND 404
-#define HTTP_CONFLICT 409
-#define HTTP_UNPROCESSABLE 422
-#define HTTP_UNAVAILABLE 503
-
 static void refuse_unknown(struct entry *e, uint64_t id, uint32_t http_status, const char *title)
 {
 	struct entry_effect *effect = entry_add_effect(e, EFFECT_PROBLEM, id);
--- a/src/sesamewood/entry/upstream.c
+++ b/src/sesamewood/entry/upstream.c
@@ -1,6 +1,7 @@
 #include "entry/upstream.h"
 
 #include "base/clock.h"
+#include "base/http_status.h"
 
 #include <curl/curl.h>
 #include <string.h>
@@ -11,8 +12,6 @@
 #define IDLE_HANDLES_MAX 256
 #define CONNECTION_CACHE 512L
 #define BUFFER_BYTES 16384L
-#define HTTP_NO_CONTENT 204
-#define HTTP_NOT_MODIFIED 304
 
 struct upstream {
 	struct ev_loop *loop;
--- a/src/sesamewood/entry/view.c
+++ b/src/sesamewood/entry/view.c
@@ -1,4 +1,5 @@
 #include "base/codec.h"
+#include "base/http_status.h"
 #include "entry/entry_internal.h"
 
 #include <limits.h>
@@ -11,9 +12,6 @@
 #define SURGE_REPORT_MS 100
 #define REPORT_MS 1000
 
-#define HTTP_OK 200
-#define HTTP_CONFLICT 409
-
 struct pool_state *view_pool(struct entry *e, const char *name)
 {
 	struct pool_state *pool = g_hash_table_lookup(e->pools, name);
