--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,8 @@
 	@$(BUILD)/demo --programs=$(BUILD)
 
 $(BUILD)-sanitized: deps
-	@cmake -S . -B $@ -DSANITIZE=ON -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
-	@cmake --build $@ -j $(JOBS) -- --no-print-directory -s unit-tables unit-raft property-raft property-fleet
+	@cmake -S . -B $@ -DSANITIZE=ON -DCMAKE_BUILD_TYPE=Debug >/dev/null
+	@cmake --build $@ -j $(JOBS) -- --no-print-directory -s unit-tables unit-raft property-raft property-fleet property-storage
 
 $(BUILD)-fuzz: deps
 	@scripts/install-packages $(TEST_PACKAGES)
--- a/tests/fakes/endpoint.c
+++ b/tests/fakes/endpoint.c
@@ -30,6 +30,8 @@
 	{"slots", OPTION_NUMBER, "8", 1, 4096, "", NULL, "Slots", NULL, 0},
 	{"delay", OPTION_NUMBER, "20", 0, 60000, "ms", NULL, "Time to serve a request", NULL, 0},
 	{"log", OPTION_TEXT, "", 0, 0, "", "a file", "Log of runs", NULL, 0},
+	{"behaviour", OPTION_TEXT, "", 0, 0, "", "a behaviour", "Of requests that ask for none",
+	 NULL, 0},
 	{"body", OPTION_NUMBER, "32", 0, 10000000, "bytes", NULL, "Length of answers", NULL, 0},
 	{0},
 };
@@ -155,6 +157,8 @@
 	struct connection *c = w->data;
 	g_autofree char *behaviour = fake_http_header(c->head, "Fake-Behaviour");
 
+	if (!behaviour && *options_text(options, "behaviour"))
+		behaviour = g_strdup(options_text(options, "behaviour"));
 	(void)l;
 	(void)revents;
 	log_run(c, "end");
--- /dev/null
+++ b/tests/functional/test_overload.c
@@ -0,0 +1,151 @@
+/// @file
+/// Overload and misbehaviour: amplification, endpoints that fail fast, poisonous requests,
+/// cancellations, full queues.
+
+#include "harness.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define AMPLIFICATION_MOST 1.1
+#define RETRIES 2
+
+static const struct harness_settings seven = {.entries = 7};
+
+static void put_tables(struct harness *h, const char *pool_more)
+{
+	g_autofree char *pools = g_strdup_printf(
+		"{\"pools\":[{\"name\":\"a\",\"instances\":[\"a-*\"]%s}]}", pool_more);
+	gint64 version;
+
+	harness_put(h, "pools", pools);
+	version = harness_put(h, "routes", "{\"routes\":[{\"name\":\"a\",\"pool\":\"a\"}]}");
+	g_assert_true(harness_wait(harness_in_force(h, version), 2000));
+}
+
+/// @return starts of requests at instances whose name starts with a prefix
+static long count_runs(struct harness *h, const char *prefix)
+{
+	g_autofree char *path = g_build_filename(h->folder, "runs", NULL);
+	g_autofree char *text = NULL;
+	g_auto(GStrv) lines = NULL;
+	long n = 0;
+
+	g_file_get_contents(path, &text, NULL, NULL);
+	lines = g_strsplit(text ? text : "", "\n", -1);
+	for (int i = 0; lines[i]; i++) {
+		g_auto(GStrv) f = g_strsplit(lines[i], " ", -1);
+
+		n += g_strv_length(f) == 8 && g_str_has_prefix(f[1], prefix) &&
+		     g_str_equal(f[6], "start");
+	}
+	return n;
+}
+
+static void test_amplification_under_total_failure(void)
+{
+	struct harness *h = harness_new(&seven);
+	struct load_result r;
+
+	harness_endpoint(h, "a-", 8, "--behaviour=close --delay=1");
+	put_tables(h, "");
+	g_assert_true(harness_wait(harness_count(h, "a", "active") == 8, 10000));
+	r = harness_load_end(harness_load(h, "--duration=5000 --concurrency=30"));
+	g_assert_cmpint(r.ran, ==, 0);
+	g_test_message("%ld requests, %ld runs", r.may_have_run + r.not_run, count_runs(h, "a-"));
+	g_assert_cmpint(r.may_have_run, >, 1000);
+	g_assert_cmpfloat((double)count_runs(h, "a-"), <=,
+			  AMPLIFICATION_MOST * (double)(r.may_have_run + r.not_run));
+	harness_free(h);
+}
+
+/// One of nine endpoints fails everything at once; the others take 20 ms.
+static void test_fast_failing_endpoint_attracts_no_work(void)
+{
+	struct harness *h = harness_new(&seven);
+	struct load_result r;
+	long bad;
+	long good;
+
+	harness_endpoint(h, "a-good", 8, NULL);
+	harness_endpoint(h, "a-bad", 1, "--behaviour=status:500 --delay=0");
+	put_tables(h, "");
+	g_assert_true(harness_wait(harness_count(h, "a", "active") == 9, 10000));
+	r = harness_load_end(harness_load(h, "--duration=5000 --concurrency=30"));
+	bad = count_runs(h, "a-bad");
+	good = count_runs(h, "a-good");
+	g_test_message("%ld runs at the failing endpoint, %ld at eight others", bad, good);
+	g_assert_cmpint(r.errors, ==, 0);
+	g_assert_cmpint(bad, <, good / 8);
+	harness_free(h);
+}
+
+static void test_poisonous_request_is_tried_on_few(void)
+{
+	struct harness *h = harness_new(&seven);
+	g_autofree char *url = NULL;
+	const char *const headers[] = {"Fake-Behaviour: close", NULL};
+
+	harness_endpoint(h, "a-", 8, NULL);
+	put_tables(h, "");
+	g_assert_true(harness_wait(harness_count(h, "a", "active") == 8, 10000));
+	url = harness_entry_url(h, 0, "/a");
+	g_assert_cmpint(harness_http("GET", url, headers, NULL, NULL, NULL), ==, 502);
+	g_assert_cmpint(count_runs(h, "a-"), <=, 1 + RETRIES);
+	g_assert_cmpint(count_runs(h, "a-"), >=, 1);
+	harness_free(h);
+}
+
+/// 64 callers whose requests take 8 s go away together; others are then served at once.
+static void test_cancellations_free_slots(void)
+{
+	struct harness *h = harness_new(&seven);
+	struct program *leavers;
+	struct load_result r;
+
+	harness_endpoint(h, "a-", 8, NULL);
+	put_tables(h, "");
+	g_assert_true(harness_wait(harness_count(h, "a", "active") == 8, 10000));
+	leavers = harness_load(h, "--duration=100 --concurrency=64 --headers=Fake-Delay:8000");
+	g_usleep(1500000);
+	program_kill(leavers);
+	r = harness_load_end(harness_load(h, "--duration=1000 --concurrency=16"));
+	g_assert_cmpint(r.errors, ==, 0);
+	g_assert_cmpint(r.ok, >, 100);
+	g_assert_cmpint(r.max_us, <, 2000000);
+	harness_free(h);
+}
+
+static void test_full_queue_refuses_as_not_run(void)
+{
+	struct harness *h = harness_new(&seven);
+	struct load_result r;
+
+	harness_endpoint(h, "a-", 1, "--delay=300");
+	put_tables(h, ",\"queue_max\":2");
+	g_assert_true(harness_wait(harness_count(h, "a", "active") == 1, 10000));
+	r = harness_load_end(harness_load(h, "--duration=1500 --concurrency=60 --pause=100"));
+	g_assert_cmpint(r.not_run, >, 0);
+	g_assert_cmpint(r.ran, >, 0);
+	g_assert_cmpint(r.errors + r.may_have_run, ==, 0);
+	g_assert_cmpint(harness_runs(h).not_run_but_run, ==, 0);
+	harness_free(h);
+}
+
+int main(int argc, char **argv)
+{
+	harness_init(&argc, &argv);
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/overload/amplification_under_total_failure",
+			test_amplification_under_total_failure);
+	g_test_add_func("/overload/fast_failing_endpoint_attracts_no_work",
+			test_fast_failing_endpoint_attracts_no_work);
+	g_test_add_func("/overload/poisonous_request_is_tried_on_few",
+			test_poisonous_request_is_tried_on_few);
+	g_test_add_func("/overload/cancellations_free_slots", test_cancellations_free_slots);
+	g_test_add_func("/overload/full_queue_refuses_as_not_run",
+			test_full_queue_refuses_as_not_run);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/property/property_storage.cc
@@ -0,0 +1,129 @@
+/// @file
+/// What a data folder gives back after a flipped byte, an interrupted write and a full disk.
+
+#include "memory_fs.h"
+#include "property.h"
+
+extern "C" {
+#include "control/storage.h"
+}
+
+namespace
+{
+const char *const kSegment = "log-0000000000000001";
+
+/// @return whether the group of records was stored
+bool write_group(struct storage *s, uint64_t first, unsigned int n)
+{
+	GPtrArray *effects = g_ptr_array_new_with_free_func(raft_effect_free);
+	auto *e = g_new0(struct raft_effect, 1);
+	bool ok;
+
+	e->type = RAFT_APPEND_LOG;
+	e->u.records = g_ptr_array_new_with_free_func(raft_log_record_free);
+	for (unsigned int i = 0; i < n; i++) {
+		auto *r = g_new0(struct raft_log_record, 1);
+
+		r->index = first + i;
+		r->term = 1;
+		r->command = g_bytes_new(&r->index, sizeof(r->index));
+		g_ptr_array_add(e->u.records, r);
+	}
+	g_ptr_array_add(effects, e);
+	ok = storage_write(s, effects, nullptr);
+	g_ptr_array_unref(effects);
+	return ok;
+}
+
+void write_meta(struct storage *s)
+{
+	GPtrArray *effects = g_ptr_array_new_with_free_func(raft_effect_free);
+	auto *e = g_new0(struct raft_effect, 1);
+
+	e->type = RAFT_SAVE_META;
+	e->u.meta.uid = 7;
+	g_ptr_array_add(effects, e);
+	storage_write(s, effects, nullptr);
+	g_ptr_array_unref(effects);
+}
+
+/// @return records that a folder gives back, or -1 when it is refused
+long reopen(MemoryFs &disk)
+{
+	struct raft_recovered recovered;
+	GError *error = nullptr;
+	struct storage *s = storage_open(disk.fs(), &recovered, &error);
+	long n;
+
+	if (!s) {
+		RC_ASSERT(g_error_matches(error, STORAGE_ERROR, STORAGE_ERROR_DAMAGED));
+		g_error_free(error);
+		return -1;
+	}
+	n = recovered.records->len;
+	for (long i = 0; i < n; i++)
+		RC_ASSERT(
+			static_cast<struct raft_log_record *>(recovered.records->pdata[i])->index ==
+			static_cast<uint64_t>(i + 1));
+	g_ptr_array_unref(recovered.records);
+	storage_free(s);
+	return n;
+}
+
+/// Writes groups of records until one fails.
+///
+/// @return records in stored groups
+long fill(MemoryFs &disk, const std::vector<uint32_t> &sizes, size_t *last_group_at)
+{
+	struct raft_recovered recovered;
+	struct storage *s = storage_open(disk.fs(), &recovered, nullptr);
+	long stored = 0;
+
+	write_meta(s);
+	for (uint32_t size : sizes) {
+		unsigned int n = 1 + size % 5;
+
+		*last_group_at = disk.live[kSegment] ? disk.live[kSegment]->data.size() : 0;
+		if (!write_group(s, stored + 1, n))
+			break;
+		stored += n;
+	}
+	g_ptr_array_unref(recovered.records);
+	storage_free(s);
+	return stored;
+}
+} // namespace
+
+int main()
+{
+	Property property("/storage");
+
+	property.check("flipped_byte_is_refused_or_cuts_the_last_group", [] {
+		MemoryFs disk;
+		size_t last_group_at = 0;
+		auto sizes = *rc::gen::nonEmpty(actions(20));
+		long stored = fill(disk, sizes, &last_group_at);
+		size_t length = disk.live[kSegment]->data.size();
+		size_t at = *rc::gen::inRange<size_t>(0, length);
+		long before_last = stored - static_cast<long>(1 + sizes.back() % 5);
+
+		disk.flip(kSegment, at);
+		RC_ASSERT(reopen(disk) == (at < last_group_at ? -1 : before_last));
+	});
+	property.check("stored_groups_survive_a_full_disk_and_a_crash", [] {
+		MemoryFs disk;
+		size_t ignored = 0;
+		auto sizes = *rc::gen::nonEmpty(actions(20));
+
+		disk.fail_after = *rc::gen::inRange(6, 60);
+		disk.partial = *rc::gen::inRange(0, 80);
+		long stored = fill(disk, sizes, &ignored);
+
+		disk.crash(*rc::gen::inRange<uint32_t>(0, 1000));
+		long kept = reopen(disk);
+
+		RC_ASSERT(kept >= stored);
+		RC_ASSERT(kept <= stored + 5);
+	});
+	return property.end();
+}
