--- a/src/sesamewood/entry/entry_defs.h
+++ b/src/sesamewood/entry/entry_defs.h
@@ -20,7 +20,6 @@
 	uint32_t loan_ms;	  ///< longest use of a borrowed slot
 	uint32_t loan_margin_ms;  ///< added by the lender for differing clock rates
 	uint32_t deadline_max_ms; ///< longest deadline of any route
-	uint32_t entries;	  ///< entries that share an instance's connections
 	uint32_t eject_failures;  ///< failures in a row that eject an instance
 	uint32_t eject_ms;
 	uint32_t retry_percent; ///< retries allowed per 100 successes
--- a/src/sesamewood/entry/loans.c
+++ b/src/sesamewood/entry/loans.c
@@ -158,7 +158,6 @@
 		.pool = strdup(i->record.pool),
 		.epoch = i->record.epoch,
 		.expires_ms = expires_ms,
-		.host_connections = i->record.endpoint.connections,
 	};
 }
 
--- a/src/sesamewood/rpc/rpc_procs.c
+++ b/src/sesamewood/rpc/rpc_procs.c
@@ -17,7 +17,6 @@
 	PROC(SW_PROC_ADMIN, "admin", sw_admin_args, sw_admin_reply),
 	PROC(SW_PROC_BORROW, "borrow", sw_borrow_args, sw_borrow_reply),
 	PROC_ONE_WAY(SW_PROC_RETURN, "return", sw_return_args),
-	PROC_ONE_WAY(SW_PROC_LEAVING, "leaving", sw_leaving_args),
 	PROC(SW_PROC_ANSWER, "answer", sw_answer_args, sw_answer_reply),
 };
 
--- a/src/sesamewood/rpc/sesamewood.x
+++ b/src/sesamewood/rpc/sesamewood.x
@@ -367,7 +367,6 @@
 	sw_name pool;
 	unsigned hyper epoch;
 	unsigned int expires_ms;   /* from the moment the borrower sent its request */
-	unsigned int host_connections;
 };
 
 struct sw_borrow_args {
@@ -386,10 +385,6 @@
 	unsigned hyper loans<256>;
 };
 
-struct sw_leaving_args {
-	sw_announcement announcement;
-};
-
 struct sw_answer_args {
 	sw_key key;
 	unsigned hyper digest;
@@ -412,7 +407,6 @@
 		sw_admin_reply SW_PROC_ADMIN(sw_admin_args) = 5;
 		sw_borrow_reply SW_PROC_BORROW(sw_borrow_args) = 6;
 		void SW_PROC_RETURN(sw_return_args) = 7;
-		void SW_PROC_LEAVING(sw_leaving_args) = 8;
-		sw_answer_reply SW_PROC_ANSWER(sw_answer_args) = 9;
+		sw_answer_reply SW_PROC_ANSWER(sw_answer_args) = 8;
 	} = 1;
 } = 0x20005e5a;
