perf(policy): count a third of the backlog, plan for 95% utilisation, patience by weights

Cause of too many moves: the whole backlog that built up while instances drained was counted as lasting demand.

--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,9 @@
 	@$(BUILD)/bench-control
 	@$(BUILD)/bench-storage
 
+bench-policy: build
+	@$(BUILD)/bench-policy
+
 lint:
 	@scripts/lint
 
--- a/src/sesamewood/control/policy.c
+++ b/src/sesamewood/control/policy.c
@@ -3,9 +3,11 @@
 #include <math.h>
 
 #define FALL_TIME_MS 1500.0
-#define UTILISATION 0.85
+#define UTILISATION 0.95
 #define WAIT_TOLERATED_MS 50
 #define SLOTS_DEFAULT 8
+#define EVEN_SHARE 0.5	  ///< of moves in both weights, when they weigh alike
+#define BACKLOG_SHARE 0.3 ///< of the requests that wait, counted as lasting demand
 
 /// Demand of one pool over time, in slots.
 struct demand {
@@ -34,7 +36,7 @@
 static double update_demand(struct policy *p, clock_ms_t now, const struct policy_pool *pool)
 {
 	struct demand *d = g_hash_table_lookup(p->demands, pool->config->name);
-	double current = pool->in_use + pool->queued;
+	double current = pool->in_use + BACKLOG_SHARE * pool->queued;
 
 	if (!d) {
 		d = g_new0(struct demand, 1);
@@ -63,13 +65,25 @@
 	return MAX(n, (int)pool->config->min_instances);
 }
 
-/// Tells whether requests wait although every slot is taken, or for longer than is tolerated.
+/// @return how long requests of a pool may wait before it is worth a move: nothing, unless moves
+///         weigh more than idle instances; then a share of its latency objective, ms
+static double patience_ms(const struct pool *config)
+{
+	double sum = config->move_weight + config->buffer_weight;
+	double share = sum > 0 ? config->move_weight / sum : 0;
+
+	return MAX(share - EVEN_SHARE, 0) * config->objective_ms;
+}
+
+/// Tells whether requests wait for longer than the pool's patience, or, where it has none,
+/// although every slot is taken.
 static bool is_short(const struct policy_pool *pool)
 {
+	double patience = patience_ms(pool->config);
 	bool all_busy = pool->in_use + pool->queued > pool->slots;
+	bool late = pool->oldest_wait_ms >= MAX(patience, WAIT_TOLERATED_MS);
 
-	return pool->config->borrow && pool->queued &&
-	       (all_busy || pool->oldest_wait_ms >= WAIT_TOLERATED_MS);
+	return pool->config->borrow && pool->queued && (late || (all_busy && patience <= 0));
 }
 
 /// @return the pool that can spare most: spare pools first, then by slack; or -1
