--- /dev/null
+++ b/src/sesamewood/base/http_calls.c
@@ -0,0 +1,126 @@
+#include "base/http_calls.h"
+
+#include "base/curl_loop.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define CONNECT_TIMEOUT_MS 500L /* a lost opening packet is sent again after a second only */
+#define CONNECTION_CACHE 1024L
+#define BUFFER_BYTES 16384L
+#define UNACKED_TIMEOUT_MS 1500 /* a peer that is cut off; some way over a call's timeout */
+#define ANSWER_MAX_BYTES ((size_t)8 * 1024 * 1024)
+
+struct http_calls {
+	struct curl_loop *curl;
+};
+
+struct transfer {
+	struct http_calls *owner;
+	CURL *easy;
+	struct curl_slist *headers;
+	GByteArray *answer;
+	http_call_fn fn;
+	void *ctx;
+};
+
+static size_t on_body(char *data, size_t size, size_t count, void *ctx)
+{
+	GByteArray *answer = ctx;
+
+	if (answer->len + size * count > ANSWER_MAX_BYTES)
+		return 0;
+	g_byte_array_append(answer, (const guint8 *)data, size * count);
+	return size * count;
+}
+
+static int on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose)
+{
+	unsigned int timeout_ms = UNACKED_TIMEOUT_MS;
+
+	(void)ctx;
+	(void)purpose;
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
+	return CURL_SOCKOPT_OK;
+}
+
+static void on_done(void *ctx, CURL *easy, CURLcode code)
+{
+	struct transfer *t;
+	struct http_call_result result = {0};
+	long status = 0;
+	long sent = 0;
+
+	(void)ctx;
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&t);
+	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
+	result.sent = sent > 0;
+	if (code == CURLE_OK) {
+		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+		result.status = (unsigned int)status;
+		result.body = (const char *)t->answer->data;
+		result.len = t->answer->len;
+	}
+	curl_loop_give_back(t->owner->curl, easy);
+	t->fn(t->ctx, &result);
+	curl_slist_free_all(t->headers);
+	g_byte_array_unref(t->answer);
+	g_free(t);
+}
+
+struct http_calls *http_calls_new(struct ev_loop *loop, uint32_t host_connections)
+{
+	struct http_calls *c = g_new0(struct http_calls, 1);
+
+	c->curl = curl_loop_new(loop, on_done, c);
+	curl_multi_setopt(curl_loop_multi(c->curl), CURLMOPT_MAX_HOST_CONNECTIONS,
+			  (long)host_connections);
+	curl_multi_setopt(curl_loop_multi(c->curl), CURLMOPT_MAXCONNECTS, CONNECTION_CACHE);
+	return c;
+}
+
+static void set_headers(struct transfer *t, const struct http_call *call)
+{
+	t->headers = curl_slist_append(t->headers, "Expect:");
+	t->headers = curl_slist_append(t->headers, "Accept:");
+	if (!call->get)
+		t->headers = curl_slist_append(t->headers, "Content-Type: application/json");
+	for (int i = 0; call->headers && call->headers[i]; i++)
+		t->headers = curl_slist_append(t->headers, call->headers[i]);
+	curl_easy_setopt(t->easy, CURLOPT_HTTPHEADER, t->headers);
+}
+
+void http_calls_start(struct http_calls *c, const struct http_call *call, http_call_fn fn,
+		      void *ctx)
+{
+	struct transfer *t = g_new0(struct transfer, 1);
+	g_autofree char *url = g_strconcat("http://", call->address, call->path, NULL);
+
+	*t = (struct transfer){
+		.owner = c,
+		.easy = curl_loop_take(c->curl),
+		.answer = g_byte_array_new(),
+		.fn = fn,
+		.ctx = ctx,
+	};
+	curl_easy_setopt(t->easy, CURLOPT_URL, url);
+	curl_easy_setopt(t->easy, CURLOPT_PRIVATE, t);
+	curl_easy_setopt(t->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(t->easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(t->easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(t->easy, CURLOPT_BUFFERSIZE, BUFFER_BYTES);
+	curl_easy_setopt(t->easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 MIN(CONNECT_TIMEOUT_MS, (long)call->timeout_ms));
+	curl_easy_setopt(t->easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
+	curl_easy_setopt(t->easy, CURLOPT_SOCKOPTFUNCTION, on_socket);
+	curl_easy_setopt(t->easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(t->easy, CURLOPT_WRITEDATA, t->answer);
+	if (!call->get) {
+		curl_easy_setopt(t->easy, CURLOPT_POSTFIELDSIZE, (long)call->len);
+		curl_easy_setopt(t->easy, CURLOPT_COPYPOSTFIELDS, call->body);
+	}
+	set_headers(t, call);
+	curl_multi_add_handle(curl_loop_multi(c->curl), t->easy);
+}
--- a/src/sesamewood/base/http_server.c
+++ b/src/sesamewood/base/http_server.c
@@ -28,6 +28,7 @@
 	unsigned int active;
 	bool resumed; ///< MHD must run before the loop waits
 	bool draining;
+	bool closing; ///< answers close their connections
 };
 
 struct http_request {
@@ -107,7 +108,7 @@
 	struct MHD_Response *response = g_steal_pointer(&req->response);
 	enum MHD_Result result;
 
-	if (req->server->draining)
+	if (req->server->draining || req->server->closing)
 		MHD_add_response_header(response, "Connection", "close");
 	result = MHD_queue_response(req->connection, req->status, response);
 	MHD_destroy_response(response);
@@ -288,6 +289,11 @@
 	MHD_quiesce_daemon(s->daemon);
 }
 
+void http_server_close_after_answers(struct http_server *s)
+{
+	s->closing = true;
+}
+
 unsigned int http_server_active(const struct http_server *s)
 {
 	return s->active;
--- a/src/sesamewood/base/http_server.h
+++ b/src/sesamewood/base/http_server.h
@@ -44,6 +44,9 @@
 /// Stops accepting connections; answers from now on close theirs.
 void http_server_drain(struct http_server *s);
 
+/// Goes on accepting connections, but closes each after its next answer.
+void http_server_close_after_answers(struct http_server *s);
+
 /// @return requests that are being received or answered
 unsigned int http_server_active(const struct http_server *s);
 
--- a/src/sesamewood/control/fleet.c
+++ b/src/sesamewood/control/fleet.c
@@ -439,6 +439,7 @@
 	switch (c->type) {
 	case SW_COMMAND_NOOP:
 	case SW_COMMAND_MEMBERS:
+	case SW_COMMAND_JOB:
 		break;
 	case SW_COMMAND_PUT:
 		return apply_put(f, index, &c->sw_command_u.put);
--- a/src/sesamewood/control/raft.c
+++ b/src/sesamewood/control/raft.c
@@ -10,6 +10,10 @@
 #define LEASE_PERCENT 90 ///< share of the least election timeout that a leader counts on
 #define RESEND_MS 1000
 #define LEARNER_LAG_MAX 64
+#define VOTERS_MAX 9 ///< further nodes stay learners until a member falls silent
+/// A member that has not answered for so long gives its place to a learner. Twice the longest
+/// disk stall and cut that should not cost a membership.
+#define SILENT_MS 8000
 
 /* Elections. */
 
@@ -32,7 +36,7 @@
 	r->leader = leader;
 }
 
-static void broadcast_vote_request(struct raft *r, raft_message_type type)
+static void broadcast_vote_request(struct raft *r, raft_message_type type, bool succeeds)
 {
 	for (unsigned int i = 0; i < r->n_peers; i++) {
 		struct peer *p = &r->peers[i];
@@ -45,6 +49,7 @@
 		m = raft_send_to(r, p->node, uid, type);
 		m->index = raft_last_index(r);
 		m->log_term = raft_term_at(r, m->index);
+		m->fresh = succeeds;
 		if (type == RAFT_PREVOTE)
 			m->term = r->meta.term + 1;
 	}
@@ -83,12 +88,13 @@
 		p->next = raft_last_index(r) + 1;
 		p->busy_until = 0;
 		p->acked_echo = INT64_MIN / 2;
+		p->heard_at = now;
 	}
 	raft_append(r, r->meta.term, command);
 	r->term_start = raft_last_index(r);
 }
 
-static void campaign(struct raft *r, clock_ms_t now)
+static void campaign(struct raft *r, clock_ms_t now, bool succeeds)
 {
 	r->role = RAFT_CANDIDATE;
 	r->leader = 0;
@@ -96,7 +102,7 @@
 	r->meta.voted_for = r->settings.node;
 	raft_save_meta(r);
 	reset_deadline(r, now);
-	broadcast_vote_request(r, RAFT_VOTE);
+	broadcast_vote_request(r, RAFT_VOTE, succeeds);
 	if (count_votes(r) >= raft_quorum(r))
 		become_leader(r, now);
 }
@@ -106,9 +112,9 @@
 	r->role = RAFT_PRECANDIDATE;
 	r->leader = 0;
 	reset_deadline(r, now);
-	broadcast_vote_request(r, RAFT_PREVOTE);
+	broadcast_vote_request(r, RAFT_PREVOTE, false);
 	if (count_votes(r) >= raft_quorum(r))
-		campaign(r, now);
+		campaign(r, now, false);
 }
 
 /* Leader lease: the quorum-th latest acknowledged send time. */
@@ -123,7 +129,7 @@
 
 static clock_ms_t quorum_contact(const struct raft *r, clock_ms_t now)
 {
-	clock_ms_t at[RAFT_NODES_MAX];
+	clock_ms_t at[RAFT_PEERS_MAX + 1];
 	unsigned int n = 0;
 
 	at[n++] = now;
@@ -237,7 +243,7 @@
 /// Commits what a quorum has synced, counting only records of the current term.
 static void advance_commit(struct raft *r)
 {
-	uint64_t match[RAFT_NODES_MAX];
+	uint64_t match[RAFT_PEERS_MAX + 1];
 	unsigned int n = 0;
 	uint64_t index;
 
@@ -256,7 +262,12 @@
 
 void raft_persisted(struct raft *r)
 {
-	r->persisted = raft_last_index(r);
+	raft_persisted_to(r, raft_last_index(r));
+}
+
+void raft_persisted_to(struct raft *r, uint64_t index)
+{
+	r->persisted = MAX(r->persisted, MIN(index, raft_last_index(r)));
 	if (r->role == RAFT_LEADER)
 		advance_commit(r);
 }
@@ -277,23 +288,35 @@
 	raft_append(r, r->meta.term, command);
 }
 
+/// @return a member whose place a new node may take, or 0
+static uint32_t silent_member(const struct raft *r, clock_ms_t now)
+{
+	if (!r->settings.dynamic)
+		return 0;
+	for (unsigned int i = 0; i < r->n_peers; i++)
+		if (raft_is_member(r, r->peers[i].node, r->peers[i].uid) &&
+		    now - r->peers[i].heard_at > SILENT_MS)
+			return r->peers[i].node;
+	return 0;
+}
+
 /// Brings a learner that has caught up into the membership, one change at a time: first its
 /// node's former identity is removed, then the new one added.
-static void promote_learner(struct raft *r, struct peer *p)
+static void promote_learner(struct raft *r, struct peer *p, clock_ms_t now)
 {
-	sw_member list[RAFT_NODES_MAX];
+	sw_member list[RAFT_PEERS_MAX + 1];
 	sw_members next = {.members = {.members_val = list}};
-	bool removes = raft_member_uid(r, p->node) != 0;
+	uint32_t removed = raft_member_uid(r, p->node) ? p->node : silent_member(r, now);
 	u_int n = 0;
 
 	if (r->members_index > r->commit || r->commit < r->term_start ||
 	    p->match + LEARNER_LAG_MAX < r->commit)
 		return;
 	for (u_int i = 0; i < r->members.members.members_len; i++)
-		if (r->members.members.members_val[i].node != p->node)
+		if (r->members.members.members_val[i].node != removed)
 			list[n++] = r->members.members.members_val[i];
-	if (!removes) {
-		if (n >= RAFT_NODES_MAX)
+	if (!removed) {
+		if (n >= VOTERS_MAX)
 			return;
 		list[n++] = (sw_member){.node = p->node, .uid = p->uid};
 		p->learner = false;
@@ -316,8 +339,11 @@
 	bool grant;
 	raft_message *reply;
 
+	if (raft_is_voter(r) && !raft_is_member(r, m->from, m->from_uid) && r->settings.dynamic)
+		raft_send_probe_reply(r, m);
 	if (!raft_is_voter(r) || !raft_is_member(r, m->from, m->from_uid))
 		return;
+	led = led && !m->fresh;
 	if (!pre && !led && m->term > r->meta.term)
 		become_follower(r, now, m->term, 0);
 	free_vote = pre ? m->term > r->meta.term
@@ -351,7 +377,7 @@
 	if (pre && r->role == RAFT_PRECANDIDATE && m->term == r->meta.term + 1) {
 		p->granted = true;
 		if (count_votes(r) >= raft_quorum(r))
-			campaign(r, now);
+			campaign(r, now, false);
 	} else if (!pre && r->role == RAFT_CANDIDATE && m->term == r->meta.term) {
 		p->granted = true;
 		if (count_votes(r) >= raft_quorum(r))
@@ -460,6 +486,7 @@
 	if (r->role != RAFT_LEADER || m->term != r->meta.term || !p || p->uid != m->from_uid)
 		return;
 	p->acked_echo = MAX(p->acked_echo, m->echo_ms);
+	p->heard_at = now;
 	if (m->reject) {
 		if (m->index >= p->match && m->index + 1 < p->next) {
 			p->next = m->index + 1;
@@ -475,18 +502,21 @@
 	p->next = MAX(p->next, p->match + 1);
 	advance_commit(r);
 	if (p->learner)
-		promote_learner(r, p);
+		promote_learner(r, p, now);
 	start_replication(r, p, now);
 }
 
-static void receive_join(struct raft *r, const raft_message *m)
+static void receive_join(struct raft *r, clock_ms_t now, const raft_message *m)
 {
-	struct peer *p = raft_find_peer(r, m->from);
+	struct peer *p = r->settings.dynamic && r->role == RAFT_LEADER
+				 ? raft_add_peer(r, m->from)
+				 : raft_find_peer(r, m->from);
 
 	if (r->role != RAFT_LEADER || !p || (p->learner && p->uid == m->from_uid) ||
 	    raft_is_member(r, m->from, m->from_uid))
 		return;
 	p->uid = m->from_uid;
+	p->heard_at = now;
 	p->learner = true;
 	p->match = 0;
 	p->next = 1;
@@ -504,7 +534,7 @@
 		raft_receive_probe_reply(r, m);
 		break;
 	case RAFT_JOIN:
-		receive_join(r, m);
+		receive_join(r, now, m);
 		break;
 	case RAFT_PREVOTE:
 	case RAFT_VOTE:
@@ -523,6 +553,10 @@
 	case RAFT_APPEND_REPLY:
 		receive_append_reply(r, now, m);
 		break;
+	case RAFT_CAMPAIGN:
+		if (raft_is_voter(r) && m->term == r->meta.term && r->role != RAFT_LEADER)
+			campaign(r, now, true);
+		break;
 	}
 }
 
@@ -537,13 +571,15 @@
 	}
 	for (unsigned int i = 0; i < r->n_peers; i++)
 		if (r->peers[i].learner)
-			promote_learner(r, &r->peers[i]);
+			promote_learner(r, &r->peers[i], now);
 	if (now < r->beat_at)
 		return;
 	r->beat_at = now + r->settings.heartbeat_ms;
 	for (unsigned int i = 0; i < r->n_peers; i++) {
 		struct peer *p = &r->peers[i];
 
+		if (p->learner && r->settings.dynamic && now - p->heard_at > SILENT_MS)
+			p->learner = false;
 		if (!p->learner && !raft_is_member(r, p->node, p->uid))
 			p->uid = 0;
 		send_append(r, p, now);
@@ -564,6 +600,24 @@
 		precampaign(r, now);
 }
 
+void raft_resign(struct raft *r, clock_ms_t now, clock_ms_t until)
+{
+	struct peer *best = NULL;
+
+	for (unsigned int i = 0; i < r->n_peers; i++) {
+		struct peer *p = &r->peers[i];
+
+		if (raft_is_member(r, p->node, p->uid) && (!best || p->match > best->match))
+			best = p;
+	}
+	if (r->role == RAFT_LEADER) {
+		become_follower(r, now, r->meta.term, 0);
+		if (best)
+			raft_send_to(r, best->node, best->uid, RAFT_CAMPAIGN);
+	}
+	r->deadline = until;
+}
+
 const struct raft_log_record *raft_next_committed(struct raft *r)
 {
 	if (r->applied >= r->commit)
@@ -622,6 +676,9 @@
 	for (unsigned int i = 0; i < RAFT_NODES_MAX && settings->nodes[i]; i++)
 		if (settings->nodes[i] != settings->node)
 			r->peers[r->n_peers++].node = settings->nodes[i];
+	for (unsigned int i = 0; i < RAFT_SEEDS_MAX && settings->seeds[i]; i++)
+		if (settings->seeds[i] != settings->node)
+			raft_add_peer(r, settings->seeds[i]);
 	if (!r->meta.uid) {
 		r->meta.uid = settings->uid;
 		raft_save_meta(r);
--- a/src/sesamewood/control/raft.h
+++ b/src/sesamewood/control/raft.h
@@ -12,7 +12,9 @@
 #include <stdbool.h>
 #include <inttypes.h>
 
-#define RAFT_NODES_MAX 7
+#define RAFT_NODES_MAX 7  ///< configured nodes
+#define RAFT_PEERS_MAX 16 ///< other nodes that a replica keeps state for
+#define RAFT_SEEDS_MAX 3
 
 enum raft_role {
 	RAFT_FOLLOWER,
@@ -29,6 +31,10 @@
 	uint32_t heartbeat_ms;
 	uint32_t keep_records; ///< records kept behind a snapshot for slow followers
 	uint64_t seed;
+	/// Members are found through seeds instead of a configured list; any node number is allowed.
+	bool dynamic;
+	bool bootstrap;			///< the seeds may form a cluster
+	uint32_t seeds[RAFT_SEEDS_MAX]; ///< 0 ends them
 };
 
 struct raft_log_record {
@@ -88,6 +94,13 @@
 /// Tells that all effects up to now are synced on disk.
 void raft_persisted(struct raft *r);
 
+/// Tells that the records up to @p index are synced on disk.
+void raft_persisted_to(struct raft *r, uint64_t index);
+
+/// Gives up leadership and asks the most advanced follower to succeed at once. Until @p until
+/// this replica starts no election.
+void raft_resign(struct raft *r, clock_ms_t now, clock_ms_t until);
+
 /// Takes the next committed record.
 ///
 /// @return NULL when there is none
--- a/src/sesamewood/control/raft_form.c
+++ b/src/sesamewood/control/raft_form.c
@@ -8,10 +8,19 @@
 	return r->members.members.members_len > 0;
 }
 
+static bool is_seed(const struct raft *r, uint32_t node)
+{
+	for (unsigned int i = 0; i < RAFT_SEEDS_MAX; i++)
+		if (r->settings.seeds[i] == node)
+			return true;
+	return false;
+}
+
 void raft_send_probe_reply(struct raft *r, const raft_message *m)
 {
 	raft_message *reply = raft_send_to(r, m->from, m->from_uid, RAFT_PROBE_REPLY);
 
+	reply->fresh = !raft_is_formed(r) && r->settings.bootstrap && is_seed(r, r->settings.node);
 	codec_copy(CODEC_PROC(sw_members), &r->members, &reply->members, sizeof(reply->members));
 }
 
@@ -30,7 +39,11 @@
 	sw_member list[RAFT_NODES_MAX] = {{.node = r->settings.node, .uid = r->meta.uid}};
 	sw_members members = {.members = {.members_len = 1, .members_val = list}};
 
+	if (r->settings.dynamic && (!r->settings.bootstrap || !is_seed(r, r->settings.node)))
+		return;
 	for (unsigned int i = 0; i < r->n_peers; i++) {
+		if (r->settings.dynamic && !is_seed(r, r->peers[i].node))
+			continue;
 		if (!r->peers[i].uid || r->peers[i].node < r->settings.node)
 			return;
 		list[members.members.members_len++] =
@@ -39,26 +52,46 @@
 	adopt_base(r, &members);
 }
 
+/// Tells whether this replica, with its identity, is among the members.
+static bool raft_is_listed(const struct raft *r, const sw_members *members)
+{
+	for (u_int i = 0; i < members->members.members_len; i++) {
+		const sw_member *member = &members->members.members_val[i];
+
+		if (member->node == r->settings.node && member->uid == r->meta.uid)
+			return true;
+	}
+	return false;
+}
+
 void raft_receive_probe_reply(struct raft *r, const raft_message *m)
 {
 	struct peer *p = raft_find_peer(r, m->from);
 
+	if (r->settings.dynamic && raft_is_formed(r) && m->members.members.members_len &&
+	    !raft_is_listed(r, &m->members))
+		raft_request_join(r, &m->members);
 	if (raft_is_formed(r) || !p)
 		return;
 	if (!m->members.members.members_len) {
-		p->uid = m->from_uid;
+		p->uid = !r->settings.dynamic || m->fresh ? m->from_uid : 0;
 		try_to_form(r);
 		return;
 	}
-	for (u_int i = 0; i < m->members.members.members_len; i++) {
-		const sw_member *member = &m->members.members.members_val[i];
-
-		if (member->node == r->settings.node && member->uid == r->meta.uid) {
-			adopt_base(r, &m->members);
-			return;
-		}
+	if (raft_is_listed(r, &m->members)) {
+		adopt_base(r, &m->members);
+		return;
 	}
 	raft_send_to(r, m->from, m->from_uid, RAFT_JOIN);
+	if (r->settings.dynamic)
+		raft_request_join(r, &m->members);
+}
+
+void raft_request_join(struct raft *r, const sw_members *members)
+{
+	for (u_int i = 0; i < members->members.members_len; i++)
+		if (members->members.members_val[i].node != r->settings.node)
+			raft_send_to(r, members->members.members_val[i].node, 0, RAFT_JOIN);
 }
 
 void raft_probe(struct raft *r, clock_ms_t now)
--- a/src/sesamewood/control/raft_internal.h
+++ b/src/sesamewood/control/raft_internal.h
@@ -14,6 +14,7 @@
 	uint64_t next;
 	clock_ms_t busy_until; ///< a batch is on its way until then
 	clock_ms_t acked_echo; ///< own clock when the latest acknowledged message was sent
+	clock_ms_t heard_at;   ///< last answer to the leader, or its election
 	bool granted;
 	bool learner; ///< catching up, with an identity that is not a member yet
 };
@@ -40,7 +41,7 @@
 	clock_ms_t deadline; ///< next election
 	clock_ms_t beat_at;
 	clock_ms_t probe_at;
-	struct peer peers[RAFT_NODES_MAX];
+	struct peer peers[RAFT_PEERS_MAX];
 	unsigned int n_peers;
 };
 
@@ -64,6 +65,10 @@
 unsigned int raft_quorum(const struct raft *r);
 /// @return the state of another node, or NULL
 struct peer *raft_find_peer(struct raft *r, uint32_t node);
+/// Finds or adds the state of another node.
+///
+/// @return NULL when there are too many
+struct peer *raft_add_peer(struct raft *r, uint32_t node);
 /// Adds a message to send, with sender and term filled in.
 raft_message *raft_send_to(struct raft *r, uint32_t node, uint64_t uid, raft_message_type type);
 
@@ -73,6 +78,8 @@
 bool raft_is_formed(const struct raft *r);
 void raft_send_probe_reply(struct raft *r, const raft_message *m);
 void raft_receive_probe_reply(struct raft *r, const raft_message *m);
+/// Asks the members that a message names to take this replica in.
+void raft_request_join(struct raft *r, const sw_members *members);
 /// Asks the other nodes for a cluster to form or to join, from time to time.
 void raft_probe(struct raft *r, clock_ms_t now);
 
--- a/src/sesamewood/control/raft_log.c
+++ b/src/sesamewood/control/raft_log.c
@@ -113,6 +113,11 @@
 	codec_free(CODEC_PROC(sw_members), &r->members);
 	r->members = copy;
 	r->members_index = index;
+	if (!r->settings.dynamic)
+		return;
+	for (u_int i = 0; i < copy.members.members_len; i++)
+		if (copy.members.members_val[i].node != r->settings.node)
+			raft_add_peer(r, copy.members.members_val[i].node);
 }
 
 void raft_reload_members(struct raft *r)
@@ -202,6 +207,30 @@
 	return NULL;
 }
 
+static bool is_dispensable(const struct raft *r, const struct peer *p)
+{
+	for (unsigned int i = 0; i < RAFT_SEEDS_MAX; i++)
+		if (r->settings.seeds[i] == p->node)
+			return false;
+	return !p->learner && !raft_member_uid(r, p->node);
+}
+
+struct peer *raft_add_peer(struct raft *r, uint32_t node)
+{
+	struct peer *p = raft_find_peer(r, node);
+
+	if (p)
+		return p;
+	if (r->n_peers < RAFT_PEERS_MAX)
+		p = &r->peers[r->n_peers++];
+	for (unsigned int i = 0; !p && i < r->n_peers; i++)
+		if (is_dispensable(r, &r->peers[i]))
+			p = &r->peers[i];
+	if (p)
+		*p = (struct peer){.node = node, .next = 1};
+	return p;
+}
+
 raft_message *raft_send_to(struct raft *r, uint32_t node, uint64_t uid, raft_message_type type)
 {
 	raft_message *m = &raft_add_effect(r, RAFT_SEND)->u.message;
--- /dev/null
+++ b/src/sesamewood/control/storage_thread.c
@@ -0,0 +1,71 @@
+#include "control/storage_thread.h"
+
+#include "base/log.h"
+
+#include <stdlib.h>
+
+#define EXIT_DISK 3
+
+struct storage_thread {
+	struct ev_loop *loop;
+	struct storage *storage;
+	storage_done_fn done;
+	void *ctx;
+	GAsyncQueue *in;
+	GAsyncQueue *out;
+	ev_async wake;
+};
+
+static gpointer work(gpointer p)
+{
+	struct storage_thread *t = p;
+
+	for (;;) {
+		GPtrArray *effects = g_async_queue_pop(t->in);
+		g_autoptr(GError) error = NULL;
+
+		if (!storage_write(t->storage, effects, &error)) {
+			log_error("cannot store state; stopping", "ERROR", error->message);
+			exit(EXIT_DISK);
+		}
+		g_async_queue_push(t->out, effects);
+		ev_async_send(t->loop, &t->wake);
+	}
+	return NULL;
+}
+
+static void on_wake(struct ev_loop *loop, ev_async *w, int revents)
+{
+	struct storage_thread *t = w->data;
+	GPtrArray *effects;
+
+	(void)loop;
+	(void)revents;
+	while ((effects = g_async_queue_try_pop(t->out)))
+		t->done(t->ctx, effects);
+}
+
+struct storage_thread *storage_thread_new(struct ev_loop *loop, struct storage *storage,
+					  storage_done_fn done, void *ctx)
+{
+	struct storage_thread *t = g_new0(struct storage_thread, 1);
+
+	*t = (struct storage_thread){
+		.loop = loop,
+		.storage = storage,
+		.done = done,
+		.ctx = ctx,
+		.in = g_async_queue_new(),
+		.out = g_async_queue_new(),
+	};
+	ev_async_init(&t->wake, on_wake);
+	t->wake.data = t;
+	ev_async_start(loop, &t->wake);
+	g_thread_unref(g_thread_new("storage", work, t));
+	return t;
+}
+
+void storage_thread_write(struct storage_thread *t, GPtrArray *effects)
+{
+	g_async_queue_push(t->in, effects);
+}
--- a/src/sesamewood/entry/upstream.c
+++ b/src/sesamewood/entry/upstream.c
@@ -1,27 +1,23 @@
 #include "entry/upstream.h"
 
 #include "base/clock.h"
+#include "base/curl_loop.h"
 #include "base/http_status.h"
 
 #include <curl/curl.h>
 #include <string.h>
 #include <strings.h>
 
-#define MS_PER_S 1000.0
 #define CONNECT_TIMEOUT_MS 500L
-#define IDLE_HANDLES_MAX 256
 #define CONNECTION_CACHE 512L
 #define BUFFER_BYTES 16384L
 
 struct upstream {
-	struct ev_loop *loop;
-	CURLM *multi;
-	ev_timer timer;
+	struct curl_loop *curl;
 	uint32_t answer_max_bytes;
 	const struct upstream_handlers *handlers;
 	void *ctx;
 	GHashTable *attempts; ///< struct attempt by request id
-	GPtrArray *idle;      ///< CURL handles for reuse
 };
 
 struct attempt {
@@ -36,11 +32,6 @@
 	bool head;
 };
 
-struct socket_watch {
-	struct upstream *upstream;
-	ev_io io;
-};
-
 void upstream_answer_free(struct upstream_answer *a)
 {
 	if (!a)
@@ -63,13 +54,7 @@
 {
 	struct upstream *u = a->upstream;
 
-	curl_multi_remove_handle(u->multi, a->easy);
-	if (u->idle->len < IDLE_HANDLES_MAX) {
-		curl_easy_reset(a->easy);
-		g_ptr_array_add(u->idle, a->easy);
-	} else {
-		curl_easy_cleanup(a->easy);
-	}
+	curl_loop_give_back(u->curl, a->easy);
 	curl_slist_free_all(a->headers);
 	upstream_answer_free(a->answer);
 	g_free(a);
@@ -184,87 +169,13 @@
 	u->handlers->on_done(u->ctx, id, number, &result);
 }
 
-static void check_completed(struct upstream *u)
-{
-	CURLMsg *m;
-	int left;
-
-	while ((m = curl_multi_info_read(u->multi, &left))) {
-		struct attempt *a;
-
-		if (m->msg != CURLMSG_DONE)
-			continue;
-		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, (char **)&a);
-		finish(a, m->data.result);
-	}
-}
-
-/* Event loop. */
-
-static void on_socket_event(struct ev_loop *loop, ev_io *w, int revents)
-{
-	struct socket_watch *watch = w->data;
-	struct upstream *u = watch->upstream;
-	int flags = (revents & EV_READ ? CURL_CSELECT_IN : 0) |
-		    (revents & EV_WRITE ? CURL_CSELECT_OUT : 0);
-	int running;
-
-	(void)loop;
-	curl_multi_socket_action(u->multi, w->fd, flags, &running);
-	check_completed(u);
-}
-
-static void on_timer(struct ev_loop *loop, ev_timer *w, int revents)
+static void on_transfer_done(void *ctx, CURL *easy, CURLcode code)
 {
-	struct upstream *u = w->data;
-	int running;
+	struct attempt *a;
 
-	(void)loop;
-	(void)revents;
-	curl_multi_socket_action(u->multi, CURL_SOCKET_TIMEOUT, 0, &running);
-	check_completed(u);
-}
-
-static int set_timer(CURLM *multi, long timeout_ms, void *ctx)
-{
-	struct upstream *u = ctx;
-
-	(void)multi;
-	ev_timer_stop(u->loop, &u->timer);
-	if (timeout_ms >= 0) {
-		ev_timer_set(&u->timer, timeout_ms / MS_PER_S, 0.);
-		ev_timer_start(u->loop, &u->timer);
-	}
-	return 0;
-}
-
-static int set_socket(CURL *easy, curl_socket_t fd, int what, void *ctx, void *socket_ctx)
-{
-	struct upstream *u = ctx;
-	struct socket_watch *watch = socket_ctx;
-	int events = (what & CURL_POLL_IN ? EV_READ : 0) | (what & CURL_POLL_OUT ? EV_WRITE : 0);
-
-	(void)easy;
-	if (what == CURL_POLL_REMOVE) {
-		if (watch) {
-			ev_io_stop(u->loop, &watch->io);
-			g_free(watch);
-			curl_multi_assign(u->multi, fd, NULL);
-		}
-		return 0;
-	}
-	if (!watch) {
-		watch = g_new0(struct socket_watch, 1);
-		watch->upstream = u;
-		ev_io_init(&watch->io, on_socket_event, fd, events);
-		watch->io.data = watch;
-		curl_multi_assign(u->multi, fd, watch);
-	} else {
-		ev_io_stop(u->loop, &watch->io);
-		ev_io_set(&watch->io, fd, events);
-	}
-	ev_io_start(u->loop, &watch->io);
-	return 0;
+	(void)ctx;
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&a);
+	finish(a, code);
 }
 
 struct upstream *upstream_new(struct ev_loop *loop, uint32_t answer_max_bytes,
@@ -273,24 +184,16 @@
 {
 	struct upstream *u = g_new0(struct upstream, 1);
 
-	curl_global_init(CURL_GLOBAL_NOTHING);
 	*u = (struct upstream){
-		.loop = loop,
-		.multi = curl_multi_init(),
+		.curl = curl_loop_new(loop, on_transfer_done, u),
 		.answer_max_bytes = answer_max_bytes,
 		.handlers = handlers,
 		.ctx = ctx,
 		.attempts = g_hash_table_new(g_int64_hash, g_int64_equal),
-		.idle = g_ptr_array_new(),
 	};
-	ev_init(&u->timer, on_timer);
-	u->timer.data = u;
-	curl_multi_setopt(u->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
-	curl_multi_setopt(u->multi, CURLMOPT_SOCKETDATA, u);
-	curl_multi_setopt(u->multi, CURLMOPT_TIMERFUNCTION, set_timer);
-	curl_multi_setopt(u->multi, CURLMOPT_TIMERDATA, u);
-	curl_multi_setopt(u->multi, CURLMOPT_MAX_HOST_CONNECTIONS, (long)host_connections);
-	curl_multi_setopt(u->multi, CURLMOPT_MAXCONNECTS, CONNECTION_CACHE);
+	curl_multi_setopt(curl_loop_multi(u->curl), CURLMOPT_MAX_HOST_CONNECTIONS,
+			  (long)host_connections);
+	curl_multi_setopt(curl_loop_multi(u->curl), CURLMOPT_MAXCONNECTS, CONNECTION_CACHE);
 	return u;
 }
 
@@ -343,13 +246,6 @@
 	curl_easy_setopt(a->easy, CURLOPT_HTTPHEADER, a->headers);
 }
 
-static CURL *take_handle(struct upstream *u)
-{
-	if (!u->idle->len)
-		return curl_easy_init();
-	return g_ptr_array_remove_index_fast(u->idle, u->idle->len - 1);
-}
-
 void upstream_start(struct upstream *u, const struct upstream_request *request)
 {
 	struct attempt *a = g_new0(struct attempt, 1);
@@ -360,7 +256,7 @@
 		.upstream = u,
 		.id = request->id,
 		.number = request->attempt,
-		.easy = take_handle(u),
+		.easy = curl_loop_take(u->curl),
 		.answer = answer_new(),
 	};
 	curl_easy_setopt(a->easy, CURLOPT_URL, url);
@@ -382,7 +278,7 @@
 	set_method(a, request->from);
 	set_headers(a, request);
 	g_hash_table_insert(u->attempts, &a->id, a);
-	curl_multi_add_handle(u->multi, a->easy);
+	curl_multi_add_handle(curl_loop_multi(u->curl), a->easy);
 }
 
 void upstream_abort(struct upstream *u, uint64_t id, uint32_t attempt)
--- /dev/null
+++ b/src/sesamewood/jobs/jobs.c
@@ -0,0 +1,507 @@
+#include "jobs/jobs.h"
+
+#include "base/codec.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static void job_free(void *p)
+{
+	struct job *job = p;
+
+	codec_free(CODEC_PROC(job_image), &job->image);
+	g_free(job);
+}
+
+static void life_free(void *p)
+{
+	struct job_life *life = p;
+
+	codec_free(CODEC_PROC(job_endpoint), &life->endpoint);
+	g_free(life);
+}
+
+static void wave_free(void *p)
+{
+	codec_free(CODEC_PROC(job_wave), p);
+	g_free(p);
+}
+
+struct jobs *jobs_new(void)
+{
+	struct jobs *j = g_new0(struct jobs, 1);
+
+	j->queues = g_hash_table_new(g_str_hash, g_str_equal);
+	j->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+	j->lives = g_hash_table_new_full(NULL, NULL, NULL, life_free);
+	j->waves = g_ptr_array_new_with_free_func(wave_free);
+	j->next_endpoint = 1;
+	return j;
+}
+
+static void clear(struct jobs *j)
+{
+	g_hash_table_remove_all(j->queues);
+	codec_free(CODEC_PROC(job_config), &j->config);
+	memset(&j->config, 0, sizeof(j->config));
+	g_hash_table_remove_all(j->by_id);
+	g_hash_table_remove_all(j->lives);
+	g_ptr_array_set_size(j->waves, 0);
+	j->next_endpoint = 1;
+}
+
+void jobs_free(struct jobs *j)
+{
+	clear(j);
+	g_hash_table_unref(j->queues);
+	g_hash_table_unref(j->by_id);
+	g_hash_table_unref(j->lives);
+	g_ptr_array_unref(j->waves);
+	g_free(j);
+}
+
+/* Look-ups. */
+
+struct job *jobs_find(const struct jobs *j, const char *id)
+{
+	return g_hash_table_lookup(j->by_id, id);
+}
+
+job_task *jobs_task(const struct jobs *j, const job_task_ref *ref)
+{
+	struct job *job = jobs_find(j, ref->job);
+	job_occurrence *o;
+
+	if (!job || ref->occurrence >= job->image.occurrences.occurrences_len)
+		return NULL;
+	o = &job->image.occurrences.occurrences_val[ref->occurrence];
+	if (ref->step >= o->steps.steps_len ||
+	    ref->index >= o->steps.steps_val[ref->step].tasks.tasks_len)
+		return NULL;
+	return &o->steps.steps_val[ref->step].tasks.tasks_val[ref->index];
+}
+
+const job_queue *jobs_queue(const struct jobs *j, const char *key)
+{
+	guint at = GPOINTER_TO_UINT(g_hash_table_lookup(j->queues, key));
+
+	return at ? &j->config.queues.queues_val[at - 1] : NULL;
+}
+
+const job_queue *jobs_route(const struct jobs *j, const char *host, const char *path,
+			    const char **rest)
+{
+	g_autofree char *key = g_strconcat(host, " ", path, NULL);
+	size_t host_len = strlen(host) + 1;
+
+	for (size_t len = strlen(key); len >= host_len; len--) {
+		const job_queue *q;
+
+		key[len] = 0;
+		q = jobs_queue(j, key);
+		if (q) {
+			*rest = path + (len - host_len);
+			return q;
+		}
+	}
+	return NULL;
+}
+
+const job_pool *jobs_pool(const struct jobs *j, const char *name)
+{
+	for (u_int i = 0; i < j->config.pools.pools_len; i++)
+		if (g_str_equal(j->config.pools.pools_val[i].name, name))
+			return &j->config.pools.pools_val[i];
+	return NULL;
+}
+
+job_wave *jobs_wave(const struct jobs *j, uint64_t number)
+{
+	for (guint i = 0; i < j->waves->len; i++)
+		if (((job_wave *)j->waves->pdata[i])->number == number)
+			return j->waves->pdata[i];
+	return NULL;
+}
+
+struct job_life *jobs_life(const struct jobs *j, uint32_t number)
+{
+	return g_hash_table_lookup(j->lives, GUINT_TO_POINTER(number));
+}
+
+bool job_is_over(const struct job *job)
+{
+	return job->image.phase >= JOB_COMPLETED;
+}
+
+static bool step_done(const job_step_state *s)
+{
+	for (u_int i = 0; i < s->tasks.tasks_len; i++)
+		if (s->tasks.tasks_val[i].phase != JOB_TASK_DONE)
+			return false;
+	return true;
+}
+
+bool job_step_ready(const struct job *job, uint32_t occurrence, uint32_t step)
+{
+	const job_step *s = &job->image.spec.steps.steps_val[step];
+	const job_occurrence *o = &job->image.occurrences.occurrences_val[occurrence];
+
+	for (u_int i = 0; i < s->after.after_len; i++)
+		if (!step_done(&o->steps.steps_val[s->after.after_val[i]]))
+			return false;
+	return true;
+}
+
+/* Applying. */
+
+static void index_queues(struct jobs *j)
+{
+	g_hash_table_remove_all(j->queues);
+	for (u_int i = 0; i < j->config.queues.queues_len; i++)
+		g_hash_table_insert(j->queues, j->config.queues.queues_val[i].key,
+				    GUINT_TO_POINTER(i + 1));
+}
+
+static void apply_config(struct jobs *j, const job_config *config)
+{
+	job_config copy;
+
+	if (config->config_version <= j->config.config_version ||
+	    !codec_copy(CODEC_PROC(job_config), config, &copy, sizeof(copy)))
+		return;
+	g_hash_table_remove_all(j->queues);
+	codec_free(CODEC_PROC(job_config), &j->config);
+	j->config = copy;
+	index_queues(j);
+}
+
+static void make_tasks(struct job *job)
+{
+	const job_spec *spec = &job->image.spec;
+	u_int n = MAX(spec->occurrences, 1);
+
+	job->image.occurrences.occurrences_len = n;
+	job->image.occurrences.occurrences_val = calloc(n, sizeof(job_occurrence));
+	for (u_int k = 0; k < n; k++) {
+		job_occurrence *o = &job->image.occurrences.occurrences_val[k];
+
+		o->steps.steps_len = spec->steps.steps_len;
+		o->steps.steps_val = calloc(spec->steps.steps_len, sizeof(job_step_state));
+		for (u_int s = 0; s < spec->steps.steps_len; s++) {
+			job_step_state *state = &o->steps.steps_val[s];
+			u_int count = spec->steps.steps_val[s].count;
+
+			state->tasks.tasks_len = count;
+			state->tasks.tasks_val = calloc(count ? count : 1, sizeof(job_task));
+			for (u_int i = 0; i < count; i++)
+				state->tasks.tasks_val[i].checkpoint = strdup("");
+			job->unfinished += count;
+		}
+	}
+}
+
+static void apply_accept(struct jobs *j, const job_spec *spec)
+{
+	struct job *job;
+
+	if (jobs_find(j, spec->id))
+		return;
+	job = g_new0(struct job, 1);
+	codec_copy(CODEC_PROC(job_spec), spec, &job->image.spec, sizeof(job_spec));
+	make_tasks(job);
+	g_hash_table_insert(j->by_id, job->image.spec.id, job);
+}
+
+static void end_job(struct job *job, job_phase phase, int64_t at_wall_ms)
+{
+	if (job_is_over(job))
+		return;
+	job->image.phase = phase;
+	job->image.ended_wall_ms = at_wall_ms;
+}
+
+static void apply_cancel(struct jobs *j, const job_cancel *c)
+{
+	struct job *job = jobs_find(j, c->id);
+
+	if (job)
+		end_job(job, JOB_CANCELLED, c->at_wall_ms);
+}
+
+static void apply_endpoint(struct jobs *j, const job_endpoint *e)
+{
+	struct job_life *life;
+
+	if (jobs_life(j, e->number))
+		return;
+	life = g_new0(struct job_life, 1);
+	codec_copy(CODEC_PROC(job_endpoint), e, &life->endpoint, sizeof(job_endpoint));
+	g_hash_table_insert(j->lives, GUINT_TO_POINTER(e->number), life);
+	j->next_endpoint = MAX(j->next_endpoint, e->number + 1);
+}
+
+static void release(struct jobs *j, struct job *job, job_task *task)
+{
+	struct job_life *life = jobs_life(j, task->endpoint);
+
+	if (task->phase != JOB_TASK_ASSIGNED)
+		return;
+	if (life)
+		life->assigned--;
+	job->assigned--;
+	task->phase = JOB_TASK_WAITING;
+	task->endpoint = 0;
+}
+
+static void apply_start(struct jobs *j, const job_start *s)
+{
+	struct job *job = jobs_find(j, s->task.job);
+	job_task *task = jobs_task(j, &s->task);
+	struct job_life *life = jobs_life(j, s->endpoint);
+
+	if (!task || !life || task->phase != JOB_TASK_WAITING)
+		return;
+	task->phase = JOB_TASK_ASSIGNED;
+	task->attempt = s->attempt;
+	task->endpoint = s->endpoint;
+	life->assigned++;
+	job->assigned++;
+	job->started++;
+	if (job->image.phase == JOB_PENDING)
+		job->image.phase = JOB_RUNNING;
+}
+
+static void finish_task(struct jobs *j, struct job *job, job_task *task)
+{
+	release(j, job, task);
+	if (task->phase == JOB_TASK_DONE)
+		return;
+	task->phase = JOB_TASK_DONE;
+	job->unfinished--;
+}
+
+static void finish(struct jobs *j, struct job *job, const job_end *e, job_task *task)
+{
+	const job_step *step = &job->image.spec.steps.steps_val[e->task.step];
+	job_step_state *state = &job->image.occurrences.occurrences_val[e->task.occurrence]
+					 .steps.steps_val[e->task.step];
+
+	if (step->persistent) {
+		release(j, job, task);
+		return;
+	}
+	finish_task(j, job, task);
+	for (u_int i = 0; step->gang && i < state->tasks.tasks_len; i++)
+		finish_task(j, job, &state->tasks.tasks_val[i]);
+	if (!job->unfinished)
+		end_job(job, JOB_COMPLETED, 0);
+}
+
+static u_int failures_of(const struct job *job, const job_end *e, const job_task *task)
+{
+	const job_step_state *state = &job->image.occurrences.occurrences_val[e->task.occurrence]
+					       .steps.steps_val[e->task.step];
+	u_int n = 0;
+
+	if (!job->image.spec.steps.steps_val[e->task.step].gang)
+		return task->failures;
+	for (u_int i = 0; i < state->tasks.tasks_len; i++)
+		n += state->tasks.tasks_val[i].failures;
+	return n;
+}
+
+static void fail(struct jobs *j, struct job *job, const job_end *e, job_task *task)
+{
+	release(j, job, task);
+	if (job->image.spec.steps.steps_val[e->task.step].persistent)
+		return;
+	task->failures++;
+	if (failures_of(job, e, task) < job->image.spec.max_attempts)
+		return;
+	task->phase = JOB_TASK_FAILED;
+	end_job(job, JOB_FAILED, 0);
+}
+
+static void apply_end(struct jobs *j, const job_end *e)
+{
+	struct job *job = jobs_find(j, e->task.job);
+	job_task *task = jobs_task(j, &e->task);
+
+	if (!task || task->attempt != e->attempt || task->phase >= JOB_TASK_DONE)
+		return;
+	if (*e->checkpoint)
+		codec_set_string(&task->checkpoint, e->checkpoint);
+	switch (e->cause) {
+	case JOB_END_DONE:
+		finish(j, job, e, task);
+		break;
+	case JOB_END_FAILED:
+		fail(j, job, e, task);
+		break;
+	case JOB_END_RELEASED:
+		release(j, job, task);
+		break;
+	}
+}
+
+static void apply_wave(struct jobs *j, const job_wave *wave)
+{
+	job_wave *copy;
+
+	if (jobs_wave(j, wave->number))
+		return;
+	copy = g_new0(job_wave, 1);
+	codec_copy(CODEC_PROC(job_wave), wave, copy, sizeof(*copy));
+	g_ptr_array_add(j->waves, copy);
+}
+
+static void settle(job_wave_machine *machine, const job_wave_settle *s)
+{
+	machine->ordered = true;
+	machine->settled |= s->settled;
+}
+
+static void apply_settle(struct jobs *j, const job_wave_settle *s)
+{
+	job_wave *wave = jobs_wave(j, s->number);
+
+	for (u_int i = 0; wave && i < wave->machines.machines_len; i++)
+		if (g_str_equal(wave->machines.machines_val[i].machine, s->machine))
+			settle(&wave->machines.machines_val[i], s);
+}
+
+static gboolean is_unused(gpointer key, gpointer value, gpointer unused)
+{
+	(void)key;
+	(void)unused;
+	return !((struct job_life *)value)->assigned;
+}
+
+static void apply_forget(struct jobs *j, const job_forget *f)
+{
+	for (u_int i = 0; i < f->ids.ids_len; i++) {
+		struct job *job = jobs_find(j, f->ids.ids_val[i]);
+
+		if (job && job_is_over(job) && !job->assigned)
+			g_hash_table_remove(j->by_id, f->ids.ids_val[i]);
+	}
+	g_hash_table_foreach_remove(j->lives, is_unused, NULL);
+}
+
+void jobs_apply(struct jobs *j, const job_command *c)
+{
+	switch (c->type) {
+	case JOB_COMMAND_CONFIG:
+		apply_config(j, &c->job_command_u.config);
+		break;
+	case JOB_COMMAND_ACCEPT:
+		apply_accept(j, &c->job_command_u.accept);
+		break;
+	case JOB_COMMAND_CANCEL:
+		apply_cancel(j, &c->job_command_u.cancel);
+		break;
+	case JOB_COMMAND_ENDPOINT:
+		apply_endpoint(j, &c->job_command_u.endpoint);
+		break;
+	case JOB_COMMAND_START:
+		apply_start(j, &c->job_command_u.start);
+		break;
+	case JOB_COMMAND_END:
+		apply_end(j, &c->job_command_u.end);
+		break;
+	case JOB_COMMAND_WAVE:
+		apply_wave(j, &c->job_command_u.wave);
+		break;
+	case JOB_COMMAND_WAVE_SETTLE:
+		apply_settle(j, &c->job_command_u.settle);
+		break;
+	case JOB_COMMAND_FORGET:
+		apply_forget(j, &c->job_command_u.forget);
+		break;
+	}
+}
+
+/* Snapshots. The lists borrow from the state; only the arrays are released. */
+
+GByteArray *jobs_snapshot(const struct jobs *j)
+{
+	job_snapshot s = {.config = j->config, .next_endpoint = j->next_endpoint};
+	GHashTableIter iter;
+	gpointer value;
+	GByteArray *out;
+
+	s.endpoints.endpoints_val = g_new0(job_endpoint, g_hash_table_size(j->lives) + 1);
+	g_hash_table_iter_init(&iter, j->lives);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		s.endpoints.endpoints_val[s.endpoints.endpoints_len++] =
+			((struct job_life *)value)->endpoint;
+	s.jobs.jobs_val = g_new0(job_image, g_hash_table_size(j->by_id) + 1);
+	g_hash_table_iter_init(&iter, j->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		s.jobs.jobs_val[s.jobs.jobs_len++] = ((struct job *)value)->image;
+	s.waves.waves_val = g_new0(job_wave, j->waves->len + 1);
+	for (guint i = 0; i < j->waves->len; i++)
+		s.waves.waves_val[s.waves.waves_len++] = *(job_wave *)j->waves->pdata[i];
+	out = codec_encode(CODEC_PROC(job_snapshot), &s);
+	g_free(s.endpoints.endpoints_val);
+	g_free(s.jobs.jobs_val);
+	g_free(s.waves.waves_val);
+	return out;
+}
+
+/// Counts what is not stored.
+static void count_tasks(struct jobs *j, struct job *job)
+{
+	const job_image *image = &job->image;
+
+	for (u_int k = 0; k < image->occurrences.occurrences_len; k++) {
+		const job_occurrence *o = &image->occurrences.occurrences_val[k];
+
+		for (u_int s = 0; s < o->steps.steps_len; s++)
+			for (u_int i = 0; i < o->steps.steps_val[s].tasks.tasks_len; i++) {
+				const job_task *t = &o->steps.steps_val[s].tasks.tasks_val[i];
+				struct job_life *life = jobs_life(j, t->endpoint);
+
+				job->unfinished += t->phase != JOB_TASK_DONE;
+				job->started += t->attempt;
+				if (t->phase != JOB_TASK_ASSIGNED)
+					continue;
+				job->assigned++;
+				if (life)
+					life->assigned++;
+			}
+	}
+}
+
+static void take_over(struct jobs *j, job_snapshot *s)
+{
+	j->config = s->config;
+	memset(&s->config, 0, sizeof(s->config));
+	index_queues(j);
+	j->next_endpoint = s->next_endpoint;
+	for (u_int i = 0; i < s->endpoints.endpoints_len; i++)
+		apply_endpoint(j, &s->endpoints.endpoints_val[i]);
+	for (u_int i = 0; i < s->jobs.jobs_len; i++) {
+		struct job *job = g_new0(struct job, 1);
+
+		job->image = s->jobs.jobs_val[i];
+		memset(&s->jobs.jobs_val[i], 0, sizeof(job_image));
+		count_tasks(j, job);
+		g_hash_table_insert(j->by_id, job->image.spec.id, job);
+	}
+	for (u_int i = 0; i < s->waves.waves_len; i++)
+		apply_wave(j, &s->waves.waves_val[i]);
+}
+
+bool jobs_restore(struct jobs *j, const void *data, size_t len)
+{
+	job_snapshot s;
+
+	clear(j);
+	if (!codec_decode(CODEC_PROC(job_snapshot), data, len, &s, sizeof(s)))
+		return false;
+	take_over(j, &s);
+	/* Job images were moved out; what is left holds null strings, which XDR frees as such. */
+	codec_free(CODEC_PROC(job_snapshot), &s);
+	return true;
+}
--- /dev/null
+++ b/src/sesamewood/manager/calls.c
@@ -0,0 +1,218 @@
+#include "manager/calls.h"
+
+#include "base/codec.h"
+#include "base/log.h"
+#include "runs/runs.h"
+#include "sched/schedule.h"
+#include "sched/waves.h"
+
+#include <string.h>
+
+#define WAVES_KEPT_MAX 256
+
+static struct reply plain(enum reply_status status)
+{
+	return (struct reply){.status = status};
+}
+
+/* Jobs. */
+
+/// Finds the queue of a call and the job id that follows its prefix.
+static const job_queue *find_queue(const struct manager *m, const struct call *call,
+				   const char **id)
+{
+	return call->host && call->path ? jobs_route(m->jobs, call->host, call->path, id) : NULL;
+}
+
+static struct job *find_job(const struct manager *m, const job_queue *q, const char *id)
+{
+	struct job *job = jobs_find(m->jobs, id);
+
+	return job && g_str_equal(job->image.spec.queue, q->key) ? job : NULL;
+}
+
+static bool is_sound(const job_spec *spec)
+{
+	uint64_t tasks = 0;
+
+	if (!spec->steps.steps_len)
+		return false;
+	for (u_int s = 0; s < spec->steps.steps_len; s++) {
+		const job_step *step = &spec->steps.steps_val[s];
+
+		tasks += step->count;
+		if (!step->count || step->count > JOB_TASKS_MAX)
+			return false;
+		for (u_int i = 0; i < step->after.after_len; i++)
+			if (step->after.after_val[i] >= s)
+				return false;
+	}
+	return tasks * MAX(spec->occurrences, 1) <= JOB_TASKS_MAX;
+}
+
+static struct reply submit(struct manager *m, clock_ms_t wall, struct call *call)
+{
+	const char *id = "";
+	const job_queue *q = find_queue(m, call, &id);
+	job_command c = {.type = JOB_COMMAND_ACCEPT};
+
+	if (!q)
+		return plain(m->jobs->config.config_version ? REPLY_UNKNOWN : REPLY_UNAVAILABLE);
+	if (!*id || strlen(id) > SW_NAME_MAX || strchr(id, '/') || strchr(id, '.'))
+		return plain(REPLY_INVALID);
+	if (jobs_find(m->jobs, id))
+		return plain(find_job(m, q, id) ? REPLY_OK : REPLY_INVALID);
+	if (!is_sound(&call->spec))
+		return plain(REPLY_INVALID);
+	codec_set_string(&call->spec.id, id);
+	codec_set_string(&call->spec.queue, q->key);
+	codec_set_string(&call->spec.pool, q->pool);
+	call->spec.max_attempts = q->max_attempts;
+	call->spec.accepted_wall_ms = wall;
+	c.job_command_u.accept = call->spec;
+	emit_command(m, &c);
+	g_ptr_array_add(m->active, jobs_find(m->jobs, id));
+	log_info("job accepted", "JOB", id, "QUEUE", q->key, "CONFIG",
+		 log_number(m->jobs->config.config_version));
+	return plain(REPLY_OK);
+}
+
+static struct reply job_state(const struct manager *m, const struct call *call)
+{
+	const char *id = "";
+	const job_queue *q = find_queue(m, call, &id);
+	const struct job *job;
+
+	if (!q)
+		return plain(m->jobs->config.config_version ? REPLY_UNKNOWN : REPLY_UNAVAILABLE);
+	if (!*id)
+		return (struct reply){.content = REPLY_WAITING,
+				      .u.waiting = schedule_waiting(m, q->key)};
+	job = find_job(m, q, id);
+	if (!job)
+		return plain(REPLY_GONE);
+	return (struct reply){.content = REPLY_JOB_PHASE, .u.phase = job->image.phase};
+}
+
+static struct reply cancel(struct manager *m, clock_ms_t wall, const struct call *call)
+{
+	const char *id = "";
+	const job_queue *q = find_queue(m, call, &id);
+	const struct job *job = q ? find_job(m, q, id) : NULL;
+	job_command c = {
+		.type = JOB_COMMAND_CANCEL,
+		.job_command_u.cancel = {.id = (char *)id, .at_wall_ms = wall},
+	};
+
+	if (!q)
+		return plain(m->jobs->config.config_version ? REPLY_UNKNOWN : REPLY_UNAVAILABLE);
+	if (!job)
+		return plain(REPLY_GONE);
+	if (!job_is_over(job)) {
+		emit_command(m, &c);
+		log_info("job cancelled", "JOB", id);
+	}
+	return plain(REPLY_OK);
+}
+
+/* Configuration. */
+
+static struct reply config_put(struct manager *m, const struct call *call)
+{
+	job_command c = {.type = JOB_COMMAND_CONFIG, .job_command_u.config = call->config};
+
+	if (call->config.config_version > m->jobs->config.config_version) {
+		log_info("configuration accepted", "VERSION",
+			 log_number(call->config.config_version), "BEFORE",
+			 log_number(m->jobs->config.config_version));
+		emit_command(m, &c);
+	}
+	return plain(REPLY_OK);
+}
+
+static struct reply config_read(const struct manager *m)
+{
+	const job_config *config = &m->jobs->config;
+
+	if (!config->config_version)
+		return plain(REPLY_UNAVAILABLE);
+	return (struct reply){
+		.content = REPLY_DOCUMENT,
+		.u.document = g_bytes_new(config->document.sw_blob_val,
+					  config->document.sw_blob_len),
+	};
+}
+
+/* Waves. */
+
+static struct reply wave_put(struct manager *m, clock_ms_t wall, struct call *call)
+{
+	job_command c = {.type = JOB_COMMAND_WAVE};
+
+	if (jobs_wave(m->jobs, call->wave.number))
+		return plain(REPLY_OK);
+	if (m->jobs->waves->len >= WAVES_KEPT_MAX)
+		return plain(REPLY_UNAVAILABLE);
+	call->wave.due_wall_ms = wall + (int64_t)call->wave_s * 1000;
+	c.job_command_u.wave = call->wave;
+	emit_command(m, &c);
+	log_info("wave accepted", "WAVE", log_number(call->wave.number), "MACHINES",
+		 log_number(call->wave.machines.machines_len), "CAP", log_number(call->wave.cap));
+	return plain(REPLY_OK);
+}
+
+static struct reply wave_read(const struct manager *m, const struct call *call)
+{
+	const job_wave *wave = jobs_wave(m->jobs, call->wave.number);
+
+	if (!wave)
+		return plain(REPLY_UNKNOWN);
+	return (struct reply){.content = REPLY_WAVE,
+			      .u.wave_complete = waves_is_complete(wave)};
+}
+
+void calls_handle(struct manager *m, clock_ms_t now, clock_ms_t wall, uint64_t token,
+		  struct call *call)
+{
+	struct reply reply = plain(REPLY_INVALID);
+
+	switch (call->type) {
+	case CALL_SUBMIT:
+		reply = submit(m, wall, call);
+		break;
+	case CALL_JOB:
+		reply = job_state(m, call);
+		break;
+	case CALL_CANCEL:
+		reply = cancel(m, wall, call);
+		break;
+	case CALL_CONFIG_PUT:
+		reply = config_put(m, call);
+		break;
+	case CALL_CONFIG_READ:
+		reply = config_read(m);
+		break;
+	case CALL_ANNOUNCE:
+		waves_announced(m, &call->report);
+		runs_announced(m, now, &call->report);
+		reply = (struct reply){.content = REPLY_CONTROL_ADDRESS};
+		break;
+	case CALL_LEAVE:
+		runs_left(m, now, &call->report);
+		reply = plain(REPLY_OK);
+		break;
+	case CALL_WAVE_PUT:
+		reply = wave_put(m, wall, call);
+		break;
+	case CALL_WAVE_READ:
+		reply = wave_read(m, call);
+		break;
+	case CALL_INVALID:
+		log_info("call refused", "REASON", call->fault ? call->fault : "");
+		break;
+	case CALL_UNKNOWN_PLACE:
+		reply = plain(REPLY_UNKNOWN);
+		break;
+	}
+	emit_reply(m, token, reply);
+}
--- /dev/null
+++ b/src/sesamewood/manager/calls.h
@@ -0,0 +1,12 @@
+#ifndef SESAMEWOOD_MANAGER_CALLS_H
+#define SESAMEWOOD_MANAGER_CALLS_H
+
+/// @file
+/// Calls of clients, operators and endpoints.
+
+#include "manager/manager_internal.h"
+
+void calls_handle(struct manager *m, clock_ms_t now, clock_ms_t wall, uint64_t token,
+		  struct call *call);
+
+#endif
--- /dev/null
+++ b/src/sesamewood/manager/control_shell.c
@@ -0,0 +1,707 @@
+#include "manager/control_shell.h"
+
+#include "base/codec.h"
+#include "base/http_calls.h"
+#include "base/http_server.h"
+#include "base/http_status.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "control/storage_thread.h"
+#include "manager/relay.h"
+#include "rpc/rpc_client.h"
+#include "rpc/rpc_server.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <ev.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+#define ELECTION_MS 600	      /* six heartbeats: a stop of 300 ms at a processor quota costs none */
+#define HEARTBEAT_MS 100      /* a sixth of an election timeout */
+#define KEEP_RECORDS 2000     /* a follower may miss some seconds of the busiest load */
+#define SNAPSHOT_RECORDS 8000 /* about 2 MB of log */
+#define RAFT_CALL_MS 500      /* a connection that is silent for so long is opened anew */
+#define RELAY_MS 900	      /* callers of control move on after a second */
+#define HOST_CONNECTIONS 4    /* a look that waits, and starts beside it */
+#define TICK_S (MANAGER_TICK_MS / 1000.0)
+#define EXIT_DISK 3
+#define EXIT_LISTEN 4
+#define STOP_LEAST_MS 1200 /* callers have found the next leader by then */
+#define STOP_MARGIN_MS 800
+
+/// Who waits for a reply.
+struct caller {
+	struct rpc_request *rpc;
+	struct http_request *http;
+};
+
+/// An effect that waits for the commands before it to be committed.
+struct held {
+	uint64_t index;
+	struct effect *effect;
+};
+
+struct shell {
+	struct control_shell_settings settings;
+	const struct wire *wire;
+	bool (*reload)(uint32_t seeds[3]);
+	struct ev_loop *loop;
+	uint32_t node;
+	struct raft *raft;
+	struct storage_thread *storage;
+	bool writing;
+	uint64_t writing_to; ///< last record of the batch on its way
+	GPtrArray *unsent;   ///< effects of raft that wait for the disk
+	struct jobs *state;  ///< committed
+	uint64_t state_index;
+	struct manager *manager; ///< while this replica leads
+	uint64_t manager_term;
+	GQueue held;
+	GHashTable *callers; ///< struct caller by token
+	uint64_t next_token;
+	struct relay *relay;
+	struct http_server *http;
+	struct http_calls *calls;
+	ev_prepare before_wait;
+	ev_timer tick;
+	ev_signal terminate;
+	ev_signal hangup;
+	clock_ms_t stopping_at; ///< 0: not stopping
+	struct metric *orders;
+	struct metric *proposals;
+	struct metric *order_ms;
+};
+
+/* Answers. */
+
+static void answer(struct caller *c, unsigned int status, uint32_t retry_after_s, const char *body,
+		   size_t len)
+{
+	if (c->rpc) {
+		sw_relay_reply r = {
+			.status = SW_OK,
+			.http_status = status,
+			.retry_after_s = retry_after_s,
+			.body = {.sw_blob_len = len, .sw_blob_val = (char *)body},
+		};
+
+		rpc_request_reply(c->rpc, &r);
+		return;
+	}
+	if (c->http) {
+		g_autofree char *after = g_strdup_printf("%u", retry_after_s);
+		const struct http_header headers[] = {
+			{len ? "Content-Type" : "Retry-After", len ? "application/json" : after},
+			{len && retry_after_s ? "Retry-After" : NULL, after},
+			{NULL, NULL},
+		};
+
+		http_reply(c->http, status, len || retry_after_s ? headers : NULL, body, len);
+	}
+}
+
+static void answer_not_leader(struct shell *sh, struct rpc_request *rpc)
+{
+	const sw_members *members = raft_members(sh->raft);
+	uint32_t nodes[RAFT_PEERS_MAX + 1];
+	sw_relay_reply r = {
+		.status = SW_NOT_LEADER,
+		.leader = raft_leader(sh->raft) == sh->node ? 0 : raft_leader(sh->raft),
+		.members = {.members_val = nodes},
+	};
+
+	for (u_int i = 0; i < members->members.members_len && i < G_N_ELEMENTS(nodes); i++)
+		nodes[r.members.members_len++] = members->members.members_val[i].node;
+	rpc_request_reply(rpc, &r);
+}
+
+static uint64_t add_caller(struct shell *sh, struct rpc_request *rpc, struct http_request *http)
+{
+	struct caller *c = g_new0(struct caller, 1);
+
+	*c = (struct caller){.rpc = rpc, .http = http};
+	sh->next_token++;
+	g_hash_table_insert(sh->callers, (gpointer)sh->next_token, c);
+	return sh->next_token;
+}
+
+static void send_reply(struct shell *sh, uint64_t token, const struct reply *reply)
+{
+	struct caller *c = g_hash_table_lookup(sh->callers, (gpointer)token);
+	g_autoptr(GString) body = g_string_new(NULL);
+	unsigned int status;
+
+	if (!c)
+		return;
+	status = sh->wire->encode_reply(sh->wire->ctx, reply, body);
+	answer(c, status, reply->retry_after_s, body->str, body->len);
+	g_hash_table_remove(sh->callers, (gpointer)token);
+}
+
+/* Orders. */
+
+struct sent_order {
+	struct shell *shell;
+	struct order *order;
+	uint64_t term;
+	clock_ms_t at;
+};
+
+static void give_result(struct shell *sh, uint64_t term, struct order_result *result)
+{
+	if (sh->manager && sh->manager_term == term)
+		manager_result(sh->manager, clock_monotonic(), clock_wall(), result);
+	order_result_free(result);
+}
+
+static void on_order_done(void *ctx, const struct http_call_result *r)
+{
+	struct sent_order *s = ctx;
+	struct shell *sh = s->shell;
+	struct order_result *result;
+
+	if (r->status)
+		result = sh->wire->decode_result(sh->wire->ctx, s->order, r->status, r->body,
+						 r->len);
+	else
+		result = order_result_new(s->order->id, r->sent ? ORDER_NO_ANSWER : ORDER_NOT_SENT);
+	metrics_observe(sh->order_ms, clock_monotonic() - s->at);
+	give_result(sh, s->term, result);
+	order_free(s->order);
+	g_free(s);
+}
+
+/// Takes over the order.
+static void send_order(struct shell *sh, struct order *order)
+{
+	clock_ms_t now = clock_monotonic();
+	struct wire_request request = {0};
+	struct sent_order *s;
+	struct http_call call;
+
+	if (now > order->not_after ||
+	    !sh->wire->encode_order(sh->wire->ctx, order, &request)) {
+		give_result(sh, sh->manager_term, order_result_new(order->id, ORDER_NOT_SENT));
+		order_free(order);
+		return;
+	}
+	s = g_new0(struct sent_order, 1);
+	*s = (struct sent_order){
+		.shell = sh, .order = order, .term = sh->manager_term, .at = now};
+	call = (struct http_call){
+		.address = request.address,
+		.path = request.path,
+		.get = request.get,
+		.headers = request.headers ? (const char *const *)request.headers->pdata : NULL,
+		.body = request.body ? request.body : "",
+		.len = request.body ? strlen(request.body) : 0,
+		.timeout_ms = order->timeout_ms,
+	};
+	metrics_add(sh->orders, 1);
+	http_calls_start(sh->calls, &call, on_order_done, s);
+	wire_request_clear(&request);
+}
+
+/* Leadership. */
+
+static bool leads(const struct shell *sh)
+{
+	return sh->manager && sh->manager_term == raft_term(sh->raft) &&
+	       raft_leads(sh->raft, clock_monotonic());
+}
+
+/// Tells a caller that its call may have had an effect, or may not.
+static void answer_unsure(struct caller *c)
+{
+	sw_relay_reply r = {.status = SW_BUSY};
+
+	if (c->rpc)
+		rpc_request_reply(c->rpc, &r);
+	else
+		answer(c, HTTP_GATEWAY_TIMEOUT, 0, NULL, 0);
+}
+
+/// Drops what was not committed. Its callers get no answer that says what became of it.
+static void lose_leadership(struct shell *sh)
+{
+	struct held *h;
+	GHashTableIter iter;
+	gpointer value;
+
+	log_info("leadership lost", "TERM", log_number(sh->manager_term));
+	while ((h = g_queue_pop_head(&sh->held))) {
+		effect_free(h->effect);
+		g_free(h);
+	}
+	g_hash_table_iter_init(&iter, sh->callers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		answer_unsure(value);
+		g_hash_table_iter_remove(&iter);
+	}
+	manager_free(sh->manager);
+	sh->manager = NULL;
+}
+
+static void check_leadership(struct shell *sh)
+{
+	clock_ms_t now = clock_monotonic();
+
+	if (sh->manager && manager_is_fenced_off(sh->manager) && raft_role(sh->raft) == RAFT_LEADER)
+		raft_resign(sh->raft, now, now + ELECTION_MS);
+	if (sh->manager &&
+	    (raft_role(sh->raft) != RAFT_LEADER || raft_term(sh->raft) != sh->manager_term))
+		lose_leadership(sh);
+	if (!sh->manager && raft_leads(sh->raft, now) && !sh->stopping_at) {
+		sh->manager_term = raft_term(sh->raft);
+		sh->manager = manager_new(&sh->settings.manager, sh->state, sh->manager_term, now,
+					  clock_wall());
+	}
+}
+
+/* The loop. */
+
+static void take_manager_effects(struct shell *sh)
+{
+	g_autoptr(GPtrArray) effects = NULL;
+
+	if (!sh->manager)
+		return;
+	effects = manager_take_effects(sh->manager);
+	g_ptr_array_set_free_func(effects, NULL);
+	for (guint i = 0; i < effects->len; i++) {
+		struct effect *e = effects->pdata[i];
+		struct held *h;
+
+		if (e->type == EFFECT_PROPOSE) {
+			raft_propose(sh->raft, e->u.command);
+			metrics_add(sh->proposals, 1);
+			effect_free(e);
+			continue;
+		}
+		h = g_new0(struct held, 1);
+		*h = (struct held){.index = raft_last_index(sh->raft), .effect = e};
+		g_queue_push_tail(&sh->held, h);
+	}
+}
+
+/// Releases effects whose commands are committed, while this replica surely leads.
+static bool release_held(struct shell *sh)
+{
+	bool any = false;
+
+	while (leads(sh)) {
+		struct held *h = g_queue_peek_head(&sh->held);
+		struct effect *e;
+
+		if (!h || h->index > sh->state_index)
+			break;
+		g_queue_pop_head(&sh->held);
+		e = h->effect;
+		g_free(h);
+		any = true;
+		if (e->type == EFFECT_REPLY)
+			send_reply(sh, e->u.reply.token, &e->u.reply.reply);
+		else
+			send_order(sh, g_steal_pointer(&e->u.order));
+		effect_free(e);
+	}
+	return any;
+}
+
+static void apply_committed(struct shell *sh)
+{
+	const raft_snapshot *snapshot = raft_latest_snapshot(sh->raft);
+	const struct raft_log_record *record;
+
+	if (snapshot->index > sh->state_index) {
+		if (!jobs_restore(sh->state, snapshot->data.sw_blob_val,
+				  snapshot->data.sw_blob_len)) {
+			log_error("the snapshot can't be read; stopping");
+			exit(EXIT_DISK);
+		}
+		sh->state_index = snapshot->index;
+	}
+	while ((record = raft_next_committed(sh->raft))) {
+		gsize len;
+		const void *data = g_bytes_get_data(record->command, &len);
+		sw_command c;
+
+		sh->state_index = record->index;
+		if (!codec_decode(CODEC_PROC(sw_command), data, len, &c, sizeof(c)))
+			continue;
+		if (c.type == SW_COMMAND_JOB)
+			jobs_apply(sh->state, &c.sw_command_u.job);
+		codec_free(CODEC_PROC(sw_command), &c);
+	}
+	if (sh->state_index > raft_snapshot_index(sh->raft) + SNAPSHOT_RECORDS) {
+		g_autoptr(GByteArray) data = jobs_snapshot(sh->state);
+
+		raft_compact(sh->raft, data);
+	}
+}
+
+static void send_message(struct shell *sh, const raft_message *m)
+{
+	rpc_client_call(relay_client(sh->relay, m->to), SW_PROC_RAFT, m, RAFT_CALL_MS, NULL, NULL);
+}
+
+/// A leader's records need not wait for its own disk: they count as stored by it only then.
+static bool may_send_at_once(const struct raft_effect *e)
+{
+	return e->type == RAFT_SEND &&
+	       (e->u.message.type == RAFT_APPEND || e->u.message.type == RAFT_SNAPSHOT);
+}
+
+static bool needs_disk(const GPtrArray *effects)
+{
+	for (guint i = 0; i < effects->len; i++)
+		if (((struct raft_effect *)effects->pdata[i])->type != RAFT_SEND)
+			return true;
+	return false;
+}
+
+static void send_batch(struct shell *sh, GPtrArray *effects)
+{
+	for (guint i = 0; i < effects->len; i++) {
+		struct raft_effect *e = effects->pdata[i];
+
+		if (e->type == RAFT_SEND)
+			send_message(sh, &e->u.message);
+	}
+	g_ptr_array_unref(effects);
+}
+
+static bool take_raft_effects(struct shell *sh)
+{
+	g_autoptr(GPtrArray) effects = raft_take_effects(sh->raft);
+	bool any = effects->len > 0;
+
+	g_ptr_array_set_free_func(effects, NULL);
+	for (guint i = 0; i < effects->len; i++) {
+		struct raft_effect *e = effects->pdata[i];
+
+		if (!may_send_at_once(e)) {
+			g_ptr_array_add(sh->unsent, e);
+			continue;
+		}
+		send_message(sh, &e->u.message);
+		raft_effect_free(e);
+	}
+	if (sh->writing || !sh->unsent->len)
+		return any;
+	effects = g_steal_pointer(&sh->unsent);
+	sh->unsent = g_ptr_array_new_with_free_func(raft_effect_free);
+	if (!needs_disk(effects)) {
+		send_batch(sh, g_steal_pointer(&effects));
+		return any;
+	}
+	sh->writing = true;
+	sh->writing_to = raft_last_index(sh->raft);
+	storage_thread_write(sh->storage, g_steal_pointer(&effects));
+	return any;
+}
+
+static void on_stored(void *ctx, GPtrArray *effects)
+{
+	struct shell *sh = ctx;
+
+	sh->writing = false;
+	raft_persisted_to(sh->raft, sh->writing_to);
+	send_batch(sh, effects);
+}
+
+/// Runs until nothing is left to do without waiting.
+static void flush(struct shell *sh)
+{
+	bool any = true;
+
+	while (any) {
+		apply_committed(sh);
+		check_leadership(sh);
+		any = release_held(sh);
+		if (leads(sh))
+			manager_tick(sh->manager, clock_monotonic(), clock_wall());
+		take_manager_effects(sh);
+		raft_flush(sh->raft, clock_monotonic());
+		any |= take_raft_effects(sh);
+	}
+}
+
+static void on_before_wait(struct ev_loop *loop, ev_prepare *w, int revents)
+{
+	(void)loop;
+	(void)revents;
+	flush(w->data);
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	struct shell *sh = w->data;
+	clock_ms_t now = clock_monotonic();
+
+	(void)revents;
+	raft_tick(sh->raft, now);
+	if (!sh->stopping_at)
+		return;
+	if (now - sh->stopping_at > sh->settings.grace_ms - STOP_MARGIN_MS ||
+	    (now - sh->stopping_at > STOP_LEAST_MS && !http_server_active(sh->http))) {
+		log_info("stopped");
+		ev_break(loop, EVBREAK_ALL);
+	}
+}
+
+/* Calls that arrive. */
+
+static void handle_here(struct shell *sh, const struct wire_call *from, struct rpc_request *rpc,
+			struct http_request *http)
+{
+	struct call call = {0};
+
+	sh->wire->decode_call(sh->wire->ctx, from, &call);
+	manager_call(sh->manager, clock_monotonic(), clock_wall(), add_caller(sh, rpc, http),
+		     &call);
+	call_clear(&call);
+}
+
+static void on_relayed(void *ctx, enum relay_outcome outcome, const sw_relay_reply *reply)
+{
+	struct caller c = {.http = ctx};
+
+	switch (outcome) {
+	case RELAY_ANSWERED:
+		answer(&c, reply->http_status, reply->retry_after_s, reply->body.sw_blob_val,
+		       reply->body.sw_blob_len);
+		break;
+	case RELAY_NOT_DONE:
+		answer(&c, HTTP_UNAVAILABLE, 1, NULL, 0);
+		break;
+	case RELAY_UNKNOWN:
+		answer(&c, HTTP_GATEWAY_TIMEOUT, 0, NULL, 0);
+		break;
+	}
+}
+
+static void on_http_request(void *ctx, struct http_request *req)
+{
+	struct shell *sh = ctx;
+	const GByteArray *body = http_body(req);
+	const char *host = http_header(req, "Host");
+	struct wire_call call = {
+		.method = http_method(req),
+		.host = host ? host : "",
+		.target = http_target(req),
+		.body = body->data,
+		.len = body->len,
+	};
+	sw_relay_args args = {
+		.method = (char *)call.method,
+		.host = (char *)call.host,
+		.target = (char *)call.target,
+		.body = {.sw_blob_len = body->len, .sw_blob_val = (char *)body->data},
+	};
+
+	if (g_str_equal(call.target, "/metrics")) {
+		g_autofree char *text = metrics_text();
+
+		http_reply(req, HTTP_OK, NULL, text, strlen(text));
+	} else if (leads(sh)) {
+		handle_here(sh, &call, NULL, req);
+	} else if (strlen(call.method) > 16 || strlen(call.host) > 256 ||
+		   strlen(call.target) > 8192) {
+		http_reply(req, HTTP_BAD_REQUEST, NULL, NULL, 0);
+	} else {
+		relay_note_leader(sh->relay, raft_leader(sh->raft) == sh->node
+						     ? 0
+						     : raft_leader(sh->raft));
+		relay_call(sh->relay, &args, RELAY_MS, on_relayed, req);
+	}
+}
+
+static const struct http_handlers http_handlers = {.on_request = on_http_request};
+
+static void on_rpc(void *ctx, struct rpc_request *req, uint32_t proc, const void *value)
+{
+	struct shell *sh = ctx;
+	const sw_relay_args *args = value;
+	struct wire_call call;
+
+	if (proc == SW_PROC_RAFT) {
+		rpc_request_reply(req, NULL);
+		raft_receive(sh->raft, clock_monotonic(), value);
+		return;
+	}
+	if (proc != SW_PROC_RELAY) {
+		rpc_request_refuse(req);
+		return;
+	}
+	if (!leads(sh)) {
+		answer_not_leader(sh, req);
+		return;
+	}
+	if (!*args->target) { /* somebody asks who leads */
+		struct caller c = {.rpc = req};
+
+		answer(&c, HTTP_OK, 0, NULL, 0);
+		return;
+	}
+	call = (struct wire_call){
+		.from_caller = args->from_caller,
+		.method = args->method,
+		.host = args->host,
+		.target = args->target,
+		.body = args->body.sw_blob_val,
+		.len = args->body.sw_blob_len,
+	};
+	handle_here(sh, &call, req, NULL);
+}
+
+/* Start and stop. */
+
+static void on_terminate(struct ev_loop *loop, ev_signal *w, int revents)
+{
+	struct shell *sh = w->data;
+	clock_ms_t now = clock_monotonic();
+
+	(void)loop;
+	(void)revents;
+	if (sh->stopping_at)
+		return;
+	log_info("stopping");
+	sh->stopping_at = now;
+	flush(sh);
+	raft_resign(sh->raft, now, CLOCK_NEVER);
+}
+
+static void on_hangup(struct ev_loop *loop, ev_signal *w, int revents)
+{
+	struct shell *sh = w->data;
+	uint32_t seeds[RAFT_SEEDS_MAX] = {0};
+	unsigned int n = 0;
+
+	(void)loop;
+	(void)revents;
+	if (!sh->reload || !sh->reload(seeds))
+		return;
+	while (n < RAFT_SEEDS_MAX && seeds[n])
+		n++;
+	log_info("settings read again", "SEEDS", log_number(n));
+	relay_set_seeds(sh->relay, seeds, n);
+}
+
+static uint64_t random_uid(void)
+{
+	uint64_t uid = 0;
+
+	while (!uid)
+		if (getrandom(&uid, sizeof(uid), 0) < 0)
+			exit(EXIT_FAILURE);
+	return uid;
+}
+
+static void open_log(struct shell *sh)
+{
+	const struct control_shell_settings *s = &sh->settings;
+	struct raft_settings raft = {
+		.node = sh->node,
+		.uid = random_uid(),
+		.election_ms = ELECTION_MS,
+		.heartbeat_ms = HEARTBEAT_MS,
+		.keep_records = KEEP_RECORDS,
+		.seed = random_uid(),
+		.dynamic = true,
+		.bootstrap = s->bootstrap,
+	};
+	struct raft_recovered recovered;
+	g_autoptr(GError) error = NULL;
+	struct storage *storage;
+	struct fs fs;
+
+	memcpy(raft.seeds, s->seeds, sizeof(raft.seeds));
+	if (!fs_open_folder(&fs, s->data)) {
+		log_error("cannot open the data folder", "PATH", s->data, "ERROR",
+			  g_strerror(errno));
+		exit(EXIT_DISK);
+	}
+	storage = storage_open(fs, &recovered, &error);
+	if (!storage) {
+		log_error("cannot use the data folder", "PATH", s->data, "ERROR", error->message);
+		exit(EXIT_DISK);
+	}
+	sh->storage = storage_thread_new(sh->loop, storage, on_stored, sh);
+	sh->raft = raft_new(&raft, &recovered, clock_monotonic());
+}
+
+static void listen_or_exit(struct shell *sh)
+{
+	const struct control_shell_settings *s = &sh->settings;
+	g_autofree char *rpc = g_strdup_printf("%s:%u", s->ip, s->rpc_port);
+	const struct http_limits limits = {
+		.head_bytes = 32768,
+		.body_bytes = s->body_max_bytes,
+		.connections = 1024,
+		.idle_s = 60,
+	};
+
+	sh->http = http_server_new(sh->loop, s->listen, &limits, &http_handlers, sh);
+	if (!sh->http || !rpc_server_new(sh->loop, rpc, on_rpc, sh)) {
+		log_error("cannot listen", "RPC", rpc, "HTTP", s->listen, "ERROR",
+			  g_strerror(errno));
+		exit(EXIT_LISTEN);
+	}
+}
+
+static void start_watchers(struct shell *sh)
+{
+	ev_prepare_init(&sh->before_wait, on_before_wait);
+	ev_timer_init(&sh->tick, on_tick, TICK_S, TICK_S);
+	ev_signal_init(&sh->terminate, on_terminate, SIGTERM);
+	ev_signal_init(&sh->hangup, on_hangup, SIGHUP);
+	sh->before_wait.data = sh;
+	sh->tick.data = sh;
+	sh->terminate.data = sh;
+	sh->hangup.data = sh;
+	ev_prepare_start(sh->loop, &sh->before_wait);
+	ev_timer_start(sh->loop, &sh->tick);
+	ev_signal_start(sh->loop, &sh->terminate);
+	ev_signal_start(sh->loop, &sh->hangup);
+}
+
+int control_shell_run(const struct control_shell_settings *settings, const struct wire *wire,
+		      bool (*reload)(uint32_t seeds[3]))
+{
+	struct shell sh = {
+		.settings = *settings,
+		.wire = wire,
+		.reload = reload,
+		.loop = ev_default_loop(0),
+		.node = ntohl(inet_addr(settings->ip)),
+		.unsent = g_ptr_array_new_with_free_func(raft_effect_free),
+		.state = jobs_new(),
+		.callers = g_hash_table_new_full(NULL, NULL, NULL, g_free),
+		.orders = metrics_get(METRIC_COUNTER, "sesamewood_orders_total", "",
+				      "orders sent to endpoints and services"),
+		.proposals = metrics_get(METRIC_COUNTER, "sesamewood_proposals_total", "",
+					 "commands proposed to the log"),
+		.order_ms = metrics_get(METRIC_HISTOGRAM, "sesamewood_order_ms", "",
+					"time to the answer of an order, ms"),
+	};
+	unsigned int n = 0;
+
+	signal(SIGPIPE, SIG_IGN);
+	g_queue_init(&sh.held);
+	sh.relay = relay_new(sh.loop, settings->rpc_port, sh.node);
+	while (n < RAFT_SEEDS_MAX && settings->seeds[n])
+		n++;
+	relay_set_seeds(sh.relay, settings->seeds, n);
+	sh.calls = http_calls_new(sh.loop, HOST_CONNECTIONS);
+	open_log(&sh);
+	listen_or_exit(&sh);
+	start_watchers(&sh);
+	log_info("started", "ADDRESS", settings->listen, "DATA", settings->data, "BOOTSTRAP",
+		 settings->bootstrap ? "true" : "false");
+	ev_run(sh.loop, 0);
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/src/sesamewood/manager/emit.c
@@ -0,0 +1,56 @@
+#include "manager/manager_internal.h"
+
+#include "base/codec.h"
+
+static struct effect *add_effect(struct manager *m, enum effect_type type)
+{
+	struct effect *e = g_new0(struct effect, 1);
+
+	e->type = type;
+	g_ptr_array_add(m->effects, e);
+	return e;
+}
+
+void emit_command(struct manager *m, const job_command *command)
+{
+	sw_command c = {.type = SW_COMMAND_JOB, .sw_command_u.job = *command};
+	GByteArray *bytes = codec_encode(CODEC_PROC(sw_command), &c);
+
+	if (!bytes)
+		return;
+	add_effect(m, EFFECT_PROPOSE)->u.command = g_byte_array_free_to_bytes(bytes);
+	jobs_apply(m->jobs, command);
+	m->dirty = true;
+}
+
+void emit_reply(struct manager *m, uint64_t token, struct reply reply)
+{
+	struct effect *e = add_effect(m, EFFECT_REPLY);
+
+	e->u.reply.token = token;
+	e->u.reply.reply = reply;
+}
+
+void emit_order(struct manager *m, clock_ms_t now, struct order *order, struct endpoint *e,
+		const char *machine, uint64_t wave)
+{
+	struct pending *p = g_new0(struct pending, 1);
+
+	order->id = ++m->next_order;
+	order->fence = m->term;
+	*p = (struct pending){
+		.id = order->id,
+		.type = order->type,
+		.endpoint = e ? g_strdup(e->id) : NULL,
+		.born_wall_ms = e ? e->born_wall_ms : 0,
+		.task = g_strdup(order->task),
+		.attempt = order->attempt,
+		.machine = g_strdup(machine),
+		.wave = wave,
+		.sent_at = now,
+		.ack_through = order->ack_through,
+		.percent = order->percent,
+	};
+	g_hash_table_insert(m->orders, &p->id, p);
+	add_effect(m, EFFECT_ORDER)->u.order = order;
+}
--- /dev/null
+++ b/src/sesamewood/manager/entry_shell.c
@@ -0,0 +1,232 @@
+#include "manager/entry_shell.h"
+
+#include "base/http_server.h"
+#include "base/http_status.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "manager/relay.h"
+
+#include <errno.h>
+#include <ev.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PING_S 0.4	       /* several a second that the balancer's check looks back on */
+#define PING_TIMEOUT_MS 600    /* a try that is lost leaves time for another */
+#define READY_WINDOW_MS 2500   /* two elections: short ones should not empty the rotation */
+#define RELAY_MS 1100	       /* callers wait 3 s; one more entry can be tried in time */
+#define STOP_LEAST_MS 3200     /* the balancer checks each second and needs two misses */
+#define STOP_MARGIN_MS 700     /* before the kill */
+#define RETRY_AFTER_S 1
+#define EXIT_LISTEN 4
+#define CONNECTIONS_MAX 2000
+
+struct shell {
+	struct entry_shell_settings settings;
+	bool (*reload)(uint32_t seeds[3]);
+	struct ev_loop *loop;
+	struct relay *relay;
+	struct http_server *front;
+	struct http_server *ready;
+	ev_timer ping;
+	ev_signal terminate;
+	ev_signal hangup;
+	bool pinging;
+	clock_ms_t stopping_at; ///< 0: not stopping
+	struct metric *answered;
+	struct metric *refused;
+	struct metric *unsure;
+};
+
+static bool is_ready(const struct shell *sh)
+{
+	return !sh->stopping_at && relay_answered_at(sh->relay) &&
+	       clock_monotonic() - relay_answered_at(sh->relay) < READY_WINDOW_MS;
+}
+
+static void on_relayed(void *ctx, enum relay_outcome outcome, const sw_relay_reply *reply)
+{
+	struct http_request *req = ctx;
+	struct shell *sh = http_data(req);
+	g_autofree char *after = g_strdup_printf(
+		"%u", outcome == RELAY_ANSWERED ? reply->retry_after_s : RETRY_AFTER_S);
+	const struct http_header with_after[] = {{"Retry-After", after}, {NULL, NULL}};
+	const struct http_header json[] = {{"Content-Type", "application/json"}, {NULL, NULL}};
+
+	switch (outcome) {
+	case RELAY_ANSWERED:
+		metrics_add(sh->answered, 1);
+		http_reply(req, reply->http_status,
+			   reply->retry_after_s	      ? with_after
+			   : reply->body.sw_blob_len ? json
+						     : NULL,
+			   reply->body.sw_blob_val, reply->body.sw_blob_len);
+		break;
+	case RELAY_NOT_DONE:
+		metrics_add(sh->refused, 1);
+		log_info("call refused: no leader", "PATH", http_target(req));
+		http_reply(req, HTTP_UNAVAILABLE, with_after, NULL, 0);
+		break;
+	case RELAY_UNKNOWN:
+		metrics_add(sh->unsure, 1);
+		log_info("call without answer from control", "PATH", http_target(req));
+		http_reply(req, HTTP_GATEWAY_TIMEOUT, NULL, NULL, 0);
+		break;
+	}
+}
+
+static void on_front_request(void *ctx, struct http_request *req)
+{
+	struct shell *sh = ctx;
+	const GByteArray *body = http_body(req);
+	const char *host = http_header(req, "Host");
+	sw_relay_args args = {
+		.from_caller = true,
+		.method = (char *)http_method(req),
+		.host = (char *)(host ? host : ""),
+		.target = (char *)http_target(req),
+		.body = {.sw_blob_len = body->len, .sw_blob_val = (char *)body->data},
+	};
+
+	if (strlen(args.method) > 16 || strlen(args.host) > 256 || strlen(args.target) > 8192) {
+		http_reply(req, HTTP_BAD_REQUEST, NULL, NULL, 0);
+		return;
+	}
+	http_set_data(req, sh);
+	relay_call(sh->relay, &args, RELAY_MS, on_relayed, req);
+}
+
+static void on_ready_request(void *ctx, struct http_request *req)
+{
+	struct shell *sh = ctx;
+
+	if (g_str_equal(http_target(req), "/metrics")) {
+		g_autofree char *text = metrics_text();
+
+		http_reply(req, HTTP_OK, NULL, text, strlen(text));
+	} else if (g_str_equal(http_target(req), sh->settings.ready_path)) {
+		http_reply(req, is_ready(sh) ? HTTP_OK : HTTP_UNAVAILABLE, NULL, NULL, 0);
+	} else {
+		http_reply(req, HTTP_NOT_FOUND, NULL, NULL, 0);
+	}
+}
+
+static const struct http_handlers front_handlers = {.on_request = on_front_request};
+static const struct http_handlers ready_handlers = {.on_request = on_ready_request};
+
+static void on_pinged(void *ctx, enum relay_outcome outcome, const sw_relay_reply *reply)
+{
+	(void)outcome;
+	(void)reply;
+	((struct shell *)ctx)->pinging = false;
+}
+
+static void check_stop(struct shell *sh, clock_ms_t now)
+{
+	if (now - sh->stopping_at > sh->settings.grace_ms - STOP_MARGIN_MS ||
+	    (now - sh->stopping_at > STOP_LEAST_MS && !http_server_active(sh->front))) {
+		log_info("stopped");
+		ev_break(sh->loop, EVBREAK_ALL);
+	}
+}
+
+/// Asks for the leader, so that readiness is known and calls find it at once.
+static void on_ping(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	struct shell *sh = w->data;
+	sw_relay_args args = {.method = (char *)"", .host = (char *)"", .target = (char *)""};
+
+	(void)loop;
+	(void)revents;
+	if (sh->stopping_at)
+		check_stop(sh, clock_monotonic());
+	if (sh->pinging)
+		return;
+	sh->pinging = true;
+	relay_call(sh->relay, &args, PING_TIMEOUT_MS, on_pinged, sh);
+}
+
+static void on_terminate(struct ev_loop *loop, ev_signal *w, int revents)
+{
+	struct shell *sh = w->data;
+
+	(void)loop;
+	(void)revents;
+	if (sh->stopping_at)
+		return;
+	log_info("stopping");
+	sh->stopping_at = clock_monotonic();
+	http_server_close_after_answers(sh->front);
+}
+
+static void on_hangup(struct ev_loop *loop, ev_signal *w, int revents)
+{
+	struct shell *sh = w->data;
+	uint32_t seeds[3] = {0};
+	unsigned int n = 0;
+
+	(void)loop;
+	(void)revents;
+	if (!sh->reload || !sh->reload(seeds))
+		return;
+	while (n < G_N_ELEMENTS(seeds) && seeds[n])
+		n++;
+	log_info("settings read again", "SEEDS", log_number(n));
+	relay_set_seeds(sh->relay, seeds, n);
+}
+
+static void listen_or_exit(struct shell *sh)
+{
+	const struct entry_shell_settings *s = &sh->settings;
+	struct http_limits limits = {
+		.head_bytes = s->head_max_bytes,
+		.body_bytes = s->body_max_bytes,
+		.connections = CONNECTIONS_MAX,
+		.idle_s = 60,
+	};
+
+	sh->front = http_server_new(sh->loop, s->front, &limits, &front_handlers, sh);
+	sh->ready = http_server_new(sh->loop, s->ready, &limits, &ready_handlers, sh);
+	if (!sh->front || !sh->ready) {
+		log_error("cannot listen", "FRONT", s->front, "READY", s->ready, "ERROR",
+			  g_strerror(errno));
+		exit(EXIT_LISTEN);
+	}
+}
+
+int entry_shell_run(const struct entry_shell_settings *settings, bool (*reload)(uint32_t seeds[3]))
+{
+	struct shell sh = {
+		.settings = *settings,
+		.reload = reload,
+		.loop = ev_default_loop(0),
+		.answered = metrics_get(METRIC_COUNTER, "sesamewood_entry_answered_total", "",
+					"calls answered by control"),
+		.refused = metrics_get(METRIC_COUNTER, "sesamewood_entry_refused_total", "",
+				       "calls refused for want of a leader"),
+		.unsure = metrics_get(METRIC_COUNTER, "sesamewood_entry_unsure_total", "",
+				      "calls that may have had an effect"),
+	};
+	unsigned int n = 0;
+
+	signal(SIGPIPE, SIG_IGN);
+	sh.relay = relay_new(sh.loop, settings->rpc_port, 0);
+	while (n < G_N_ELEMENTS(settings->seeds) && settings->seeds[n])
+		n++;
+	relay_set_seeds(sh.relay, settings->seeds, n);
+	listen_or_exit(&sh);
+	ev_timer_init(&sh.ping, on_ping, 0., PING_S);
+	ev_signal_init(&sh.terminate, on_terminate, SIGTERM);
+	ev_signal_init(&sh.hangup, on_hangup, SIGHUP);
+	sh.ping.data = &sh;
+	sh.terminate.data = &sh;
+	sh.hangup.data = &sh;
+	ev_timer_start(sh.loop, &sh.ping);
+	ev_signal_start(sh.loop, &sh.terminate);
+	ev_signal_start(sh.loop, &sh.hangup);
+	log_info("started", "FRONT", settings->front, "READY", settings->ready);
+	ev_run(sh.loop, 0);
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/src/sesamewood/manager/manager.c
@@ -0,0 +1,160 @@
+#include "manager/manager.h"
+
+#include "base/log.h"
+#include "manager/calls.h"
+#include "runs/runs.h"
+#include "sched/schedule.h"
+#include "sched/waves.h"
+
+#define ROUND_MAX_MS 200  /* a round is due at least so often: estimates and health change */
+#define FORGET_PERIOD_MS 5000
+#define FORGET_BATCH_MAX 500
+
+static void pending_free(void *p)
+{
+	struct pending *pending = p;
+
+	g_free(pending->endpoint);
+	g_free(pending->task);
+	g_free(pending->machine);
+	g_free(pending);
+}
+
+static struct jobs *copy_state(const struct jobs *state)
+{
+	g_autoptr(GByteArray) bytes = jobs_snapshot(state);
+	struct jobs *copy = jobs_new();
+
+	jobs_restore(copy, bytes->data, bytes->len);
+	return copy;
+}
+
+struct manager *manager_new(const struct manager_settings *settings, const struct jobs *state,
+			    uint64_t term, clock_ms_t now, clock_ms_t wall)
+{
+	struct manager *m = g_new0(struct manager, 1);
+
+	(void)wall;
+	m->settings = *settings;
+	m->jobs = copy_state(state);
+	m->term = term;
+	m->since = now;
+	m->effects = g_ptr_array_new_with_free_func(effect_free);
+	m->endpoints = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, endpoint_free);
+	m->runs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, run_free);
+	m->orders = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, pending_free);
+	m->advice = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, schedule_advice_free);
+	m->ratios = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	m->upkeeps = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	m->active = g_ptr_array_new();
+	runs_inherit(m, now);
+	log_info("leadership taken", "TERM", log_number(term), "JOBS",
+		 log_number(g_hash_table_size(m->jobs->by_id)), "RUNS",
+		 log_number(g_hash_table_size(m->runs)));
+	return m;
+}
+
+void manager_free(struct manager *m)
+{
+	g_ptr_array_unref(m->effects);
+	g_hash_table_unref(m->runs);
+	g_hash_table_unref(m->endpoints);
+	g_hash_table_unref(m->orders);
+	g_hash_table_unref(m->advice);
+	g_hash_table_unref(m->ratios);
+	g_hash_table_unref(m->upkeeps);
+	g_ptr_array_unref(m->active);
+	jobs_free(m->jobs);
+	g_free(m);
+}
+
+void manager_call(struct manager *m, clock_ms_t now, clock_ms_t wall, uint64_t token,
+		  struct call *call)
+{
+	calls_handle(m, now, wall, token, call);
+}
+
+void manager_result(struct manager *m, clock_ms_t now, clock_ms_t wall,
+		    const struct order_result *result)
+{
+	struct pending *p = g_hash_table_lookup(m->orders, &result->id);
+
+	(void)wall;
+	if (!p)
+		return;
+	switch (p->type) {
+	case ORDER_START:
+	case ORDER_STOP:
+	case ORDER_LOOK:
+	case ORDER_PACE:
+		runs_result(m, now, p, result);
+		break;
+	case ORDER_ADVISE:
+		schedule_advised(m, now, p, result);
+		break;
+	case ORDER_MACHINE_UPKEEP:
+		waves_result(m, now, p, result);
+		break;
+	case ORDER_MACHINE_LIST:
+	case ORDER_MACHINE_MOVE:
+		break;
+	}
+	g_hash_table_remove(m->orders, &result->id);
+}
+
+/// Forgets jobs that ended long enough ago.
+static void forget(struct manager *m, clock_ms_t now, clock_ms_t wall)
+{
+	g_autofree char **ids = g_new0(char *, FORGET_BATCH_MAX);
+	job_command c = {.type = JOB_COMMAND_FORGET};
+	GHashTableIter iter;
+	gpointer value;
+	u_int n = 0;
+
+	if (now < m->forget_at)
+		return;
+	m->forget_at = now + FORGET_PERIOD_MS;
+	g_hash_table_iter_init(&iter, m->jobs->by_id);
+	while (n < FORGET_BATCH_MAX && g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct job *job = value;
+
+		if (!job_is_over(job) || job->assigned)
+			continue;
+		if (!job->image.ended_wall_ms)
+			job->image.ended_wall_ms = wall;
+		if (wall - job->image.ended_wall_ms > (clock_ms_t)m->settings.keep_s * 1000 &&
+		    !g_ptr_array_find(m->active, job, NULL))
+			ids[n++] = job->image.spec.id;
+	}
+	if (!n)
+		return;
+	c.job_command_u.forget.ids.ids_len = n;
+	c.job_command_u.forget.ids.ids_val = (sw_name *)ids;
+	emit_command(m, &c);
+}
+
+void manager_tick(struct manager *m, clock_ms_t now, clock_ms_t wall)
+{
+	runs_tick(m, now);
+	waves_tick(m, now, wall);
+	forget(m, now, wall);
+	if (!m->dirty && now < m->round_at)
+		return;
+	m->dirty = false;
+	m->round_at = now + ROUND_MAX_MS;
+	schedule_round(m, now, wall);
+	m->dirty = false;
+}
+
+GPtrArray *manager_take_effects(struct manager *m)
+{
+	GPtrArray *out = m->effects;
+
+	m->effects = g_ptr_array_new_with_free_func(effect_free);
+	return out;
+}
+
+bool manager_is_fenced_off(const struct manager *m)
+{
+	return m->fenced_off;
+}
--- /dev/null
+++ b/src/sesamewood/manager/manager.h
@@ -0,0 +1,60 @@
+#ifndef SESAMEWOOD_MANAGER_MANAGER_H
+#define SESAMEWOOD_MANAGER_MANAGER_H
+
+/// @file
+/// The job manager of the leading control replica, as a reducer: calls, results of orders and
+/// ticks go in, effects come out. No I/O. Design: docs/design/platform.md.
+///
+/// A manager lives for one term of leadership. It works on its own copy of the job state, which
+/// takes a command as soon as it is proposed; the shell holds back replies and orders until all
+/// commands proposed before them are committed.
+
+#include "manager/manager_defs.h"
+
+/// Bounds and periods. Those that a platform states come with its settings.
+struct manager_settings {
+	char *holder;		  ///< names this replica in machine orders
+	char *control_address;	  ///< where endpoints reach this replica
+	uint32_t announce_ms;	  ///< period of announcements
+	uint32_t lease_max_ms;	  ///< endpoints shorten longer leases
+	uint32_t stop_ms;	  ///< a stop takes at most this
+	uint32_t keep_s;	  ///< an ended job stays known for so long
+	uint32_t early_ms;	  ///< an occurrence may start so much before its time
+	uint32_t far_factor;	  ///< a task away from its data takes so many times as long
+	uint32_t holder_lease_ms; ///< two holders of machine orders keep this far apart
+	uint32_t notice_ms;	  ///< a lasting task back at work for less still counts as away
+	uint32_t move_ms;	  ///< a machine's move takes so long
+	uint32_t upkeep_ms;	  ///< a machine's upkeep takes so long
+	uint32_t machine_orders_s; ///< machine orders allowed a second
+};
+
+struct manager;
+
+/// Takes leadership.
+///
+/// @param state  the committed state; copied
+/// @param term   fence of this leadership
+struct manager *manager_new(const struct manager_settings *settings, const struct jobs *state,
+			    uint64_t term, clock_ms_t now, clock_ms_t wall);
+void manager_free(struct manager *m);
+
+/// Handles a call; the reply effect carries @p token.
+void manager_call(struct manager *m, clock_ms_t now, clock_ms_t wall, uint64_t token,
+		  struct call *call);
+
+/// Handles the result of an order.
+void manager_result(struct manager *m, clock_ms_t now, clock_ms_t wall,
+		    const struct order_result *result);
+
+/// Advances timers and places waiting work. Call at least each MANAGER_TICK_MS, and after events.
+void manager_tick(struct manager *m, clock_ms_t now, clock_ms_t wall);
+
+#define MANAGER_TICK_MS 20 ///< a fifth of the shortest bound that hangs on it (pace, 100 ms)
+
+/// Takes the effects gathered since the last call, in order: array of struct effect.
+GPtrArray *manager_take_effects(struct manager *m);
+
+/// Tells whether the manager has seen a higher fence than its own and must give way.
+bool manager_is_fenced_off(const struct manager *m);
+
+#endif
--- /dev/null
+++ b/src/sesamewood/manager/manager_defs.c
@@ -0,0 +1,148 @@
+#include "manager/manager_defs.h"
+
+#include "base/codec.h"
+
+#include <string.h>
+
+void announcement_clear(struct announcement *a)
+{
+	g_free(a->id);
+	g_free(a->address);
+	g_free(a->pool);
+	g_free(a->zone);
+	g_free(a->machine);
+	if (a->labels)
+		g_ptr_array_unref(a->labels);
+	memset(a, 0, sizeof(*a));
+}
+
+void call_clear(struct call *c)
+{
+	g_free(c->host);
+	g_free(c->path);
+	g_free(c->fault);
+	codec_free(CODEC_PROC(job_spec), &c->spec);
+	codec_free(CODEC_PROC(job_config), &c->config);
+	codec_free(CODEC_PROC(job_wave), &c->wave);
+	announcement_clear(&c->report);
+	memset(c, 0, sizeof(*c));
+}
+
+void order_free(struct order *o)
+{
+	if (!o)
+		return;
+	g_free(o->address);
+	g_free(o->instance);
+	g_free(o->task);
+	g_free(o->payload);
+	g_free(o->checkpoint);
+	g_free(o->ticket);
+	g_free(o->machine);
+	g_free(o->pool);
+	g_free(o->holder);
+	g_free(o->page);
+	if (o->instances)
+		g_ptr_array_unref(o->instances);
+	g_free(o);
+}
+
+static void run_row_clear(void *p)
+{
+	g_free(((struct run_row *)p)->task);
+	g_free(((struct run_row *)p)->checkpoint);
+}
+
+static void end_row_clear(void *p)
+{
+	g_free(((struct end_row *)p)->task);
+	g_free(((struct end_row *)p)->checkpoint);
+}
+
+static void machine_row_clear(void *p)
+{
+	g_free(((struct machine_row *)p)->machine);
+	g_free(((struct machine_row *)p)->pool);
+	g_free(((struct machine_row *)p)->endpoint);
+}
+
+static void advice_row_clear(void *p)
+{
+	g_free(((struct advice_row *)p)->instance);
+	g_free(((struct advice_row *)p)->ticket);
+}
+
+static GArray *rows_new(guint size, GDestroyNotify clear)
+{
+	GArray *rows = g_array_new(FALSE, TRUE, size);
+
+	g_array_set_clear_func(rows, clear);
+	return rows;
+}
+
+struct order_result *order_result_new(uint64_t id, enum order_status status)
+{
+	struct order_result *r = g_new0(struct order_result, 1);
+
+	*r = (struct order_result){
+		.id = id,
+		.status = status,
+		.clock_ms = -1,
+		.runs = rows_new(sizeof(struct run_row), run_row_clear),
+		.ends = rows_new(sizeof(struct end_row), end_row_clear),
+		.machines = rows_new(sizeof(struct machine_row), machine_row_clear),
+		.advice = rows_new(sizeof(struct advice_row), advice_row_clear),
+	};
+	return r;
+}
+
+void order_result_free(struct order_result *r)
+{
+	g_array_unref(r->runs);
+	g_array_unref(r->ends);
+	g_array_unref(r->machines);
+	g_array_unref(r->advice);
+	g_free(r->next_page);
+	g_free(r);
+}
+
+void effect_free(void *p)
+{
+	struct effect *e = p;
+
+	switch (e->type) {
+	case EFFECT_PROPOSE:
+		g_bytes_unref(e->u.command);
+		break;
+	case EFFECT_REPLY:
+		if (e->u.reply.reply.content == REPLY_DOCUMENT)
+			g_bytes_unref(e->u.reply.reply.u.document);
+		break;
+	case EFFECT_ORDER:
+		order_free(e->u.order);
+		break;
+	}
+	g_free(e);
+}
+
+bool order_had_no_effect(enum order_status status)
+{
+	switch (status) {
+	case ORDER_NOT_SENT:
+	case ORDER_FENCED:
+	case ORDER_SUPERSEDED:
+	case ORDER_TOO_LATE:
+	case ORDER_NO_ROOM:
+	case ORDER_NO_TICKET:
+	case ORDER_OTHER_INSTANCE:
+	case ORDER_TRY_LATER:
+	case ORDER_WRONG:
+	case ORDER_MACHINE_BUSY:
+	case ORDER_MACHINE_ALIEN:
+		return true;
+	case ORDER_OK:
+	case ORDER_NO_ANSWER:
+		return false;
+	}
+	return false;
+}
--- /dev/null
+++ b/src/sesamewood/manager/manager_internal.h
@@ -0,0 +1,56 @@
+#ifndef SESAMEWOOD_MANAGER_MANAGER_INTERNAL_H
+#define SESAMEWOOD_MANAGER_MANAGER_INTERNAL_H
+
+/// @file
+/// State of the job manager, and the functions that its parts call in each other. Calls go one
+/// way: manager.c and calls.c use runs/, sched/ and emit.c; runs/ and sched/ use emit.c.
+
+#include "manager/manager.h"
+#include "runs/endpoint.h"
+
+struct manager {
+	struct manager_settings settings;
+	struct jobs *jobs; ///< committed and proposed commands applied
+	uint64_t term;
+	clock_ms_t since;
+	GPtrArray *effects;
+	uint64_t next_order;
+	GHashTable *endpoints; ///< struct endpoint by id
+	GHashTable *runs;      ///< struct run by task name; owned
+	GHashTable *orders;    ///< struct pending by order id; owned
+	GHashTable *advice;    ///< struct advice by step name; owned
+	GHashTable *ratios;    ///< struct ratio by queue, step and image; owned
+	GPtrArray *active;     ///< of struct job, not over or with attempts out
+	clock_ms_t round_at; ///< a placement round is due then at the latest
+	bool dirty;	        ///< something changed that may let work be placed
+	bool fenced_off;
+	clock_ms_t forget_at;
+	clock_ms_t waves_at;   ///< next look at the waves
+	GHashTable *upkeeps;   ///< struct upkeep by machine; owned
+};
+
+/// What an order in flight was for.
+struct pending {
+	uint64_t id;
+	enum order_type type;
+	char *endpoint;	       ///< id, or NULL
+	int64_t born_wall_ms;  ///< life that it was sent to
+	char *task;	       ///< task name, or step name of an advice call
+	uint32_t attempt;
+	char *machine;
+	uint64_t wave;
+	clock_ms_t sent_at;
+	uint64_t ack_through;
+	uint32_t percent;
+};
+
+/* emit.c */
+
+/// Applies a command to the manager's state and proposes it.
+void emit_command(struct manager *m, const job_command *command);
+void emit_reply(struct manager *m, uint64_t token, struct reply reply);
+/// Sends an order and keeps note of it.
+void emit_order(struct manager *m, clock_ms_t now, struct order *order, struct endpoint *e,
+		const char *machine, uint64_t wave);
+
+#endif
--- a/src/sesamewood/rpc/rpc_procs.c
+++ b/src/sesamewood/rpc/rpc_procs.c
@@ -18,6 +18,7 @@
 	PROC(SW_PROC_BORROW, "borrow", sw_borrow_args, sw_borrow_reply),
 	PROC_ONE_WAY(SW_PROC_RETURN, "return", sw_return_args),
 	PROC(SW_PROC_ANSWER, "answer", sw_answer_args, sw_answer_reply),
+	PROC(SW_PROC_RELAY, "relay", sw_relay_args, sw_relay_reply),
 };
 
 const struct rpc_proc *rpc_proc_find(uint32_t number)
--- a/src/sesamewood/rpc/sesamewood.x
+++ b/src/sesamewood/rpc/sesamewood.x
@@ -152,7 +152,219 @@
 	SW_COMMAND_SESSION = 7,
 	SW_COMMAND_CLAIM = 8,
 	SW_COMMAND_CLAIM_END = 9,
-	SW_COMMAND_CLEAN = 10
+	SW_COMMAND_CLEAN = 10,
+	SW_COMMAND_JOB = 11
+};
+
+/* Jobs. */
+
+const JOB_TEXT_MAX = 8192;
+const JOB_TASKS_MAX = 65536;
+
+struct job_step {
+	unsigned int count;
+	unsigned int cpu_milli;            /* thousandths of a core, each task */
+	unsigned int mem_mb;
+	unsigned int gpu;
+	unsigned int estimate_ms;
+	unsigned int after<256>;           /* earlier steps that must be done first */
+	bool checkpointable;
+	bool gang;                         /* all tasks of one run work together */
+	bool rack_sensitive;               /* slower when the run spans racks */
+	bool speculative;
+	bool persistent;                   /* runs until the job is cancelled */
+	bool fills;                        /* uses processor time that others leave */
+	string label<256>;                 /* label that the endpoint must have, or "" */
+	string data_rack<256>;             /* rack that holds the data, or "" */
+	unsigned int max_per_endpoint;     /* 0: no limit */
+	unsigned int max_unavailable;
+	string image<256>;
+	unsigned int target_ms;            /* bound of the tail of response times, 0: none */
+};
+
+/* A job as it was submitted, with what its queue's settings said at that time. */
+struct job_spec {
+	sw_name id;
+	string queue<1024>;                /* key of the queue */
+	sw_name pool;
+	string payload<JOB_TEXT_MAX>;
+	job_step steps<256>;
+	unsigned int occurrences;          /* 0: runs once, now */
+	hyper first_wall_ms;
+	hyper interval_ms;
+	unsigned int max_attempts;
+	hyper accepted_wall_ms;
+};
+
+enum job_phase {
+	JOB_PENDING = 0,
+	JOB_RUNNING = 1,
+	JOB_COMPLETED = 2,
+	JOB_FAILED = 3,
+	JOB_CANCELLED = 4
+};
+
+enum job_task_phase {
+	JOB_TASK_WAITING = 0,
+	JOB_TASK_ASSIGNED = 1,             /* an attempt may run at its endpoint */
+	JOB_TASK_DONE = 2,
+	JOB_TASK_FAILED = 3
+};
+
+struct job_task {
+	job_task_phase phase;
+	unsigned int attempt;
+	unsigned int failures;
+	unsigned int endpoint;             /* number of the endpoint life, 0: none */
+	string checkpoint<256>;
+};
+
+struct job_step_state {
+	job_task tasks<JOB_TASKS_MAX>;
+};
+
+struct job_occurrence {
+	job_step_state steps<256>;
+};
+
+struct job_image {
+	job_spec spec;
+	job_phase phase;
+	hyper ended_wall_ms;
+	job_occurrence occurrences<JOB_TASKS_MAX>;
+};
+
+struct job_queue {
+	string key<1024>;                  /* host, a space, path prefix */
+	sw_name pool;
+	unsigned int timeout_ms;
+	unsigned int objective_ms;
+	unsigned int priority;             /* 0 comes first */
+	unsigned int max_attempts;
+	unsigned int stretch_milli;
+	bool advised;                      /* the adviser names the endpoints that may run its steps */
+	unsigned int advice_base_ms;
+	unsigned int advice_each_ms;
+	unsigned int advice_valid_ms;
+};
+
+struct job_pool {
+	sw_name name;
+	bool guards;                       /* its endpoints refuse what does not fit */
+	bool standby;
+};
+
+struct job_config {
+	unsigned hyper config_version;
+	job_queue queues<SW_LIST_MAX>;
+	job_pool pools<SW_LIST_MAX>;
+	sw_blob document;                  /* as the operator sent it */
+};
+
+/* One life of an endpoint. */
+struct job_endpoint {
+	unsigned int number;
+	string id<256>;
+	hyper born_wall_ms;
+	sw_address address;
+	sw_name pool;
+	string machine<256>;
+};
+
+struct job_task_ref {
+	sw_name job;
+	unsigned int occurrence;
+	unsigned int step;
+	unsigned int index;
+};
+
+struct job_start {
+	unsigned int endpoint;
+	unsigned int attempt;
+	job_task_ref task;
+};
+
+enum job_end_cause {
+	JOB_END_DONE = 0,
+	JOB_END_FAILED = 1,                /* counts as an attempt */
+	JOB_END_RELEASED = 2               /* did not run, or was ended from outside */
+};
+
+struct job_end {
+	unsigned int attempt;
+	job_task_ref task;
+	job_end_cause cause;
+	string checkpoint<256>;
+};
+
+struct job_cancel {
+	sw_name id;
+	hyper at_wall_ms;
+};
+
+struct job_wave_machine {
+	string machine<256>;
+	bool ordered;                      /* its upkeep may have begun */
+	bool settled;                      /* its upkeep has begun, or it is gone */
+};
+
+struct job_wave {
+	unsigned hyper number;
+	unsigned int cap;
+	hyper due_wall_ms;
+	job_wave_machine machines<SW_LIST_MAX>;
+};
+
+struct job_wave_settle {
+	unsigned hyper number;
+	string machine<256>;
+	bool settled;                      /* false: only ordered */
+};
+
+struct job_forget {
+	sw_name ids<SW_LIST_MAX>;
+};
+
+enum job_command_type {
+	JOB_COMMAND_CONFIG = 0,
+	JOB_COMMAND_ACCEPT = 1,
+	JOB_COMMAND_CANCEL = 2,
+	JOB_COMMAND_ENDPOINT = 3,
+	JOB_COMMAND_START = 4,
+	JOB_COMMAND_END = 5,
+	JOB_COMMAND_WAVE = 6,
+	JOB_COMMAND_WAVE_SETTLE = 7,
+	JOB_COMMAND_FORGET = 8
+};
+
+union job_command switch (job_command_type type) {
+case JOB_COMMAND_CONFIG:
+	job_config config;
+case JOB_COMMAND_ACCEPT:
+	job_spec accept;
+case JOB_COMMAND_CANCEL:
+	job_cancel cancel;
+case JOB_COMMAND_ENDPOINT:
+	job_endpoint endpoint;
+case JOB_COMMAND_START:
+	job_start start;
+case JOB_COMMAND_END:
+	job_end end;
+case JOB_COMMAND_WAVE:
+	job_wave wave;
+case JOB_COMMAND_WAVE_SETTLE:
+	job_wave_settle settle;
+case JOB_COMMAND_FORGET:
+	job_forget forget;
+};
+
+/* State of the job state machine, as stored in a snapshot. */
+struct job_snapshot {
+	job_config config;
+	unsigned int next_endpoint;
+	job_endpoint endpoints<SW_LIST_MAX>;
+	job_image jobs<1048576>;
+	job_wave waves<SW_LIST_MAX>;
 };
 
 union sw_command switch (sw_command_type type) {
@@ -178,6 +390,8 @@
 	sw_claim claim_end;
 case SW_COMMAND_CLEAN:
 	sw_clean clean;
+case SW_COMMAND_JOB:
+	job_command job;
 };
 
 /* State of the fleet state machine, as stored in a snapshot. */
@@ -206,7 +420,8 @@
 	RAFT_SNAPSHOT = 6,
 	RAFT_JOIN = 7,
 	RAFT_PROBE = 8,
-	RAFT_PROBE_REPLY = 9
+	RAFT_PROBE_REPLY = 9,
+	RAFT_CAMPAIGN = 10           /* the leader asks its receiver to succeed it at once */
 };
 
 struct raft_record {
@@ -228,6 +443,7 @@
 	bool reject;
 	hyper echo_ms;              /* sender's monotonic clock, returned by the reply */
 	sw_members members;         /* snapshot and probe replies */
+	bool fresh;                 /* probe replies: the sender may form a cluster */
 	raft_record records<SW_LIST_MAX>;
 	sw_blob snapshot;
 };
@@ -397,6 +613,24 @@
 	sw_blob body;
 };
 
+/* A call that arrived by HTTP, passed on to the leader of control. */
+struct sw_relay_args {
+	bool from_caller;             /* at a caller's listener, not at control's */
+	string method<16>;
+	string host<256>;
+	string target<8192>;
+	sw_blob body;
+};
+
+struct sw_relay_reply {
+	sw_status status;             /* SW_NOT_LEADER: nothing was done */
+	unsigned int leader;          /* node, 0 when unknown */
+	unsigned int members<16>;     /* nodes of control */
+	unsigned int http_status;
+	unsigned int retry_after_s;   /* 0: none */
+	sw_blob body;                 /* JSON, or empty */
+};
+
 program SESAMEWOOD_PROGRAM {
 	version SESAMEWOOD_V1 {
 		void SW_PROC_NULL(void) = 0;
@@ -408,5 +642,6 @@
 		sw_borrow_reply SW_PROC_BORROW(sw_borrow_args) = 6;
 		void SW_PROC_RETURN(sw_return_args) = 7;
 		sw_answer_reply SW_PROC_ANSWER(sw_answer_args) = 8;
+		sw_relay_reply SW_PROC_RELAY(sw_relay_args) = 9;
 	} = 1;
 } = 0x20005e5a;
--- /dev/null
+++ b/src/sesamewood/runs/endpoint.c
@@ -0,0 +1,136 @@
+#include "runs/endpoint.h"
+
+#include <string.h>
+
+/// An endpoint's clock may run this much slower than ours, in percent: 2 by contract, and 1 for
+/// our own clock.
+#define CLOCK_SLOW_PERCENT 3
+/// Allowance for rounding of clock readings to whole milliseconds.
+#define CLOCK_ROUNDING_MS 50
+
+struct endpoint *endpoint_new(const char *id)
+{
+	struct endpoint *e = g_new0(struct endpoint, 1);
+
+	e->id = g_strdup(id);
+	e->address = g_strdup("");
+	e->pool = g_strdup("");
+	e->zone = g_strdup("");
+	e->machine = g_strdup("");
+	e->labels = g_ptr_array_new_with_free_func(g_free);
+	e->clock_ms = -1;
+	e->runs = g_ptr_array_new();
+	return e;
+}
+
+void endpoint_free(void *p)
+{
+	struct endpoint *e = p;
+
+	g_free(e->id);
+	g_free(e->address);
+	g_free(e->pool);
+	g_free(e->zone);
+	g_free(e->machine);
+	g_ptr_array_unref(e->labels);
+	g_ptr_array_unref(e->runs);
+	g_free(e);
+}
+
+void run_free(void *p)
+{
+	struct run *r = p;
+
+	g_free(r->name);
+	g_free(r->ref.job);
+	g_free(r->checkpoint);
+	g_free(r);
+}
+
+static void replace(char **field, const char *value)
+{
+	if (g_strcmp0(*field, value) == 0)
+		return;
+	g_free(*field);
+	*field = g_strdup(value);
+}
+
+void endpoint_update(struct endpoint *e, const struct announcement *a, clock_ms_t now)
+{
+	replace(&e->address, a->address);
+	replace(&e->pool, a->pool);
+	replace(&e->zone, a->zone);
+	if (*a->machine)
+		replace(&e->machine, a->machine);
+	if (a->labels->len != e->labels->len || !e->announced) {
+		g_ptr_array_set_size(e->labels, 0);
+		for (guint i = 0; i < a->labels->len; i++)
+			g_ptr_array_add(e->labels, g_strdup(a->labels->pdata[i]));
+	}
+	e->cpu_milli = a->cpu_milli;
+	e->mem_mb = a->mem_mb;
+	e->gpu = a->gpu;
+	e->announced = true;
+	e->draining |= a->draining;
+	e->sequence = a->sequence;
+	e->heard_at = now;
+	e->cold_until = now + a->cold_ms;
+	if (a->clock_ms >= 0)
+		endpoint_note_clock(e, a->clock_ms, now);
+}
+
+void endpoint_note_clock(struct endpoint *e, int64_t clock_ms, clock_ms_t now)
+{
+	if (e->clock_ms >= 0 && endpoint_clock(e, now) >= clock_ms + CLOCK_ROUNDING_MS &&
+	    now - e->clock_at < 10000)
+		return; /* an answer that was long on its way tells less */
+	e->clock_ms = clock_ms;
+	e->clock_at = now;
+}
+
+int64_t endpoint_clock(const struct endpoint *e, clock_ms_t now)
+{
+	return e->clock_ms < 0 ? -1 : e->clock_ms + (now - e->clock_at);
+}
+
+bool endpoint_lease_over(const struct endpoint *e, clock_ms_t now)
+{
+	int64_t least;
+
+	if (e->clock_ms < 0)
+		return false;
+	least = e->clock_ms + (now - e->clock_at) * (100 - CLOCK_SLOW_PERCENT) / 100;
+	return least > e->until_ms + CLOCK_ROUNDING_MS;
+}
+
+struct room endpoint_free_room(const struct endpoint *e)
+{
+	struct room room = {e->cpu_milli, e->mem_mb, e->gpu};
+
+	for (guint i = 0; i < e->runs->len; i++) {
+		const struct run *r = e->runs->pdata[i];
+
+		if (!r->fills)
+			room.cpu_milli -= r->cpu_milli;
+		room.mem_mb -= r->mem_mb;
+		room.gpu -= r->gpu;
+	}
+	return room;
+}
+
+bool endpoint_has_label(const struct endpoint *e, const char *label)
+{
+	for (guint i = 0; i < e->labels->len; i++)
+		if (g_str_equal(e->labels->pdata[i], label))
+			return true;
+	return false;
+}
+
+bool endpoint_same_rack(const struct endpoint *a, const struct endpoint *b)
+{
+	/* Labels are the kind, then the rack. */
+	if (a->labels->len < 2 || b->labels->len < 2)
+		return true;
+	return g_str_equal(a->labels->pdata[a->labels->len - 1],
+			   b->labels->pdata[b->labels->len - 1]);
+}
--- /dev/null
+++ b/src/sesamewood/sched/health.h
@@ -0,0 +1,26 @@
+#ifndef SESAMEWOOD_SCHED_HEALTH_H
+#define SESAMEWOOD_SCHED_HEALTH_H
+
+/// @file
+/// Which endpoints get new work, by their own record. Answers the load of an endpoint that fails
+/// or refuses everything at once and would otherwise draw all waiting tasks to itself.
+
+#include "runs/endpoint.h"
+
+void health_note_done(struct endpoint *e);
+/// @param lasting the task fails now and then by contract
+void health_note_failure(struct endpoint *e, clock_ms_t now, bool lasting);
+/// A start was refused for now.
+void health_note_refusal(struct endpoint *e, clock_ms_t now);
+/// A start had no answer.
+void health_note_silence(struct endpoint *e, clock_ms_t now);
+
+/// Tells whether an endpoint may get new work at all.
+///
+/// @param silent_ms silence after which it may not
+bool health_is_eligible(const struct endpoint *e, clock_ms_t now, clock_ms_t silent_ms);
+
+/// Tells whether an eligible endpoint is set aside for a while by its record.
+bool health_is_set_aside(const struct endpoint *e, clock_ms_t now);
+
+#endif
--- /dev/null
+++ b/src/sesamewood/sched/pace.c
@@ -0,0 +1,44 @@
+#include "sched/pace.h"
+
+#define STRAIN_CUT 92	  /* percent of the target; figures are rough by a few percent */
+#define STRAIN_STOP 130	  /* percent: far over, no time for steps */
+#define STRAIN_RECOVER 75 /* percent: room for one step up */
+#define PACE_STEP_UP 8
+#define PACE_LEAST 10
+
+uint32_t pace_next(uint32_t pace, uint32_t strain_percent)
+{
+	if (strain_percent >= STRAIN_STOP)
+		return 0;
+	if (strain_percent >= STRAIN_CUT)
+		return pace / 2 < PACE_LEAST ? 0 : pace / 2;
+	if (strain_percent <= STRAIN_RECOVER)
+		return MIN(PACE_FULL, pace + PACE_STEP_UP);
+	return pace;
+}
+
+static uint32_t strain_of(const struct endpoint *e)
+{
+	uint32_t worst = 0;
+
+	for (guint i = 0; i < e->runs->len; i++) {
+		const struct run *r = e->runs->pdata[i];
+
+		if (r->target_ms && r->usage > 0)
+			worst = MAX(worst, (uint32_t)(r->usage * 100 / r->target_ms));
+	}
+	return worst;
+}
+
+void pace_endpoint(struct endpoint *e, clock_ms_t now)
+{
+	uint32_t strain = strain_of(e);
+
+	(void)now;
+	for (guint i = 0; i < e->runs->len; i++) {
+		struct run *r = e->runs->pdata[i];
+
+		if (r->fills && !r->pace_in_flight && r->pace == r->pace_wanted)
+			r->pace_wanted = pace_next(r->pace, strain);
+	}
+}
--- /dev/null
+++ b/src/sesamewood/sched/place.c
@@ -0,0 +1,90 @@
+#include "sched/place.h"
+
+#include <string.h>
+
+static unsigned int count_of_step(const struct endpoint *e, const struct place_request *q)
+{
+	unsigned int n = 0;
+
+	for (guint i = 0; i < e->runs->len; i++) {
+		const struct run *r = e->runs->pdata[i];
+
+		n += r->ref.step == q->step_number && r->ref.occurrence == q->occurrence &&
+		     g_str_equal(r->ref.job, q->job);
+	}
+	return n;
+}
+
+static bool fits(const struct place_candidate *c, const struct place_request *q)
+{
+	const job_step *step = q->step;
+
+	if (!step->fills && c->room.cpu_milli < step->cpu_milli)
+		return false;
+	if (c->room.mem_mb < step->mem_mb || c->room.gpu < step->gpu)
+		return false;
+	if (*step->label && !endpoint_has_label(c->endpoint, step->label))
+		return false;
+	if (q->needs_ticket && !c->ticket)
+		return false;
+	if (*step->data_rack && !q->far_is_allowed &&
+	    !endpoint_has_label(c->endpoint, step->data_rack))
+		return false;
+	if (q->rack && !endpoint_has_label(c->endpoint, q->rack))
+		return false;
+	return !step->max_per_endpoint ||
+	       count_of_step(c->endpoint, q) + c->taken < step->max_per_endpoint;
+}
+
+/// Cost of a place; the least wins. Each term outweighs all that follow it.
+static int64_t cost(const struct place_candidate *c, const struct place_request *q)
+{
+	const job_step *step = q->step;
+	const struct endpoint *e = c->endpoint;
+	int64_t used = e->cpu_milli ? 1000 - c->room.cpu_milli * 1000 / e->cpu_milli : 1000;
+	int64_t n = 0;
+
+	if (*step->data_rack && !endpoint_has_label(e, step->data_rack))
+		n += 1000000000;
+	if (c->set_aside)
+		n += 100000000;
+	if (step->persistent && c->due)
+		n += 10000000;
+	if (step->fills)
+		n += 100000 * (int64_t)c->serving + 10000 * (int64_t)c->filling;
+	else if (step->target_ms)
+		n += 100000 * (int64_t)c->filling + 10000 * (int64_t)c->serving;
+	return n + used;
+}
+
+int place_choose(const GArray *candidates, const struct place_request *request)
+{
+	int64_t best_cost = INT64_MAX;
+	int best = -1;
+
+	for (guint i = 0; i < candidates->len; i++) {
+		const struct place_candidate *c =
+			&g_array_index(candidates, struct place_candidate, i);
+		int64_t n;
+
+		if (!fits(c, request))
+			continue;
+		n = cost(c, request);
+		if (n >= best_cost)
+			continue;
+		best_cost = n;
+		best = (int)i;
+	}
+	return best;
+}
+
+void place_take(struct place_candidate *c, const job_step *step)
+{
+	if (!step->fills)
+		c->room.cpu_milli -= step->cpu_milli;
+	c->room.mem_mb -= step->mem_mb;
+	c->room.gpu -= step->gpu;
+	c->runs++;
+	c->serving += step->target_ms != 0;
+	c->filling += step->fills;
+}
--- /dev/null
+++ b/src/sesamewood/sched/place.h
@@ -0,0 +1,39 @@
+#ifndef SESAMEWOOD_SCHED_PLACE_H
+#define SESAMEWOOD_SCHED_PLACE_H
+
+/// @file
+/// Where a task goes: pure choice among candidates whose free room is counted by us. Answers the
+/// load of many small tasks that arrive together (spread over the pool), of steps with limits
+/// per endpoint, of gangs (all members at once) and of data that lies on one rack.
+
+#include "runs/endpoint.h"
+
+struct place_candidate {
+	struct endpoint *endpoint;
+	struct room room;	///< free, counting what was placed in this round
+	unsigned int runs;	///< attempts there
+	unsigned int serving;	///< of them with a response time target
+	unsigned int filling;	///< of them that fill
+	bool set_aside;		///< by its record: only when nothing else is left
+	bool due;		///< its machine is due for maintenance soon
+	unsigned int taken;	///< of this step, chosen but not ordered yet
+	const char *ticket;	///< NULL: the step needs none, or there is none
+};
+
+struct place_request {
+	const job_step *step;
+	const char *job;
+	uint32_t occurrence;
+	uint32_t step_number;
+	bool needs_ticket;
+	const char *rack;    ///< only endpoints with this label; NULL: any
+	bool far_is_allowed; ///< the step may run away from its data's rack
+};
+
+/// @return index of the best candidate, or -1 when the task fits nowhere now
+int place_choose(const GArray *candidates, const struct place_request *request);
+
+/// Takes room for one task of a step.
+void place_take(struct place_candidate *c, const job_step *step);
+
+#endif
--- /dev/null
+++ b/src/sesamewood/sched/waves.c
@@ -0,0 +1,342 @@
+#include "sched/waves.h"
+
+#include "base/log.h"
+#include "runs/runs.h"
+
+#include <string.h>
+
+#define WAVES_PERIOD_MS 100   /* a twentieth of an upkeep */
+#define RETRY_MS 400	      /* of an order that was refused or had no answer */
+#define ORDER_TIMEOUT_MS 1500 /* the machine service may be slow */
+#define DRAIN_WAIT_MS 2500    /* short work is given so long to end first */
+#define HOLDER_MARGIN_MS 500  /* added to the time that two holders keep apart */
+#define BACK_MARGIN_MS 300    /* from the end of an upkeep to the certainty that it is over */
+
+/// An upkeep that was ordered.
+struct upkeep {
+	bool in_flight;
+	bool begun; ///< the machine service agreed
+	clock_ms_t begun_at;
+	clock_ms_t next_at;	///< not ordered again before then
+	int64_t born_wall_ms;	///< life of the endpoint that was there
+	bool back;		///< a later life has reported
+};
+
+static struct upkeep *upkeep_of(struct manager *m, const char *machine)
+{
+	struct upkeep *u = g_hash_table_lookup(m->upkeeps, machine);
+
+	if (u)
+		return u;
+	u = g_new0(struct upkeep, 1);
+	g_hash_table_insert(m->upkeeps, g_strdup(machine), u);
+	return u;
+}
+
+static struct endpoint *endpoint_on(const struct manager *m, const char *machine)
+{
+	struct endpoint *newest = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, m->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct endpoint *e = value;
+
+		if (!e->gone && g_str_equal(e->machine, machine) &&
+		    (!newest || e->born_wall_ms > newest->born_wall_ms))
+			newest = e;
+	}
+	return newest;
+}
+
+bool waves_is_complete(const job_wave *wave)
+{
+	for (u_int i = 0; i < wave->machines.machines_len; i++)
+		if (!wave->machines.machines_val[i].settled)
+			return false;
+	return true;
+}
+
+bool waves_are_due(const struct manager *m, const char *machine)
+{
+	for (guint w = 0; w < m->jobs->waves->len; w++) {
+		const job_wave *wave = m->jobs->waves->pdata[w];
+
+		for (u_int i = 0; i < wave->machines.machines_len; i++)
+			if (!wave->machines.machines_val[i].settled &&
+			    g_str_equal(wave->machines.machines_val[i].machine, machine))
+				return true;
+	}
+	return false;
+}
+
+/* Availability. */
+
+static bool is_at_work(const struct manager *m, const job_task_ref *ref, const job_task *t,
+		       clock_ms_t now)
+{
+	g_autofree char *name = g_strdup_printf("%s.%u.%u.%u", ref->job, ref->occurrence,
+						ref->step, ref->index);
+	const struct run *r = g_hash_table_lookup(m->runs, name);
+
+	return t->phase == JOB_TASK_ASSIGNED && r && r->state == RUN_CONFIRMED && r->at_work_at &&
+	       now - r->at_work_at >= (clock_ms_t)m->settings.notice_ms && !r->stop_wanted &&
+	       !r->endpoint->misses && !r->endpoint->ending;
+}
+
+/// Counts the tasks of a step that are away and not at @p e.
+static u_int away_elsewhere(const struct manager *m, const struct run *of, const struct endpoint *e,
+			    clock_ms_t now)
+{
+	const struct job *job = jobs_find(m->jobs, of->ref.job);
+	job_task_ref ref = of->ref;
+	u_int away = 0;
+	u_int count = job->image.spec.steps.steps_val[ref.step].count;
+
+	for (ref.index = 0; ref.index < count; ref.index++) {
+		const job_task *t = jobs_task(m->jobs, &ref);
+		bool here = t->phase == JOB_TASK_ASSIGNED && t->endpoint == e->number;
+
+		away += !here && !is_at_work(m, &ref, t, now);
+	}
+	return away;
+}
+
+static u_int count_here(const struct endpoint *e, const struct run *of)
+{
+	u_int n = 0;
+
+	for (guint i = 0; i < e->runs->len; i++) {
+		const struct run *r = e->runs->pdata[i];
+
+		n += r->ref.step == of->ref.step && r->ref.occurrence == of->ref.occurrence &&
+		     g_str_equal(r->ref.job, of->ref.job);
+	}
+	return n;
+}
+
+bool waves_may_end(const struct manager *m, const struct endpoint *e, clock_ms_t now)
+{
+	for (guint i = 0; i < e->runs->len; i++) {
+		const struct run *r = e->runs->pdata[i];
+		const struct job *job = jobs_find(m->jobs, r->ref.job);
+		u_int budget;
+
+		if (!job || job_is_over(job))
+			continue;
+		budget = job->image.spec.steps.steps_val[r->ref.step].max_unavailable;
+		if (budget && away_elsewhere(m, r, e, now) + count_here(e, r) > budget)
+			return false;
+	}
+	return true;
+}
+
+/* Choice. */
+
+/// @return attempts at an endpoint that will end soon by themselves
+static unsigned int short_runs(const struct endpoint *e)
+{
+	unsigned int n = 0;
+
+	for (guint i = 0; e && i < e->runs->len; i++)
+		n += !((struct run *)e->runs->pdata[i])->persistent;
+	return n;
+}
+
+static bool is_down(const struct manager *m, const struct upkeep *u, clock_ms_t now)
+{
+	if (!u->begun)
+		return u->in_flight || u->next_at > 0;
+	return !u->back &&
+	       now - u->begun_at < 2 * (clock_ms_t)m->settings.upkeep_ms + BACK_MARGIN_MS;
+}
+
+static void send_upkeep(struct manager *m, clock_ms_t now, const job_wave *wave,
+			const char *machine)
+{
+	struct upkeep *u = upkeep_of(m, machine);
+	struct endpoint *e = endpoint_on(m, machine);
+	struct order *o = g_new0(struct order, 1);
+	job_command c = {
+		.type = JOB_COMMAND_WAVE_SETTLE,
+		.job_command_u.settle = {.number = wave->number, .machine = (char *)machine},
+	};
+
+	*o = (struct order){
+		.type = ORDER_MACHINE_UPKEEP,
+		.timeout_ms = ORDER_TIMEOUT_MS,
+		.machine = g_strdup(machine),
+		.wave = wave->number,
+		.holder = g_strdup(m->settings.holder),
+		.not_after = CLOCK_NEVER,
+	};
+	log_info("upkeep ordered", "MACHINE", machine, "WAVE", log_number(wave->number),
+		 "RUNS", log_number(e ? e->runs->len : 0));
+	if (e)
+		e->ending = true;
+	u->in_flight = true;
+	u->born_wall_ms = e ? e->born_wall_ms : 0;
+	emit_command(m, &c);
+	emit_order(m, now, o, NULL, machine, wave->number);
+}
+
+/// Tells whether a machine may go down now.
+static bool is_ready(const struct manager *m, const struct endpoint *e, clock_ms_t now, bool pressed)
+{
+	if (!e)
+		return true;
+	if (!waves_may_end(m, e, now))
+		return false;
+	return !short_runs(e) || pressed || now - e->cordoned_at > DRAIN_WAIT_MS;
+}
+
+static void cordon(struct endpoint *e, clock_ms_t now)
+{
+	if (!e || e->cordoned)
+		return;
+	e->cordoned = true;
+	e->cordoned_at = now;
+}
+
+/// Finds the machine with the least work that is not yet kept free and whose budgets allow it.
+static const char *next_to_cordon(struct manager *m, const job_wave *wave, clock_ms_t now)
+{
+	const char *best = NULL;
+	unsigned int least = G_MAXUINT;
+
+	for (u_int i = 0; i < wave->machines.machines_len; i++) {
+		const job_wave_machine *w = &wave->machines.machines_val[i];
+		const struct endpoint *e = endpoint_on(m, w->machine);
+		unsigned int n = e ? 2 * e->runs->len + short_runs(e) : 0;
+
+		if (w->settled || w->ordered || (e && e->cordoned) || n >= least ||
+		    (e && !waves_may_end(m, e, now)))
+			continue;
+		best = w->machine;
+		least = n;
+	}
+	return best;
+}
+
+static void tick_wave(struct manager *m, clock_ms_t now, clock_ms_t wall, const job_wave *wave)
+{
+	unsigned int down = 0;
+	unsigned int kept = 0;
+	unsigned int open = 0;
+	bool pressed;
+
+	for (u_int i = 0; i < wave->machines.machines_len; i++) {
+		const job_wave_machine *w = &wave->machines.machines_val[i];
+		const struct upkeep *u = g_hash_table_lookup(m->upkeeps, w->machine);
+		const struct endpoint *e = endpoint_on(m, w->machine);
+
+		open += !w->settled;
+		if ((u && is_down(m, u, now)) || (w->ordered && !w->settled))
+			down++;
+		else if (!w->settled && e && e->cordoned)
+			kept++;
+	}
+	/* Each turn takes an upkeep and about half a second around it. */
+	pressed = wall + (clock_ms_t)(open / MAX(wave->cap, 1) + 1) *
+				 (m->settings.upkeep_ms + 500) >
+		  wave->due_wall_ms;
+	for (u_int i = 0; i < wave->machines.machines_len; i++) {
+		const job_wave_machine *w = &wave->machines.machines_val[i];
+		struct upkeep *u = upkeep_of(m, w->machine);
+		struct endpoint *e = endpoint_on(m, w->machine);
+
+		if (w->settled || u->in_flight || now < u->next_at)
+			continue;
+		if (w->ordered) { /* it may have begun already: ask until there is an answer */
+			send_upkeep(m, now, wave, w->machine);
+			continue;
+		}
+		if (down >= wave->cap || (e && !e->cordoned) || !is_ready(m, e, now, pressed))
+			continue;
+		send_upkeep(m, now, wave, w->machine);
+		down++;
+		kept -= kept > 0;
+	}
+	while (kept < wave->cap) {
+		const char *machine = next_to_cordon(m, wave, now);
+
+		if (!machine)
+			return;
+		if (!endpoint_on(m, machine))
+			return;
+		cordon(endpoint_on(m, machine), now);
+		kept++;
+	}
+}
+
+void waves_tick(struct manager *m, clock_ms_t now, clock_ms_t wall)
+{
+	if (now < m->waves_at ||
+	    now < m->since + m->settings.holder_lease_ms + HOLDER_MARGIN_MS)
+		return;
+	m->waves_at = now + WAVES_PERIOD_MS;
+	for (guint i = 0; i < m->jobs->waves->len; i++) {
+		const job_wave *wave = m->jobs->waves->pdata[i];
+
+		if (!waves_is_complete(wave))
+			tick_wave(m, now, wall, wave);
+	}
+}
+
+/* Results. */
+
+static void settle(struct manager *m, const struct pending *p)
+{
+	job_command c = {
+		.type = JOB_COMMAND_WAVE_SETTLE,
+		.job_command_u.settle =
+			{
+				.number = p->wave,
+				.machine = p->machine,
+				.settled = true,
+			},
+	};
+
+	emit_command(m, &c);
+}
+
+void waves_result(struct manager *m, clock_ms_t now, const struct pending *p,
+		  const struct order_result *result)
+{
+	struct upkeep *u = upkeep_of(m, p->machine);
+	struct endpoint *e = endpoint_on(m, p->machine);
+
+	u->in_flight = false;
+	u->next_at = now + RETRY_MS;
+	log_info("upkeep answered", "MACHINE", p->machine, "STATUS", log_number(result->status));
+	switch (result->status) {
+	case ORDER_OK:
+		u->begun = true;
+		u->begun_at = now;
+		settle(m, p);
+		if (e && e->born_wall_ms == u->born_wall_ms)
+			runs_endpoint_over(m, e);
+		break;
+	case ORDER_WRONG:
+	case ORDER_MACHINE_ALIEN:
+		u->next_at = 0;
+		settle(m, p);
+		if (e)
+			e->cordoned = e->ending = false;
+		break;
+	case ORDER_FENCED:
+		m->fenced_off = true;
+		break;
+	default:
+		break;
+	}
+}
+
+void waves_announced(struct manager *m, const struct announcement *a)
+{
+	struct upkeep *u = g_hash_table_lookup(m->upkeeps, a->machine);
+
+	if (u && u->begun && a->born_wall_ms > u->born_wall_ms)
+		u->back = true;
+}
