--- a/src/sesamewood/base/log.c
+++ b/src/sesamewood/base/log.c
@@ -4,7 +4,9 @@
 
 #include <json-glib/json-glib.h>
 #include <stdbool.h>
-#include <stdio.h>
+#include <poll.h>
+#include <string.h>
+#include <unistd.h>
 
 #define LOG_FIELDS_MAX 24
 #define NUMBER_BUFFERS 16
@@ -36,6 +38,24 @@
 	       !g_str_has_prefix(f->key, "GLIB_") && !g_str_equal(f->key, "PRIORITY");
 }
 
+/// Writes a whole line, or drops it when the reader does not keep up: logging never blocks.
+static void write_line(const char *text)
+{
+	static guint64 dropped;
+	struct pollfd out = {.fd = STDOUT_FILENO, .events = POLLOUT};
+	g_autofree char *line = dropped ? g_strdup_printf("{\"level\":\"warning\",\"message\":\"log "
+							  "lines dropped\",\"count\":%" G_GUINT64_FORMAT
+							  "}\n%s\n",
+							  dropped, text)
+					: g_strconcat(text, "\n", NULL);
+
+	if (poll(&out, 1, 0) != 1 || !(out.revents & POLLOUT) ||
+	    write(STDOUT_FILENO, line, strlen(line)) < 0)
+		dropped++;
+	else
+		dropped = 0;
+}
+
 static GLogWriterOutput write_json_line(GLogLevelFlags level, const GLogField *fields, gsize count,
 					gpointer unused)
 {
@@ -69,12 +89,14 @@
 	root = json_builder_get_root(b);
 	json_generator_set_root(generator, root);
 	text = json_generator_to_data(generator, NULL);
-	fprintf(stderr, "%s\n", text);
+	write_line(text);
 	return G_LOG_WRITER_HANDLED;
 }
 
 void log_init(const char *program, const char *instance, const char *level)
 {
+	static bool installed;
+
 	log_program = program;
 	log_instance = instance;
 	if (g_str_equal(level, "error"))
@@ -85,7 +107,9 @@
 		log_least = G_LOG_LEVEL_DEBUG;
 	else
 		log_least = G_LOG_LEVEL_INFO;
-	g_log_set_writer_func(write_json_line, NULL, NULL);
+	if (!installed)
+		g_log_set_writer_func(write_json_line, NULL, NULL);
+	installed = true;
 }
 
 void log_write(GLogLevelFlags level, const char *message, ...)
--- a/src/sesamewood/base/log.h
+++ b/src/sesamewood/base/log.h
@@ -2,7 +2,7 @@
 #define SESAMEWOOD_BASE_LOG_H
 
 /// @file
-/// Logs as JSON lines on standard error, through GLib's structured logging.
+/// Logs as JSON lines on standard output, through GLib's structured logging.
 
 #include <glib.h>
 
