--- a/src/sesamewood/manager/calls.c
+++ b/src/sesamewood/manager/calls.c
@@ -3,6 +3,7 @@
 #include "base/codec.h"
 #include "base/log.h"
 #include "runs/runs.h"
+#include "sched/pools.h"
 #include "sched/schedule.h"
 #include "sched/waves.h"
 
@@ -71,7 +72,10 @@
 	call->spec.accepted_wall_ms = wall;
 	c.job_command_u.accept = call->spec;
 	emit_command(m, &c);
+	if (!jobs_find(m->jobs, id)) /* some text is longer than the log takes */
+		return plain(REPLY_INVALID);
 	g_ptr_array_add(m->active, jobs_find(m->jobs, id));
+	pools_accepted(m, jobs_find(m->jobs, id));
 	log_info("job accepted", "JOB", id, "QUEUE", q->key, "CONFIG",
 		 log_number(m->jobs->config.config_version));
 	return plain(REPLY_OK);
--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "manager/calls.h"
 #include "runs/runs.h"
+#include "sched/pools.h"
 #include "sched/schedule.h"
 #include "sched/waves.h"
 
@@ -46,6 +47,8 @@
 	m->advice = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, schedule_advice_free);
 	m->ratios = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->upkeeps = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	m->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pools_machine_free);
+	m->arriving = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->active = g_ptr_array_new();
 	runs_inherit(m, now);
 	log_info("leadership taken", "TERM", log_number(term), "JOBS",
@@ -63,6 +66,8 @@
 	g_hash_table_unref(m->advice);
 	g_hash_table_unref(m->ratios);
 	g_hash_table_unref(m->upkeeps);
+	g_hash_table_unref(m->machines);
+	g_hash_table_unref(m->arriving);
 	g_ptr_array_unref(m->active);
 	jobs_free(m->jobs);
 	g_free(m);
@@ -97,6 +102,7 @@
 		break;
 	case ORDER_MACHINE_LIST:
 	case ORDER_MACHINE_MOVE:
+		pools_result(m, now, p, result);
 		break;
 	}
 	g_hash_table_remove(m->orders, &result->id);
@@ -137,6 +143,7 @@
 {
 	runs_tick(m, now);
 	waves_tick(m, now, wall);
+	pools_tick(m, now, wall);
 	forget(m, now, wall);
 	if (!m->dirty && now < m->round_at)
 		return;
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -26,6 +26,12 @@
 	bool fenced_off;
 	clock_ms_t forget_at;
 	clock_ms_t waves_at;   ///< next look at the waves
+	GHashTable *machines;  ///< struct machine by name; owned
+	GHashTable *arriving;  ///< work that arrives in a ms, double, by pool; owned
+	uint32_t machine_cpu;  ///< of the largest machine seen
+	bool listing;	       ///< a machine list is on its way
+	clock_ms_t list_at;
+	clock_ms_t pools_at; ///< next look at the pools
 	GHashTable *upkeeps;   ///< struct upkeep by machine; owned
 };
 
--- a/src/sesamewood/sched/place.c
+++ b/src/sesamewood/sched/place.c
@@ -41,7 +41,7 @@
 {
 	const job_step *step = q->step;
 	const struct endpoint *e = c->endpoint;
-	int64_t used = e->cpu_milli ? 1000 - c->room.cpu_milli * 1000 / e->cpu_milli : 1000;
+	int64_t left = e->cpu_milli ? c->room.cpu_milli * 1000 / e->cpu_milli : 0;
 	int64_t n = 0;
 
 	if (*step->data_rack && !endpoint_has_label(e, step->data_rack))
@@ -54,7 +54,9 @@
 		n += 100000 * (int64_t)c->serving + 10000 * (int64_t)c->filling;
 	else if (step->target_ms)
 		n += 100000 * (int64_t)c->filling + 10000 * (int64_t)c->serving;
-	return n + used;
+	if (!c->lasting)
+		n += 2000;
+	return n + left;
 }
 
 int place_choose(const GArray *candidates, const struct place_request *request)
@@ -87,4 +89,5 @@
 	c->runs++;
 	c->serving += step->target_ms != 0;
 	c->filling += step->fills;
+	c->lasting += step->persistent;
 }
--- a/src/sesamewood/sched/place.h
+++ b/src/sesamewood/sched/place.h
@@ -3,7 +3,8 @@
 
 /// @file
 /// Where a task goes: pure choice among candidates whose free room is counted by us. Answers the
-/// load of many small tasks that arrive together (spread over the pool), of steps with limits
+/// load of many small tasks that arrive together (packed, so that whole machines become free for
+/// another pool or to be switched off), of steps with limits
 /// per endpoint, of gangs (all members at once) and of data that lies on one rack.
 
 #include "runs/endpoint.h"
@@ -14,6 +15,7 @@
 	unsigned int runs;	///< attempts there
 	unsigned int serving;	///< of them with a response time target
 	unsigned int filling;	///< of them that fill
+	unsigned int lasting;	///< of them that last
 	bool set_aside;		///< by its record: only when nothing else is left
 	bool due;		///< its machine is due for maintenance soon
 	unsigned int taken;	///< of this step, chosen but not ordered yet
--- a/src/sesamewood/sched/schedule.c
+++ b/src/sesamewood/sched/schedule.c
@@ -196,6 +196,65 @@
 	return out;
 }
 
+/* Demand. */
+
+static int64_t task_work(const struct manager *m, const struct job *job, uint32_t step)
+{
+	const job_step *s = &job->image.spec.steps.steps_val[step];
+
+	return s->persistent || s->fills ? 0
+					 : (int64_t)s->cpu_milli * s->estimate_ms / 100 *
+						   ratio_of(m, job, step);
+}
+
+int64_t schedule_work(const struct manager *m, const struct job *job)
+{
+	int64_t work = 0;
+
+	for (u_int s = 0; s < job->image.spec.steps.steps_len; s++)
+		work += task_work(m, job, s) * job->image.spec.steps.steps_val[s].count;
+	return work;
+}
+
+static void add_demand(const struct manager *m, const struct job *job, uint32_t occurrence,
+		       uint32_t step, struct schedule_demand *d)
+{
+	const job_step *s = &job->image.spec.steps.steps_val[step];
+	const job_step_state *state =
+		&job->image.occurrences.occurrences_val[occurrence].steps.steps_val[step];
+	uint32_t waiting = 0;
+
+	for (u_int i = 0; i < state->tasks.tasks_len; i++)
+		waiting += state->tasks.tasks_val[i].phase == JOB_TASK_WAITING;
+	if (s->max_per_endpoint && (waiting || s->persistent))
+		d->spread = MAX(d->spread, (s->count + s->max_per_endpoint - 1) / s->max_per_endpoint);
+	if (s->persistent && !s->fills)
+		d->lasting_cpu += (int64_t)waiting * s->cpu_milli;
+	d->work += waiting * task_work(m, job, step);
+}
+
+struct schedule_demand schedule_demand(const struct manager *m, const char *pool, clock_ms_t wall)
+{
+	struct schedule_demand d = {0};
+
+	for (guint i = 0; i < m->active->len; i++) {
+		const struct job *job = m->active->pdata[i];
+		const job_queue *queue = jobs_queue(m->jobs, job->image.spec.queue);
+
+		if (job_is_over(job) ||
+		    !g_str_equal(queue ? queue->pool : job->image.spec.pool, pool))
+			continue;
+		for (u_int k = 0; k < job->image.occurrences.occurrences_len; k++) {
+			if (job->image.spec.occurrences && wall < due_wall(job, k))
+				break;
+			for (u_int s = 0; s < job->image.spec.steps.steps_len; s++)
+				if (job_step_ready(job, k, s))
+					add_demand(m, job, k, s, &d);
+		}
+	}
+	return d;
+}
+
 /* Advice. */
 
 struct advice {
@@ -303,7 +362,7 @@
 		struct place_candidate c = {.endpoint = e};
 
 		if (!health_is_eligible(e, now, silent_ms) || e->cordoned ||
-		    !g_str_equal(e->pool, pool))
+		    e->ending || !g_str_equal(e->pool, pool))
 			continue;
 		c.room = endpoint_free_room(e);
 		c.set_aside = health_is_set_aside(e, now);
@@ -312,6 +371,7 @@
 		for (guint i = 0; i < e->runs->len; i++) {
 			c.serving += ((struct run *)e->runs->pdata[i])->target_ms != 0;
 			c.filling += ((struct run *)e->runs->pdata[i])->fills;
+			c.lasting += ((struct run *)e->runs->pdata[i])->persistent;
 		}
 		g_array_append_val(out, c);
 	}
--- a/src/sesamewood/sched/schedule.h
+++ b/src/sesamewood/sched/schedule.h
@@ -22,6 +22,18 @@
 /// @return jobs of a queue that have been accepted and of which no task has started
 uint32_t schedule_waiting(const struct manager *m, const char *queue);
 
+/// What waits for a pool.
+struct schedule_demand {
+	int64_t work;	     ///< of ready tasks that end by themselves, thousandths of a core x ms
+	int64_t lasting_cpu; ///< of lasting tasks that wait, thousandths of a core
+	uint32_t spread;     ///< endpoints that one step needs for its limit per endpoint
+};
+
+struct schedule_demand schedule_demand(const struct manager *m, const char *pool, clock_ms_t wall);
+
+/// @return work of a whole job by its statements and what was learned, thousandths of a core x ms
+int64_t schedule_work(const struct manager *m, const struct job *job);
+
 /// What decides a job's place among those that wait.
 struct waiting_key {
 	uint32_t priority; ///< of its queue; 0 first
