--- a/src/sesamewood/sched/place.c
+++ b/src/sesamewood/sched/place.c
@@ -48,6 +48,9 @@
 		n += 1000000000;
 	if (c->set_aside)
 		n += 100000000;
+	/* A machine that ends must not take more of a step with it than its budget allows. */
+	if (step->max_unavailable && count_of_step(e, q) + c->taken >= step->max_unavailable)
+		n += 50000000;
 	if (step->persistent && c->due)
 		n += 10000000;
 	if (step->fills)
--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -4,6 +4,7 @@
 #include "runs/runs.h"
 #include "sched/health.h"
 #include "sched/schedule.h"
+#include "sched/waves.h"
 
 #include <limits.h>
 
@@ -76,6 +77,13 @@
 	g_free(x);
 }
 
+bool pools_is_moving(const struct manager *m, const char *machine, clock_ms_t now)
+{
+	const struct machine *x = g_hash_table_lookup(m->machines, machine);
+
+	return x && (x->in_flight || x->target || now < x->arrives_by);
+}
+
 static struct machine *machine_of(struct manager *m, const char *name)
 {
 	struct machine *x = g_hash_table_lookup(m->machines, name);
@@ -292,6 +300,7 @@
 		clock_ms_t since = x->idle_since;
 
 		if (!from || from == to || !x->is_up || !is_free(x, e, now) ||
+		    waves_is_down(m, x->name, now) ||
 		    (x->not_for && g_str_equal(x->not_for, to->config->name)))
 			continue;
 		if (from->config->standby)
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "runs/runs.h"
+#include "sched/pools.h"
 
 #include <string.h>
 
@@ -10,6 +11,7 @@
 #define ORDER_TIMEOUT_MS 1500 /* the machine service may be slow */
 #define DRAIN_WAIT_MS 2500    /* short work is given so long to end first */
 #define HOLDER_MARGIN_MS 500  /* added to the time that two holders keep apart */
+#define SAY_PERIOD_MS 3000
 #define BACK_MARGIN_MS 300    /* from the end of an upkeep to the certainty that it is over */
 
 /// An upkeep that was ordered.
@@ -19,6 +21,7 @@
 	clock_ms_t begun_at;
 	clock_ms_t next_at;	///< not ordered again before then
 	int64_t born_wall_ms;	///< life of the endpoint that was there
+	clock_ms_t said_at;	///< reason for waiting not logged before then
 	bool back;		///< a later life has reported
 };
 
@@ -116,20 +119,54 @@
 	return n;
 }
 
-bool waves_may_end(const struct manager *m, const struct endpoint *e, clock_ms_t now)
+/// @return tasks of an attempt's step that may be away at once, or 0 when it has no budget
+static u_int budget_of(const struct manager *m, const struct run *r)
+{
+	const struct job *job = jobs_find(m->jobs, r->ref.job);
+
+	if (!job || job_is_over(job))
+		return 0;
+	return job->image.spec.steps.steps_val[r->ref.step].max_unavailable;
+}
+
+const struct run *waves_hindrance(const struct manager *m, const struct endpoint *e,
+				  clock_ms_t now)
 {
 	for (guint i = 0; i < e->runs->len; i++) {
 		const struct run *r = e->runs->pdata[i];
-		const struct job *job = jobs_find(m->jobs, r->ref.job);
-		u_int budget;
+		u_int budget = budget_of(m, r);
 
-		if (!job || job_is_over(job))
-			continue;
-		budget = job->image.spec.steps.steps_val[r->ref.step].max_unavailable;
 		if (budget && away_elsewhere(m, r, e, now) + count_here(e, r) > budget)
-			return false;
+			return r;
 	}
-	return true;
+	return NULL;
+}
+
+static u_int stops_here(const struct endpoint *e, const struct run *of)
+{
+	u_int n = 0;
+
+	for (guint i = 0; i < e->runs->len; i++) {
+		const struct run *r = e->runs->pdata[i];
+
+		n += r->stop_wanted && r->ref.step == of->ref.step &&
+		     r->ref.occurrence == of->ref.occurrence &&
+		     g_str_equal(r->ref.job, of->ref.job);
+	}
+	return n;
+}
+
+/// Tells whether a machine holds more of some step than may end at once.
+static bool is_crowded(const struct manager *m, const struct endpoint *e)
+{
+	for (guint i = 0; i < e->runs->len; i++) {
+		const struct run *r = e->runs->pdata[i];
+		u_int budget = budget_of(m, r);
+
+		if (budget && count_here(e, r) > budget)
+			return true;
+	}
+	return false;
 }
 
 /* Choice. */
@@ -152,6 +189,13 @@
 	       now - u->begun_at < 2 * (clock_ms_t)m->settings.upkeep_ms + BACK_MARGIN_MS;
 }
 
+bool waves_is_down(const struct manager *m, const char *machine, clock_ms_t now)
+{
+	const struct upkeep *u = g_hash_table_lookup(m->upkeeps, machine);
+
+	return u && is_down(m, u, now);
+}
+
 static void send_upkeep(struct manager *m, clock_ms_t now, const job_wave *wave,
 			const char *machine)
 {
@@ -186,11 +230,41 @@
 {
 	if (!e)
 		return true;
-	if (!waves_may_end(m, e, now))
+	if (waves_hindrance(m, e, now))
 		return false;
 	return !short_runs(e) || pressed || now - e->cordoned_at > DRAIN_WAIT_MS;
 }
 
+/// Tells from time to time what keeps a machine from its upkeep.
+static void say_why_waiting(const struct manager *m, struct upkeep *u, const char *machine,
+			    const struct endpoint *e, clock_ms_t now)
+{
+	const struct run *r = e ? waves_hindrance(m, e, now) : NULL;
+
+	if (!e || now < u->said_at)
+		return;
+	u->said_at = now + SAY_PERIOD_MS;
+	log_info("upkeep waits", "MACHINE", machine, "KEPT_FREE", e->cordoned ? "true" : "false",
+		 "RUNS", log_number(e->runs->len), "SHORT", log_number(short_runs(e)),
+		 "BUDGET_OF", r ? r->name : "", "AWAY",
+		 log_number(r ? away_elsewhere(m, r, e, now) : 0));
+}
+
+/// Frees a machine that holds more tasks of a step than its budget lets end at once: they are
+/// stopped one by one, and start elsewhere.
+static void evacuate(const struct manager *m, struct endpoint *e, clock_ms_t now)
+{
+	for (guint i = 0; i < e->runs->len; i++) {
+		struct run *r = e->runs->pdata[i];
+		u_int budget = budget_of(m, r);
+
+		if (!budget || r->stop_wanted || count_here(e, r) <= budget)
+			continue;
+		if (away_elsewhere(m, r, e, now) + stops_here(e, r) < budget)
+			r->stop_wanted = true;
+	}
+}
+
 static void cordon(struct endpoint *e, clock_ms_t now)
 {
 	if (!e || e->cordoned)
@@ -211,7 +285,8 @@
 		unsigned int n = e ? 2 * e->runs->len + short_runs(e) : 0;
 
 		if (w->settled || w->ordered || (e && e->cordoned) || n >= least ||
-		    (e && !waves_may_end(m, e, now)))
+		    (e && !is_crowded(m, e) && waves_hindrance(m, e, now)) ||
+		    pools_is_moving(m, w->machine, now))
 			continue;
 		best = w->machine;
 		least = n;
@@ -246,12 +321,17 @@
 		struct upkeep *u = upkeep_of(m, w->machine);
 		struct endpoint *e = endpoint_on(m, w->machine);
 
-		if (w->settled || u->in_flight || now < u->next_at)
+		if (w->settled || u->in_flight || now < u->next_at ||
+		    pools_is_moving(m, w->machine, now))
 			continue;
 		if (w->ordered) { /* it may have begun already: ask until there is an answer */
 			send_upkeep(m, now, wave, w->machine);
 			continue;
 		}
+		if (e && e->cordoned)
+			evacuate(m, e, now);
+		if (down < wave->cap)
+			say_why_waiting(m, u, w->machine, e, now);
 		if (down >= wave->cap || (e && !e->cordoned) || !is_ready(m, e, now, pressed))
 			continue;
 		send_upkeep(m, now, wave, w->machine);
--- a/src/sesamewood/sched/waves.h
+++ b/src/sesamewood/sched/waves.h
@@ -24,7 +24,13 @@
 /// @return whether a wave is complete
 bool waves_is_complete(const job_wave *wave);
 
-/// Tells whether ending everything at an endpoint keeps every availability budget.
-bool waves_may_end(const struct manager *m, const struct endpoint *e, clock_ms_t now);
+/// Tells whether a machine is down for its upkeep, or may be.
+bool waves_is_down(const struct manager *m, const char *machine, clock_ms_t now);
+
+/// Looks for an availability budget that ending everything at an endpoint would break.
+///
+/// @return an attempt there whose step would have too many tasks away, or NULL
+const struct run *waves_hindrance(const struct manager *m, const struct endpoint *e,
+				  clock_ms_t now);
 
 #endif
