--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -7,7 +7,8 @@
 #include "sched/schedule.h"
 #include "sched/waves.h"
 
-#define ROUND_MAX_MS 200  /* a round is due at least so often: estimates and health change */
+#define ROUND_MAX_MS 200 /* a round is due at least so often: estimates and health change */
+#define ROUND_GAP_MS 8	 /* a commit takes as long; starts of one round share it */
 #define FORGET_PERIOD_MS 5000
 #define FORGET_BATCH_MAX 500
 
@@ -49,6 +50,8 @@
 	m->upkeeps = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pools_machine_free);
 	m->arriving = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	m->due_machines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	m->on_machine = g_hash_table_new(g_str_hash, g_str_equal);
 	m->active = g_ptr_array_new();
 	runs_inherit(m, now);
 	log_info("leadership taken", "TERM", log_number(term), "JOBS",
@@ -67,6 +70,8 @@
 	g_hash_table_unref(m->ratios);
 	g_hash_table_unref(m->upkeeps);
 	g_hash_table_unref(m->machines);
+	g_hash_table_unref(m->due_machines);
+	g_hash_table_unref(m->on_machine);
 	g_hash_table_unref(m->arriving);
 	g_ptr_array_unref(m->active);
 	jobs_free(m->jobs);
@@ -145,10 +150,11 @@
 	waves_tick(m, now, wall);
 	pools_tick(m, now, wall);
 	forget(m, now, wall);
-	if (!m->dirty && now < m->round_at)
+	if (now < (m->dirty ? m->round_from : m->round_at))
 		return;
 	m->dirty = false;
 	m->round_at = now + ROUND_MAX_MS;
+	m->round_from = now + ROUND_GAP_MS;
 	schedule_round(m, now, wall);
 	m->dirty = false;
 }
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -21,7 +21,10 @@
 	GHashTable *advice;    ///< struct advice by step name; owned
 	GHashTable *ratios;    ///< struct ratio by queue, step and image; owned
 	GPtrArray *active;     ///< of struct job, not over or with attempts out
+	clock_ms_t round_from; ///< no placement round before then
 	clock_ms_t round_at; ///< a placement round is due then at the latest
+	clock_ms_t runs_at;  ///< next pass over the endpoints
+	GHashTable *due_machines; ///< names of machines with upkeep before them
 	bool dirty;	        ///< something changed that may let work be placed
 	bool fenced_off;
 	clock_ms_t forget_at;
@@ -32,6 +35,7 @@
 	bool listing;	       ///< a machine list is on its way
 	clock_ms_t list_at;
 	clock_ms_t pools_at; ///< next look at the pools
+	GHashTable *on_machine; ///< struct endpoint by machine, made anew before each use
 	GHashTable *upkeeps;   ///< struct upkeep by machine; owned
 };
 
--- a/src/sesamewood/runs/endpoint.c
+++ b/src/sesamewood/runs/endpoint.c
@@ -103,19 +103,35 @@
 	return least > e->until_ms + CLOCK_ROUNDING_MS;
 }
 
-struct room endpoint_free_room(const struct endpoint *e)
+static void count_run(struct endpoint *e, const struct run *r, int sign)
 {
-	struct room room = {e->cpu_milli, e->mem_mb, e->gpu};
+	e->used.cpu_milli += r->fills ? 0 : sign * (int64_t)r->cpu_milli;
+	e->used.mem_mb += sign * (int64_t)r->mem_mb;
+	e->used.gpu += sign * (int64_t)r->gpu;
+	e->serving += r->target_ms ? (unsigned int)sign : 0;
+	e->filling += r->fills ? (unsigned int)sign : 0;
+	e->lasting += r->persistent ? (unsigned int)sign : 0;
+}
 
-	for (guint i = 0; i < e->runs->len; i++) {
-		const struct run *r = e->runs->pdata[i];
+void endpoint_add_run(struct endpoint *e, struct run *r)
+{
+	g_ptr_array_add(e->runs, r);
+	count_run(e, r, 1);
+}
 
-		if (!r->fills)
-			room.cpu_milli -= r->cpu_milli;
-		room.mem_mb -= r->mem_mb;
-		room.gpu -= r->gpu;
-	}
-	return room;
+void endpoint_remove_run(struct endpoint *e, struct run *r)
+{
+	g_ptr_array_remove_fast(e->runs, r);
+	count_run(e, r, -1);
+}
+
+struct room endpoint_free_room(const struct endpoint *e)
+{
+	return (struct room){
+		.cpu_milli = e->cpu_milli - e->used.cpu_milli,
+		.mem_mb = e->mem_mb - e->used.mem_mb,
+		.gpu = e->gpu - e->used.gpu,
+	};
 }
 
 bool endpoint_has_label(const struct endpoint *e, const char *label)
--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -18,6 +18,7 @@
 struct run {
 	char *name; ///< task name: job.occurrence.step.index
 	job_task_ref ref;
+	const struct job *job; ///< outlives the attempt: a job with attempts out is not forgotten
 	uint32_t attempt;
 	struct endpoint *endpoint;
 	enum run_state state;
@@ -47,6 +48,13 @@
 	bool pace_in_flight;
 };
 
+/// Processor, memory and accelerators.
+struct room {
+	int64_t cpu_milli;
+	int64_t mem_mb;
+	int64_t gpu;
+};
+
 struct endpoint {
 	char *id;
 	int64_t born_wall_ms;
@@ -80,7 +88,11 @@
 	uint32_t misses; ///< calls in a row without an answer
 	clock_ms_t avoid_until;
 	uint32_t failures; ///< tasks of different jobs that failed here since one was done
-	GPtrArray *runs; ///< of struct run, borrowed
+	GPtrArray *runs; ///< of struct run, borrowed; change by endpoint_add_run() and its kin
+	struct room used; ///< by the runs
+	unsigned int serving; ///< runs with a response time target
+	unsigned int filling; ///< runs that fill
+	unsigned int lasting; ///< runs that last
 	bool ending;	 ///< its machine was ordered to go down
 	bool cordoned;	 ///< kept free for a maintenance wave
 	clock_ms_t cordoned_at;
@@ -102,12 +114,9 @@
 /// Tells whether every lease that it may hold has certainly ended.
 bool endpoint_lease_over(const struct endpoint *e, clock_ms_t now);
 
-/// Processor, memory and accelerators that its attempts take, those being stopped included.
-struct room {
-	int64_t cpu_milli;
-	int64_t mem_mb;
-	int64_t gpu;
-};
+/// Counts an attempt in, or out. One that is being stopped still counts.
+void endpoint_add_run(struct endpoint *e, struct run *r);
+void endpoint_remove_run(struct endpoint *e, struct run *r);
 
 /// @return room that is free
 struct room endpoint_free_room(const struct endpoint *e);
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -15,6 +15,7 @@
 #define LAST_ACK_DELAY_MS 150	/* a new start there often makes an extra look needless */
 #define CALL_TIMEOUT_MS 900
 #define ORDER_SPAN_MS 1500 /* a start that could not be sent for so long is placed anew */
+#define RUNS_PERIOD_MS 10 /* under the gap between looks; each pass goes over all attempts */
 #define RETRY_MS 120
 #define LEFT_DELAY_MS 300	   /* from the last word to the end */
 #define STALL_MS 2500		   /* without progress while looks are answered */
@@ -62,6 +63,7 @@
 		.ref = *ref,
 		.attempt = attempt,
 		.endpoint = e,
+		.job = job,
 		.cpu_milli = step->cpu_milli,
 		.mem_mb = step->mem_mb,
 		.gpu = step->gpu,
@@ -78,13 +80,13 @@
 	};
 	r->ref.job = g_strdup(ref->job);
 	g_hash_table_replace(m->runs, r->name, r);
-	g_ptr_array_add(e->runs, r);
+	endpoint_add_run(e, r);
 	return r;
 }
 
 static void drop_run(struct manager *m, struct run *r)
 {
-	g_ptr_array_remove_fast(r->endpoint->runs, r);
+	endpoint_remove_run(r->endpoint, r);
 	g_hash_table_remove(m->runs, r->name);
 }
 
@@ -206,16 +208,7 @@
 /// Tells whether tasks that serve and tasks that fill share the endpoint.
 static bool is_shared(const struct endpoint *e)
 {
-	bool serves = false;
-	bool fills = false;
-
-	for (guint i = 0; i < e->runs->len; i++) {
-		const struct run *r = e->runs->pdata[i];
-
-		serves |= r->target_ms != 0;
-		fills |= r->fills;
-	}
-	return serves && fills;
+	return e->serving && e->filling;
 }
 
 static void send_look(struct manager *m, clock_ms_t now, struct endpoint *e)
@@ -696,9 +689,7 @@
 
 static void tick_run(struct manager *m, clock_ms_t now, struct run *r)
 {
-	const struct job *job = jobs_find(m->jobs, r->ref.job);
-
-	if (!job || job_is_over(job))
+	if (job_is_over(r->job))
 		r->stop_wanted = true;
 	if (is_stalled(r)) {
 		log_info("attempt stands still", "TASK", r->name, "ENDPOINT", r->endpoint->id,
@@ -755,6 +746,9 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	if (now < m->runs_at)
+		return;
+	m->runs_at = now + RUNS_PERIOD_MS;
 	g_hash_table_iter_init(&iter, m->endpoints);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct endpoint *e = value;
--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -192,6 +192,7 @@
 			   clock_ms_t wall)
 {
 	GHashTable *pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	g_autoptr(GHashTable) demand = schedule_demand(m, wall);
 	GHashTableIter iter;
 	gpointer value;
 
@@ -209,11 +210,13 @@
 	g_hash_table_iter_init(&iter, pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct pool *p = value;
-		struct schedule_demand d = schedule_demand(m, p->config->name, wall);
+		const struct schedule_demand *d = g_hash_table_lookup(demand, p->config->name);
 
-		p->load.waiting = d.work;
-		p->load.lasting += d.lasting_cpu;
-		p->load.spread = MIN(d.spread, SPREAD_MAX);
+		if (d) {
+			p->load.waiting = d->work;
+			p->load.lasting += d->lasting_cpu;
+			p->load.spread = MIN(d->spread, SPREAD_MAX);
+		}
 		if (!p->load.machine)
 			p->load.machine = m->machine_cpu;
 	}
--- a/src/sesamewood/sched/schedule.c
+++ b/src/sesamewood/sched/schedule.c
@@ -190,7 +190,8 @@
 				g_ptr_array_remove_index_fast(m->active, i - 1);
 			continue;
 		}
-		gather_job(m, job, wall, out);
+		if (job->unfinished > job->assigned)
+			gather_job(m, job, wall, out);
 	}
 	g_array_sort(out, compare_waiting);
 	return out;
@@ -238,26 +239,36 @@
 	d->work += waiting * task_work(m, job, step);
 }
 
-struct schedule_demand schedule_demand(const struct manager *m, const char *pool, clock_ms_t wall)
+GHashTable *schedule_demand(const struct manager *m, clock_ms_t wall)
 {
-	struct schedule_demand d = {0};
+	GHashTable *pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 
 	for (guint i = 0; i < m->active->len; i++) {
 		const struct job *job = m->active->pdata[i];
-		const job_queue *queue = jobs_queue(m->jobs, job->image.spec.queue);
+		const job_queue *queue;
+		struct schedule_demand *d;
+		const char *pool;
 
 		if (job_is_over(job) ||
-		    !g_str_equal(queue ? queue->pool : job->image.spec.pool, pool))
+		    (job->unfinished == job->assigned &&
+		     !job->image.spec.steps.steps_val[0].persistent))
 			continue;
+		queue = jobs_queue(m->jobs, job->image.spec.queue);
+		pool = queue ? queue->pool : job->image.spec.pool;
+		d = g_hash_table_lookup(pools, pool);
+		if (!d) {
+			d = g_new0(struct schedule_demand, 1);
+			g_hash_table_insert(pools, (char *)pool, d);
+		}
 		for (u_int k = 0; k < job->image.occurrences.occurrences_len; k++) {
 			if (job->image.spec.occurrences && wall < due_wall(job, k))
 				break;
 			for (u_int s = 0; s < job->image.spec.steps.steps_len; s++)
 				if (job_step_ready(job, k, s))
-					add_demand(m, job, k, s, &d);
+					add_demand(m, job, k, s, d);
 		}
 	}
-	return d;
+	return pools;
 }
 
 /* Advice. */
@@ -371,13 +382,11 @@
 			continue;
 		c.room = endpoint_free_room(e);
 		c.set_aside = health_is_set_aside(e, now);
-		c.due = waves_are_due(m, e->machine);
+		c.due = g_hash_table_contains(m->due_machines, e->machine);
 		c.runs = e->runs->len;
-		for (guint i = 0; i < e->runs->len; i++) {
-			c.serving += ((struct run *)e->runs->pdata[i])->target_ms != 0;
-			c.filling += ((struct run *)e->runs->pdata[i])->fills;
-			c.lasting += ((struct run *)e->runs->pdata[i])->persistent;
-		}
+		c.serving = e->serving;
+		c.filling = e->filling;
+		c.lasting = e->lasting;
 		g_array_append_val(out, c);
 	}
 	return out;
--- a/src/sesamewood/sched/schedule.h
+++ b/src/sesamewood/sched/schedule.h
@@ -29,7 +29,8 @@
 	uint32_t spread;     ///< endpoints that one step needs for its limit per endpoint
 };
 
-struct schedule_demand schedule_demand(const struct manager *m, const char *pool, clock_ms_t wall);
+/// @return struct schedule_demand by pool; names borrow from the job state
+GHashTable *schedule_demand(const struct manager *m, clock_ms_t wall);
 
 /// @return work of a whole job by its statements and what was learned, thousandths of a core x ms
 int64_t schedule_work(const struct manager *m, const struct job *job);
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -36,42 +36,50 @@
 	return u;
 }
 
-static struct endpoint *endpoint_on(const struct manager *m, const char *machine)
+static void index_machines(struct manager *m)
 {
-	struct endpoint *newest = NULL;
 	GHashTableIter iter;
 	gpointer value;
 
+	g_hash_table_remove_all(m->on_machine);
 	g_hash_table_iter_init(&iter, m->endpoints);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct endpoint *e = value;
+		const struct endpoint *other = g_hash_table_lookup(m->on_machine, e->machine);
 
-		if (!e->gone && g_str_equal(e->machine, machine) &&
-		    (!newest || e->born_wall_ms > newest->born_wall_ms))
-			newest = e;
+		if (!e->gone && *e->machine &&
+		    (!other || e->born_wall_ms > other->born_wall_ms))
+			g_hash_table_replace(m->on_machine, e->machine, e);
 	}
-	return newest;
 }
 
-bool waves_is_complete(const job_wave *wave)
+/// @return the latest life on a machine, or NULL
+static struct endpoint *endpoint_on(const struct manager *m, const char *machine)
 {
-	for (u_int i = 0; i < wave->machines.machines_len; i++)
-		if (!wave->machines.machines_val[i].settled)
-			return false;
-	return true;
+	struct endpoint *e = g_hash_table_lookup(m->on_machine, machine);
+
+	return e && !e->gone ? e : NULL;
 }
 
-bool waves_are_due(const struct manager *m, const char *machine)
+static void note_due_machines(struct manager *m)
 {
+	g_hash_table_remove_all(m->due_machines);
 	for (guint w = 0; w < m->jobs->waves->len; w++) {
 		const job_wave *wave = m->jobs->waves->pdata[w];
 
 		for (u_int i = 0; i < wave->machines.machines_len; i++)
-			if (!wave->machines.machines_val[i].settled &&
-			    g_str_equal(wave->machines.machines_val[i].machine, machine))
-				return true;
+			if (!wave->machines.machines_val[i].settled)
+				g_hash_table_add(m->due_machines,
+						 g_strdup(wave->machines.machines_val[i].machine));
 	}
-	return false;
+}
+
+bool waves_is_complete(const job_wave *wave)
+{
+	for (u_int i = 0; i < wave->machines.machines_len; i++)
+		if (!wave->machines.machines_val[i].settled)
+			return false;
+	return true;
 }
 
 /* Availability. */
@@ -324,12 +332,15 @@
 		if (w->settled || u->in_flight || now < u->next_at ||
 		    pools_is_moving(m, w->machine, now))
 			continue;
-		if (w->ordered) { /* it may have begun already: ask until there is an answer */
-			send_upkeep(m, now, wave, w->machine);
-			continue;
-		}
+		if (w->ordered) /* it may have begun already: ask until there is an answer */
+			cordon(e, now);
 		if (e && e->cordoned)
 			evacuate(m, e, now);
+		if (w->ordered) {
+			if (!e || !waves_hindrance(m, e, now))
+				send_upkeep(m, now, wave, w->machine);
+			continue;
+		}
 		if (down < wave->cap)
 			say_why_waiting(m, u, w->machine, e, now);
 		if (down >= wave->cap || (e && !e->cordoned) || !is_ready(m, e, now, pressed))
@@ -356,6 +367,10 @@
 	    now < m->since + m->settings.holder_lease_ms + HOLDER_MARGIN_MS)
 		return;
 	m->waves_at = now + WAVES_PERIOD_MS;
+	note_due_machines(m);
+	if (!g_hash_table_size(m->due_machines))
+		return;
+	index_machines(m);
 	for (guint i = 0; i < m->jobs->waves->len; i++) {
 		const job_wave *wave = m->jobs->waves->pdata[i];
 
@@ -385,7 +400,10 @@
 		  const struct order_result *result)
 {
 	struct upkeep *u = upkeep_of(m, p->machine);
-	struct endpoint *e = endpoint_on(m, p->machine);
+	struct endpoint *e;
+
+	index_machines(m);
+	e = endpoint_on(m, p->machine);
 
 	u->in_flight = false;
 	u->next_at = now + RETRY_MS;
--- a/src/sesamewood/sched/waves.h
+++ b/src/sesamewood/sched/waves.h
@@ -18,9 +18,6 @@
 /// Notes that an endpoint reported from a machine.
 void waves_announced(struct manager *m, const struct announcement *a);
 
-/// Tells whether a machine still has its upkeep of some wave before it.
-bool waves_are_due(const struct manager *m, const char *machine);
-
 /// @return whether a wave is complete
 bool waves_is_complete(const job_wave *wave);
 
--- /dev/null
+++ b/tests/property/property_jobs.cc
@@ -0,0 +1,127 @@
+/// @file
+/// Jobs and their link to endpoints under lost, late and repeated orders, changes of leader,
+/// crashed, reborn, cut and draining endpoints, cancelled jobs and maintenance.
+
+#include "fleet_model.h"
+#include "property.h"
+
+namespace
+{
+constexpr clock_ms_t kHealMs = 60000;
+
+/// What the random actions reached, over all cases.
+struct Reached {
+	unsigned long actions, starts, done, deposed, jobs, cancelled;
+} reached;
+
+job_step step_of(uint32_t random, bool lasts)
+{
+	job_step s = {};
+
+	s.count = 1 + random % 4;
+	s.cpu_milli = 1000 + random / 4 % 3 * 1000;
+	s.mem_mb = 1000;
+	s.estimate_ms = 300;
+	s.persistent = lasts;
+	s.max_unavailable = lasts ? 1 : 0;
+	s.max_per_endpoint = random / 16 % 4 == 0 ? 2 : 0;
+	return s;
+}
+
+model::JobPlan plan_of(unsigned int number, uint32_t random)
+{
+	model::JobPlan plan;
+	bool lasts = random % 8 == 0;
+	unsigned int steps = lasts ? 1 : 1 + random / 8 % 3;
+
+	plan.id = "job" + std::to_string(number);
+	plan.pool = "pool" + std::to_string(random / 32 % 2);
+	plan.task_ms = 100 + random / 64 % 900;
+	for (unsigned int i = 0; i < steps; i++)
+		plan.steps.push_back(step_of(random / (128 << i), lasts));
+	return plan;
+}
+
+void act(model::Fleet &fleet, uint32_t action, unsigned int &jobs)
+{
+	uint32_t what = action % 100;
+	uint32_t random = action / 100;
+
+	if (what < 40)
+		fleet.advance(1 + random % 200);
+	else if (what < 60)
+		fleet.submit(plan_of(jobs++, random));
+	else if (what < 64 && jobs)
+		fleet.cancel("job" + std::to_string(random % jobs));
+	else if (what < 70)
+		fleet.depose();
+	else if (what < 76)
+		fleet.crash(random, random / 64 % 2);
+	else if (what < 80) {
+		auto &e = fleet.endpoints[random % fleet.endpoints.size()];
+
+		e->cut = !e->cut;
+	} else if (what < 82)
+		fleet.drain(random);
+	else if (what < 84)
+		fleet.wave({random % 8, (random + 1) % 8, (random + 3) % 8}, 1 + random % 2);
+	else if (what < 88)
+		fleet.fault.lost_percent = static_cast<int>(random % 30);
+	else if (what < 92)
+		fleet.fault.late_percent = static_cast<int>(random % 20);
+	else if (what < 94)
+		fleet.fault.task_fail_percent = static_cast<int>(random % 20);
+	else
+		fleet.advance(500 + random % 3000);
+}
+
+/// Ends all faults: what lasts is cancelled, everything else must come to its end.
+void heal(model::Fleet &fleet, unsigned int jobs)
+{
+	fleet.fault = {};
+	for (unsigned int i = 0; i < fleet.endpoints.size(); i++) {
+		fleet.endpoints[i]->cut = false;
+		if (fleet.endpoints[i]->draining)
+			fleet.crash(i, false);
+	}
+	for (clock_ms_t t = 0; t < kHealMs && !fleet.settled(); t += 500) {
+		if (t > 8000)
+			for (unsigned int i = 0; i < jobs; i++)
+				fleet.cancel("job" + std::to_string(i));
+		fleet.advance(500);
+	}
+	RC_ASSERT(fleet.settled());
+}
+
+void keeps_its_promises(const std::vector<uint32_t> &actions)
+{
+	model::Fleet fleet(actions.size(), 2, 4);
+	unsigned int jobs = 0;
+
+	try {
+		for (uint32_t action : actions)
+			act(fleet, action, jobs);
+		reached.actions += actions.size();
+		reached.cancelled += fleet.cancelled.size();
+		heal(fleet, jobs);
+	} catch (const model::Broken &broken) {
+		RC_FAIL(broken.what());
+	}
+	reached.starts += fleet.starts;
+	reached.done += fleet.done;
+	reached.deposed += fleet.deposed;
+	reached.jobs += fleet.acked.size();
+}
+} // namespace
+
+int main()
+{
+	Property property("/jobs");
+
+	property.check("keeps_its_promises", [] { keeps_its_promises(*actions(120)); });
+	std::printf("# reached: %lu actions, %lu jobs, %lu starts, %lu done, %lu leaders deposed, "
+		    "%lu cancelled\n",
+		    reached.actions, reached.jobs, reached.starts, reached.done, reached.deposed,
+		    reached.cancelled);
+	return property.end();
+}
