fix(runs): late orders to an earlier life of an endpoint are refused

Change: fences carry the number of later lives below the term, and each later life, and each endpoint that reports to a new leader, is called at once so that it knows the fence.

--- a/src/sesamewood/manager/emit.c
+++ b/src/sesamewood/manager/emit.c
@@ -2,6 +2,11 @@
 
 #include "base/codec.h"
 
+/// A fence is the leader's term and, below it, how often the endpoint started again under its id
+/// since: a late order to an earlier life is refused once the later one has seen a call.
+#define LIVES_BITS 12
+#define LIVES_MAX ((1U << LIVES_BITS) - 1)
+
 static struct effect *add_effect(struct manager *m, enum effect_type type)
 {
 	struct effect *e = g_new0(struct effect, 1);
@@ -37,7 +42,7 @@
 	struct pending *p = g_new0(struct pending, 1);
 
 	order->id = ++m->next_order;
-	order->fence = m->term;
+	order->fence = m->term << LIVES_BITS | (e ? MIN(e->lives, LIVES_MAX) : 0);
 	*p = (struct pending){
 		.id = order->id,
 		.type = order->type,
--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -81,6 +81,8 @@
 	/* Looks. */
 	bool looking;
 	bool fenced; ///< it has seen this leader's fence
+	bool must_fence; ///< a later life under its id: late orders to the earlier one must meet a fence
+	uint32_t lives;	 ///< later lives under its id that this leader saw; part of the fence
 	clock_ms_t look_at; ///< not before then
 	clock_ms_t looked_at; ///< last answered look
 	uint64_t taken;	 ///< number of the last end that was proposed
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -16,6 +16,7 @@
 #define CALL_TIMEOUT_MS 900
 #define ORDER_SPAN_MS 1500 /* a start that could not be sent for so long is placed anew */
 #define RUNS_PERIOD_MS 10 /* under the gap between looks; each pass goes over all attempts */
+#define LATE_ORDER_MS 15000 /* an order is executed at most 12 s late */
 #define RETRY_MS 120
 #define LEFT_DELAY_MS 300	   /* from the last word to the end */
 #define STALL_MS 2500		   /* without progress while looks are answered */
@@ -296,6 +297,8 @@
 	}
 	forget_life(e);
 	e->born_wall_ms = born_wall_ms;
+	e->must_fence = true;
+	e->lives++;
 	m->dirty = true;
 }
 
@@ -337,6 +340,8 @@
 	endpoint_update(e, a, now);
 	if (!is_new)
 		return;
+	/* Its orders from earlier leaders may still be on their way. */
+	e->must_fence |= m->term > 1 && now - m->since < LATE_ORDER_MS;
 	bound_earlier_lease(e);
 	take_address(m, e);
 	m->dirty = true;
@@ -709,7 +714,7 @@
 {
 	if (e->looking || e->gone || now < e->look_at)
 		return false;
-	if (e->runs->len)
+	if (e->runs->len || (e->must_fence && !e->fenced))
 		return true;
 	return e->taken > e->acked && now >= e->look_at + LAST_ACK_DELAY_MS;
 }
