perf(manager): other control replicas send the leader's orders at several hundred endpoints

Change: from 120 endpoints on, orders go in batches to the replica that keeps the endpoint's connections; results come back in batches.

--- /dev/null
+++ b/bench/bench_manager.cc
@@ -0,0 +1,65 @@
+/// @file
+/// Processor time of the job manager per task, over the number of endpoints, at a steady load of
+/// short tasks. The model's own time is part of the figures; `--profile` runs one size for long.
+
+#include "fleet_model.h"
+
+#include <cstdio>
+#include <cstring>
+#include <ctime>
+
+namespace
+{
+double cpu_s()
+{
+	timespec t;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+	return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_nsec) / 1e9;
+}
+
+void measure(unsigned int per_pool, unsigned int seconds)
+{
+	model::Fleet fleet(1, 5, per_pool);
+	unsigned int jobs = 0;
+	unsigned int per_s = 5 * per_pool / 3; /* about 60% of the room */
+	double before;
+
+	fleet.advance(2000);
+	before = cpu_s();
+	for (unsigned int ms = 0; ms < seconds * 1000; ms += 10) {
+		for (unsigned int due = per_s * (ms + 10) / 1000; jobs < due; jobs++) {
+			model::JobPlan plan;
+			job_step step = {};
+
+			plan.id = "job" + std::to_string(jobs);
+			plan.pool = "pool" + std::to_string(jobs % 5);
+			plan.task_ms = 800;
+			step.count = 8;
+			step.cpu_milli = 1000;
+			step.mem_mb = 1000;
+			step.estimate_ms = 800;
+			plan.steps = {step};
+			fleet.submit(plan);
+		}
+		fleet.advance(10);
+	}
+	std::printf("%u endpoints: %.1f us a task, %lu starts, %lu orders, %lu commands\n",
+		    5 * per_pool, (cpu_s() - before) * 1e6 / static_cast<double>(fleet.starts),
+		    static_cast<unsigned long>(fleet.starts),
+		    static_cast<unsigned long>(fleet.orders),
+		    static_cast<unsigned long>(fleet.commands));
+}
+} // namespace
+
+int main(int argc, char **argv)
+{
+	if (argc > 1 && std::strcmp(argv[1], "--profile") == 0) {
+		measure(70, 20);
+		return 0;
+	}
+	measure(10, 20);
+	measure(20, 20);
+	measure(70, 10);
+	return 0;
+}
--- a/src/sesamewood/control/raft.c
+++ b/src/sesamewood/control/raft.c
@@ -700,6 +700,14 @@
 	g_free(r);
 }
 
+bool raft_hears(const struct raft *r, uint32_t node, clock_ms_t now, clock_ms_t within_ms)
+{
+	for (unsigned int i = 0; i < r->n_peers; i++)
+		if (r->peers[i].node == node)
+			return now - r->peers[i].heard_at <= within_ms;
+	return false;
+}
+
 enum raft_role raft_role(const struct raft *r)
 {
 	return r->role;
--- a/src/sesamewood/control/raft.h
+++ b/src/sesamewood/control/raft.h
@@ -133,6 +133,9 @@
 /// leader can have been elected by @p now.
 bool raft_leads(const struct raft *r, clock_ms_t now);
 
+/// Tells whether another member has answered the leader within @p within_ms.
+bool raft_hears(const struct raft *r, uint32_t node, clock_ms_t now, clock_ms_t within_ms);
+
 /// Term of the record at @p index, or 0 when unknown.
 uint64_t raft_term_at(const struct raft *r, uint64_t index);
 
--- /dev/null
+++ b/src/sesamewood/manager/agents.c
@@ -0,0 +1,301 @@
+#include "manager/agents.h"
+
+#include "base/codec.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define ANSWER_MARGIN_MS 400 /* from an order's own timeout to giving up on its agent */
+#define CALL_TIMEOUT_MS 600
+#define BATCH_MAX 1024
+
+/// An order that an agent has.
+struct remote {
+	uint64_t id;
+	uint64_t term;
+	clock_ms_t deadline;
+};
+
+struct batch {
+	uint64_t term;
+	GArray *orders;	 ///< of sw_order, owned
+	GArray *results; ///< of sw_order_result, owned
+};
+
+struct agents {
+	struct rpc_client *(*client)(void *ctx, uint32_t node);
+	agents_result_fn result;
+	void *ctx;
+	GHashTable *batches; ///< struct batch by node
+	GHashTable *remotes; ///< struct remote by order id
+};
+
+static void order_clear(void *p)
+{
+	codec_free(CODEC_PROC(sw_order), p);
+}
+
+static void result_clear(void *p)
+{
+	codec_free(CODEC_PROC(sw_order_result), p);
+}
+
+static void batch_free(void *p)
+{
+	struct batch *b = p;
+
+	g_array_unref(b->orders);
+	g_array_unref(b->results);
+	g_free(b);
+}
+
+struct agents *agents_new(struct rpc_client *(*client)(void *ctx, uint32_t node),
+			  agents_result_fn result, void *ctx)
+{
+	struct agents *a = g_new0(struct agents, 1);
+
+	*a = (struct agents){
+		.client = client,
+		.result = result,
+		.ctx = ctx,
+		.batches = g_hash_table_new_full(NULL, NULL, NULL, batch_free),
+		.remotes = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free),
+	};
+	return a;
+}
+
+static struct batch *batch_of(struct agents *a, uint32_t node, uint64_t term)
+{
+	struct batch *b = g_hash_table_lookup(a->batches, GUINT_TO_POINTER(node));
+
+	if (!b) {
+		b = g_new0(struct batch, 1);
+		b->orders = g_array_new(FALSE, TRUE, sizeof(sw_order));
+		b->results = g_array_new(FALSE, TRUE, sizeof(sw_order_result));
+		g_array_set_clear_func(b->orders, order_clear);
+		g_array_set_clear_func(b->results, result_clear);
+		g_hash_table_insert(a->batches, GUINT_TO_POINTER(node), b);
+	}
+	if (b->term != term) {
+		g_array_set_size(b->orders, 0);
+		g_array_set_size(b->results, 0);
+		b->term = term;
+	}
+	return b;
+}
+
+static char *copy_text(const char *text)
+{
+	return strdup(text ? text : "");
+}
+
+void agents_send(struct agents *a, uint32_t node, uint64_t term, struct order *o, clock_ms_t now)
+{
+	struct batch *b = batch_of(a, node, term);
+	struct remote *r = g_new0(struct remote, 1);
+	sw_order order = {
+		.id = o->id,
+		.type = o->type,
+		.address = copy_text(o->address),
+		.instance = copy_text(o->instance),
+		.timeout_ms = o->timeout_ms,
+		.fence = o->fence,
+		.task = copy_text(o->task),
+		.attempt = o->attempt,
+		.payload = copy_text(o->payload),
+		.checkpoint = copy_text(o->checkpoint),
+		.ticket = copy_text(o->ticket),
+		.until_ms = o->until_ms,
+		.ack_through = o->ack_through,
+		.wait_ms = o->wait_ms,
+		.percent = o->percent,
+	};
+
+	if (o->not_after != CLOCK_NEVER)
+		order.valid_ms = (u_int)MAX(o->not_after - now, 1);
+	*r = (struct remote){o->id, term, now + o->timeout_ms + ANSWER_MARGIN_MS};
+	g_hash_table_replace(a->remotes, &r->id, r);
+	g_array_append_val(b->orders, order);
+	order_free(o);
+}
+
+struct order *agents_decode_order(const sw_order *from, clock_ms_t now)
+{
+	struct order *o = g_new0(struct order, 1);
+
+	*o = (struct order){
+		.id = from->id,
+		.type = (enum order_type)from->type,
+		.address = g_strdup(from->address),
+		.instance = g_strdup(from->instance),
+		.timeout_ms = from->timeout_ms,
+		.fence = from->fence,
+		.task = g_strdup(from->task),
+		.attempt = from->attempt,
+		.payload = g_strdup(from->payload),
+		.checkpoint = g_strdup(from->checkpoint),
+		.ticket = g_strdup(from->ticket),
+		.until_ms = from->until_ms,
+		.ack_through = from->ack_through,
+		.wait_ms = from->wait_ms,
+		.percent = from->percent,
+		.not_after = from->valid_ms ? now + from->valid_ms : CLOCK_NEVER,
+	};
+	return o;
+}
+
+void agents_answer(struct agents *a, uint32_t leader, uint64_t term,
+		   const struct order_result *from)
+{
+	struct batch *b = batch_of(a, leader, term);
+	sw_order_result r = {
+		.id = from->id,
+		.status = from->status,
+		.clock_ms = from->clock_ms,
+		.born_wall_ms = from->born_wall_ms,
+	};
+
+	r.runs.runs_val = calloc(from->runs->len + 1, sizeof(sw_run_row));
+	for (guint i = 0; i < from->runs->len; i++) {
+		const struct run_row *row = &g_array_index(from->runs, struct run_row, i);
+
+		r.runs.runs_val[r.runs.runs_len++] = (sw_run_row){
+			.task = copy_text(row->task),
+			.attempt = row->attempt,
+			.checkpoint = copy_text(row->checkpoint),
+			.percent = row->percent,
+			.usage = row->usage,
+		};
+	}
+	r.ends.ends_val = calloc(from->ends->len + 1, sizeof(sw_end_row));
+	for (guint i = 0; i < from->ends->len; i++) {
+		const struct end_row *row = &g_array_index(from->ends, struct end_row, i);
+
+		r.ends.ends_val[r.ends.ends_len++] = (sw_end_row){
+			.number = row->number,
+			.task = copy_text(row->task),
+			.attempt = row->attempt,
+			.how = row->how,
+			.checkpoint = copy_text(row->checkpoint),
+		};
+	}
+	g_array_append_val(b->results, r);
+}
+
+static void flush_batch(struct agents *a, uint32_t node, struct batch *b, uint32_t own)
+{
+	for (guint at = 0; at < b->orders->len; at += BATCH_MAX) {
+		sw_order_batch out = {.leader = own, .term = b->term};
+
+		out.orders.orders_val = &g_array_index(b->orders, sw_order, at);
+		out.orders.orders_len = MIN(b->orders->len - at, BATCH_MAX);
+		rpc_client_call(a->client(a->ctx, node), SW_PROC_ORDERS, &out, CALL_TIMEOUT_MS,
+				NULL, NULL);
+	}
+	for (guint at = 0; at < b->results->len; at += BATCH_MAX) {
+		sw_result_batch out = {.term = b->term};
+
+		out.results.results_val = &g_array_index(b->results, sw_order_result, at);
+		out.results.results_len = MIN(b->results->len - at, BATCH_MAX);
+		rpc_client_call(a->client(a->ctx, node), SW_PROC_RESULTS, &out, CALL_TIMEOUT_MS,
+				NULL, NULL);
+	}
+	g_array_set_size(b->orders, 0);
+	g_array_set_size(b->results, 0);
+}
+
+void agents_flush(struct agents *a, uint32_t own)
+{
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, a->batches);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		flush_batch(a, GPOINTER_TO_UINT(key), value, own);
+}
+
+void agents_tick(struct agents *a, clock_ms_t now)
+{
+	g_autoptr(GArray) over = g_array_new(FALSE, FALSE, sizeof(struct remote));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, a->remotes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct remote *r = value;
+
+		if (now < r->deadline)
+			continue;
+		g_array_append_val(over, *r);
+		g_hash_table_iter_remove(&iter);
+	}
+	for (guint i = 0; i < over->len; i++) {
+		const struct remote *r = &g_array_index(over, struct remote, i);
+
+		a->result(a->ctx, r->term, order_result_new(r->id, ORDER_NO_ANSWER));
+	}
+}
+
+static struct order_result *decode_result(const sw_order_result *from)
+{
+	struct order_result *r = order_result_new(from->id, (enum order_status)from->status);
+
+	r->clock_ms = from->clock_ms;
+	r->born_wall_ms = from->born_wall_ms;
+	for (u_int i = 0; i < from->runs.runs_len; i++) {
+		const sw_run_row *row = &from->runs.runs_val[i];
+		struct run_row to = {
+			.task = g_strdup(row->task),
+			.attempt = row->attempt,
+			.checkpoint = g_strdup(row->checkpoint),
+			.percent = row->percent,
+			.usage = row->usage,
+		};
+
+		g_array_append_val(r->runs, to);
+	}
+	for (u_int i = 0; i < from->ends.ends_len; i++) {
+		const sw_end_row *row = &from->ends.ends_val[i];
+		struct end_row to = {
+			.number = row->number,
+			.task = g_strdup(row->task),
+			.attempt = row->attempt,
+			.how = (enum run_end)row->how,
+			.checkpoint = g_strdup(row->checkpoint),
+		};
+
+		g_array_append_val(r->ends, to);
+	}
+	return r;
+}
+
+void agents_take_results(struct agents *a, const sw_result_batch *batch)
+{
+	for (u_int i = 0; i < batch->results.results_len; i++) {
+		const sw_order_result *from = &batch->results.results_val[i];
+		const struct remote *r = g_hash_table_lookup(a->remotes, &from->id);
+
+		if (!r || r->term != batch->term)
+			continue;
+		g_hash_table_remove(a->remotes, &from->id);
+		a->result(a->ctx, batch->term, decode_result(from));
+	}
+}
+
+uint32_t agents_pick(const uint32_t *nodes, unsigned int n, const char *instance)
+{
+	uint32_t best = 0;
+	XXH64_hash_t most = 0;
+
+	for (unsigned int i = 0; i < n; i++) {
+		XXH64_hash_t weight = XXH64(instance, strlen(instance), nodes[i]);
+
+		if (best && weight <= most)
+			continue;
+		best = nodes[i];
+		most = weight;
+	}
+	return best;
+}
--- a/src/sesamewood/manager/control_shell.c
+++ b/src/sesamewood/manager/control_shell.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "control/storage_thread.h"
+#include "manager/agents.h"
 #include "manager/relay.h"
 #include "rpc/rpc_client.h"
 #include "rpc/rpc_server.h"
@@ -26,6 +27,10 @@
 #define RAFT_CALL_MS 500      /* a connection that is silent for so long is opened anew */
 #define RELAY_MS 900	      /* callers of control move on after a second */
 #define HOST_CONNECTIONS 4    /* a look that waits, and starts beside it */
+/// From so many endpoints on the other replicas send the orders. One replica's share of a core
+/// carries about 150 busy endpoints (docs/CAPACITY.md).
+#define AGENTS_FROM_ENDPOINTS 120
+#define AGENT_ALIVE_MS 350 /* three heartbeats and a half */
 #define TICK_S (MANAGER_TICK_MS / 1000.0)
 #define EXIT_DISK 3
 #define EXIT_LISTEN 4
@@ -65,6 +70,7 @@
 	struct relay *relay;
 	struct http_server *http;
 	struct http_calls *calls;
+	struct agents *agents;
 	ev_prepare before_wait;
 	ev_timer tick;
 	ev_signal terminate;
@@ -147,6 +153,7 @@
 	struct shell *shell;
 	struct order *order;
 	uint64_t term;
+	uint32_t leader; ///< node that the order is sent for
 	clock_ms_t at;
 };
 
@@ -157,6 +164,18 @@
 	order_result_free(result);
 }
 
+/// Takes over the result.
+static void deliver_result(struct shell *sh, uint32_t leader, uint64_t term,
+			   struct order_result *result)
+{
+	if (leader == sh->node) {
+		give_result(sh, term, result);
+		return;
+	}
+	agents_answer(sh->agents, leader, term, result);
+	order_result_free(result);
+}
+
 static void on_order_done(void *ctx, const struct http_call_result *r)
 {
 	struct sent_order *s = ctx;
@@ -169,13 +188,13 @@
 	else
 		result = order_result_new(s->order->id, r->sent ? ORDER_NO_ANSWER : ORDER_NOT_SENT);
 	metrics_observe(sh->order_ms, clock_monotonic() - s->at);
-	give_result(sh, s->term, result);
+	deliver_result(sh, s->leader, s->term, result);
 	order_free(s->order);
 	g_free(s);
 }
 
-/// Takes over the order.
-static void send_order(struct shell *sh, struct order *order)
+/// Sends an order from here; takes it over.
+static void send_here(struct shell *sh, struct order *order, uint32_t leader, uint64_t term)
 {
 	clock_ms_t now = clock_monotonic();
 	struct wire_request request = {0};
@@ -184,13 +203,13 @@
 
 	if (now > order->not_after ||
 	    !sh->wire->encode_order(sh->wire->ctx, order, &request)) {
-		give_result(sh, sh->manager_term, order_result_new(order->id, ORDER_NOT_SENT));
+		deliver_result(sh, leader, term, order_result_new(order->id, ORDER_NOT_SENT));
 		order_free(order);
 		return;
 	}
 	s = g_new0(struct sent_order, 1);
 	*s = (struct sent_order){
-		.shell = sh, .order = order, .term = sh->manager_term, .at = now};
+		.shell = sh, .order = order, .term = term, .leader = leader, .at = now};
 	call = (struct http_call){
 		.address = request.address,
 		.path = request.path,
@@ -205,6 +224,37 @@
 	wire_request_clear(&request);
 }
 
+/// @return the replica that sends orders to an endpoint
+static uint32_t agent_of(const struct shell *sh, const struct order *order)
+{
+	const sw_members *members = raft_members(sh->raft);
+	clock_ms_t now = clock_monotonic();
+	uint32_t alive[RAFT_PEERS_MAX + 1];
+	unsigned int n = 0;
+
+	if (order->direct || !order->instance ||
+	    manager_endpoints(sh->manager) < AGENTS_FROM_ENDPOINTS)
+		return sh->node;
+	for (u_int i = 0; i < members->members.members_len && n < G_N_ELEMENTS(alive); i++) {
+		uint32_t node = members->members.members_val[i].node;
+
+		if (node != sh->node && raft_hears(sh->raft, node, now, AGENT_ALIVE_MS))
+			alive[n++] = node;
+	}
+	return n ? agents_pick(alive, n, order->instance) : sh->node;
+}
+
+/// Takes over the order.
+static void send_order(struct shell *sh, struct order *order)
+{
+	uint32_t node = agent_of(sh, order);
+
+	if (node == sh->node)
+		send_here(sh, order, sh->node, sh->manager_term);
+	else
+		agents_send(sh->agents, node, sh->manager_term, order, clock_monotonic());
+}
+
 /* Leadership. */
 
 static bool leads(const struct shell *sh)
@@ -428,6 +478,7 @@
 		raft_flush(sh->raft, clock_monotonic());
 		any |= take_raft_effects(sh);
 	}
+	agents_flush(sh->agents, sh->node);
 }
 
 static void on_before_wait(struct ev_loop *loop, ev_prepare *w, int revents)
@@ -444,6 +495,7 @@
 
 	(void)revents;
 	raft_tick(sh->raft, now);
+	agents_tick(sh->agents, now);
 	if (!sh->stopping_at)
 		return;
 	if (now - sh->stopping_at > sh->settings.grace_ms - STOP_MARGIN_MS ||
@@ -522,6 +574,15 @@
 
 static const struct http_handlers http_handlers = {.on_request = on_http_request};
 
+static void send_for_leader(struct shell *sh, const sw_order_batch *batch)
+{
+	clock_ms_t now = clock_monotonic();
+
+	for (u_int i = 0; i < batch->orders.orders_len; i++)
+		send_here(sh, agents_decode_order(&batch->orders.orders_val[i], now),
+			  batch->leader, batch->term);
+}
+
 static void on_rpc(void *ctx, struct rpc_request *req, uint32_t proc, const void *value)
 {
 	struct shell *sh = ctx;
@@ -533,6 +594,16 @@
 		raft_receive(sh->raft, clock_monotonic(), value);
 		return;
 	}
+	if (proc == SW_PROC_ORDERS) {
+		rpc_request_reply(req, NULL);
+		send_for_leader(sh, value);
+		return;
+	}
+	if (proc == SW_PROC_RESULTS) {
+		rpc_request_reply(req, NULL);
+		agents_take_results(sh->agents, value);
+		return;
+	}
 	if (proc != SW_PROC_RELAY) {
 		rpc_request_refuse(req);
 		return;
@@ -558,6 +629,16 @@
 	handle_here(sh, &call, req, NULL);
 }
 
+static struct rpc_client *client_of(void *ctx, uint32_t node)
+{
+	return relay_client(((struct shell *)ctx)->relay, node);
+}
+
+static void on_agent_result(void *ctx, uint64_t term, struct order_result *result)
+{
+	give_result(ctx, term, result);
+}
+
 /* Start and stop. */
 
 static void on_terminate(struct ev_loop *loop, ev_signal *w, int revents)
@@ -696,6 +777,7 @@
 	while (n < RAFT_SEEDS_MAX && settings->seeds[n])
 		n++;
 	relay_set_seeds(sh.relay, settings->seeds, n);
+	sh.agents = agents_new(client_of, on_agent_result, &sh);
 	sh.calls = http_calls_new(sh.loop, HOST_CONNECTIONS);
 	open_log(&sh);
 	listen_or_exit(&sh);
--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -167,6 +167,11 @@
 	return out;
 }
 
+unsigned int manager_endpoints(const struct manager *m)
+{
+	return g_hash_table_size(m->endpoints);
+}
+
 bool manager_is_fenced_off(const struct manager *m)
 {
 	return m->fenced_off;
--- a/src/sesamewood/manager/manager.h
+++ b/src/sesamewood/manager/manager.h
@@ -54,6 +54,9 @@
 /// Takes the effects gathered since the last call, in order: array of struct effect.
 GPtrArray *manager_take_effects(struct manager *m);
 
+/// @return endpoints known
+unsigned int manager_endpoints(const struct manager *m);
+
 /// Tells whether the manager has seen a higher fence than its own and must give way.
 bool manager_is_fenced_off(const struct manager *m);
 
--- a/src/sesamewood/manager/manager_defs.h
+++ b/src/sesamewood/manager/manager_defs.h
@@ -121,6 +121,7 @@
 	uint64_t wave;		///< machine upkeep
 	char *holder;		///< machine orders
 	char *page;		///< machine list: "" for the first
+	bool direct;		///< the leader sends it itself
 	clock_ms_t not_after;	///< not sent later than this
 };
 
--- a/src/sesamewood/rpc/rpc_procs.c
+++ b/src/sesamewood/rpc/rpc_procs.c
@@ -19,6 +19,8 @@
 	PROC_ONE_WAY(SW_PROC_RETURN, "return", sw_return_args),
 	PROC(SW_PROC_ANSWER, "answer", sw_answer_args, sw_answer_reply),
 	PROC(SW_PROC_RELAY, "relay", sw_relay_args, sw_relay_reply),
+	PROC_ONE_WAY(SW_PROC_ORDERS, "orders", sw_order_batch),
+	PROC_ONE_WAY(SW_PROC_RESULTS, "results", sw_result_batch),
 };
 
 const struct rpc_proc *rpc_proc_find(uint32_t number)
--- a/src/sesamewood/rpc/sesamewood.x
+++ b/src/sesamewood/rpc/sesamewood.x
@@ -631,6 +631,63 @@
 	sw_blob body;                 /* JSON, or empty */
 };
 
+/* Orders that another control replica sends for the leader. */
+
+struct sw_order {
+	unsigned hyper id;
+	unsigned int type;
+	sw_address address;
+	string instance<256>;
+	unsigned int timeout_ms;
+	unsigned hyper fence;
+	string task<256>;
+	unsigned int attempt;
+	string payload<JOB_TEXT_MAX>;
+	string checkpoint<256>;
+	string ticket<256>;
+	hyper until_ms;
+	unsigned hyper ack_through;
+	unsigned int wait_ms;
+	unsigned int percent;
+	unsigned int valid_ms;        /* not sent later than this after it arrived; 0: no limit */
+};
+
+struct sw_order_batch {
+	unsigned int leader;
+	unsigned hyper term;
+	sw_order orders<4096>;
+};
+
+struct sw_run_row {
+	string task<256>;
+	unsigned int attempt;
+	string checkpoint<256>;
+	unsigned int percent;
+	hyper usage;
+};
+
+struct sw_end_row {
+	unsigned hyper number;
+	string task<256>;
+	unsigned int attempt;
+	unsigned int how;
+	string checkpoint<256>;
+};
+
+struct sw_order_result {
+	unsigned hyper id;
+	unsigned int status;
+	hyper clock_ms;
+	hyper born_wall_ms;
+	sw_run_row runs<SW_LIST_MAX>;
+	sw_end_row ends<SW_LIST_MAX>;
+};
+
+struct sw_result_batch {
+	unsigned hyper term;
+	sw_order_result results<4096>;
+};
+
 program SESAMEWOOD_PROGRAM {
 	version SESAMEWOOD_V1 {
 		void SW_PROC_NULL(void) = 0;
@@ -643,5 +700,7 @@
 		void SW_PROC_RETURN(sw_return_args) = 7;
 		sw_answer_reply SW_PROC_ANSWER(sw_answer_args) = 8;
 		sw_relay_reply SW_PROC_RELAY(sw_relay_args) = 9;
+		void SW_PROC_ORDERS(sw_order_batch) = 10;
+		void SW_PROC_RESULTS(sw_result_batch) = 11;
 	} = 1;
 } = 0x20005e5a;
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -159,6 +159,7 @@
 	o->instance = g_strdup(e->id);
 	o->timeout_ms = timeout_ms;
 	o->not_after = CLOCK_NEVER;
+	o->direct = e->misses > 0; /* another path than the one that failed */
 	return o;
 }
 
