--- a/src/sesamewood/base/log.c
+++ b/src/sesamewood/base/log.c
@@ -43,11 +43,11 @@
 {
 	static guint64 dropped;
 	struct pollfd out = {.fd = STDOUT_FILENO, .events = POLLOUT};
-	g_autofree char *line = dropped ? g_strdup_printf("{\"level\":\"warning\",\"message\":\"log "
-							  "lines dropped\",\"count\":%" G_GUINT64_FORMAT
-							  "}\n%s\n",
-							  dropped, text)
-					: g_strconcat(text, "\n", NULL);
+	g_autofree char *line =
+		dropped ? g_strdup_printf("{\"level\":\"warning\",\"message\":\"log "
+					  "lines dropped\",\"count\":%" G_GUINT64_FORMAT "}\n%s\n",
+					  dropped, text)
+			: g_strconcat(text, "\n", NULL);
 
 	if (poll(&out, 1, 0) != 1 || !(out.revents & POLLOUT) ||
 	    write(STDOUT_FILENO, line, strlen(line)) < 0)
--- a/src/sesamewood/control/raft.c
+++ b/src/sesamewood/control/raft.c
@@ -508,9 +508,8 @@
 
 static void receive_join(struct raft *r, clock_ms_t now, const raft_message *m)
 {
-	struct peer *p = r->settings.dynamic && r->role == RAFT_LEADER
-				 ? raft_add_peer(r, m->from)
-				 : raft_find_peer(r, m->from);
+	struct peer *p = r->settings.dynamic && r->role == RAFT_LEADER ? raft_add_peer(r, m->from)
+								       : raft_find_peer(r, m->from);
 
 	if (r->role != RAFT_LEADER || !p || (p->learner && p->uid == m->from_uid) ||
 	    raft_is_member(r, m->from, m->from_uid))
--- a/src/sesamewood/control/raft.h
+++ b/src/sesamewood/control/raft.h
@@ -31,7 +31,8 @@
 	uint32_t heartbeat_ms;
 	uint32_t keep_records; ///< records kept behind a snapshot for slow followers
 	uint64_t seed;
-	/// Members are found through seeds instead of a configured list; any node number is allowed.
+	/// Members are found through seeds instead of a configured list; any node number is
+	/// allowed.
 	bool dynamic;
 	bool bootstrap;			///< the seeds may form a cluster
 	uint32_t seeds[RAFT_SEEDS_MAX]; ///< 0 ends them
--- a/src/sesamewood/manager/calls.c
+++ b/src/sesamewood/manager/calls.c
@@ -142,8 +142,8 @@
 		return plain(REPLY_UNAVAILABLE);
 	return (struct reply){
 		.content = REPLY_DOCUMENT,
-		.u.document = g_bytes_new(config->document.sw_blob_val,
-					  config->document.sw_blob_len),
+		.u.document =
+			g_bytes_new(config->document.sw_blob_val, config->document.sw_blob_len),
 	};
 }
 
@@ -171,8 +171,7 @@
 
 	if (!wave)
 		return plain(REPLY_UNKNOWN);
-	return (struct reply){.content = REPLY_WAVE,
-			      .u.wave_complete = waves_is_complete(wave)};
+	return (struct reply){.content = REPLY_WAVE, .u.wave_complete = waves_is_complete(wave)};
 }
 
 void calls_handle(struct manager *m, clock_ms_t now, clock_ms_t wall, uint64_t token,
--- a/src/sesamewood/manager/control_shell.c
+++ b/src/sesamewood/manager/control_shell.c
@@ -201,8 +201,7 @@
 	struct sent_order *s;
 	struct http_call call;
 
-	if (now > order->not_after ||
-	    !sh->wire->encode_order(sh->wire->ctx, order, &request)) {
+	if (now > order->not_after || !sh->wire->encode_order(sh->wire->ctx, order, &request)) {
 		deliver_result(sh, leader, term, order_result_new(order->id, ORDER_NOT_SENT));
 		order_free(order);
 		return;
@@ -565,9 +564,8 @@
 		   strlen(call.target) > 8192) {
 		http_reply(req, HTTP_BAD_REQUEST, NULL, NULL, 0);
 	} else {
-		relay_note_leader(sh->relay, raft_leader(sh->raft) == sh->node
-						     ? 0
-						     : raft_leader(sh->raft));
+		relay_note_leader(sh->relay,
+				  raft_leader(sh->raft) == sh->node ? 0 : raft_leader(sh->raft));
 		relay_call(sh->relay, &args, RELAY_MS, on_relayed, req);
 	}
 }
@@ -579,8 +577,8 @@
 	clock_ms_t now = clock_monotonic();
 
 	for (u_int i = 0; i < batch->orders.orders_len; i++)
-		send_here(sh, agents_decode_order(&batch->orders.orders_val[i], now),
-			  batch->leader, batch->term);
+		send_here(sh, agents_decode_order(&batch->orders.orders_val[i], now), batch->leader,
+			  batch->term);
 }
 
 static void on_rpc(void *ctx, struct rpc_request *req, uint32_t proc, const void *value)
--- a/src/sesamewood/manager/entry_shell.c
+++ b/src/sesamewood/manager/entry_shell.c
@@ -13,12 +13,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define PING_S 0.4	       /* several a second that the balancer's check looks back on */
-#define PING_TIMEOUT_MS 600    /* a try that is lost leaves time for another */
-#define READY_WINDOW_MS 2500   /* two elections: short ones should not empty the rotation */
-#define RELAY_MS 1100	       /* callers wait 3 s; one more entry can be tried in time */
-#define STOP_LEAST_MS 3200     /* the balancer checks each second and needs two misses */
-#define STOP_MARGIN_MS 700     /* before the kill */
+#define PING_S 0.4	     /* several a second that the balancer's check looks back on */
+#define PING_TIMEOUT_MS 600  /* a try that is lost leaves time for another */
+#define READY_WINDOW_MS 2500 /* two elections: short ones should not empty the rotation */
+#define RELAY_MS 1100	     /* callers wait 3 s; one more entry can be tried in time */
+#define STOP_LEAST_MS 3200   /* the balancer checks each second and needs two misses */
+#define STOP_MARGIN_MS 700   /* before the kill */
 #define RETRY_AFTER_S 1
 #define EXIT_LISTEN 4
 #define CONNECTIONS_MAX 2000
@@ -59,7 +59,7 @@
 	case RELAY_ANSWERED:
 		metrics_add(sh->answered, 1);
 		http_reply(req, reply->http_status,
-			   reply->retry_after_s	      ? with_after
+			   reply->retry_after_s	     ? with_after
 			   : reply->body.sw_blob_len ? json
 						     : NULL,
 			   reply->body.sw_blob_val, reply->body.sw_blob_len);
--- a/src/sesamewood/manager/entry_shell.h
+++ b/src/sesamewood/manager/entry_shell.h
@@ -9,8 +9,8 @@
 #include <stdint.h>
 
 struct entry_shell_settings {
-	const char *front;    ///< "IP:port" for callers
-	const char *ready;    ///< "IP:port" for the balancer's checks
+	const char *front; ///< "IP:port" for callers
+	const char *ready; ///< "IP:port" for the balancer's checks
 	const char *ready_path;
 	uint16_t rpc_port; ///< of all control replicas
 	uint32_t seeds[3]; ///< control nodes, 0 ends them
--- a/src/sesamewood/manager/manager_defs.h
+++ b/src/sesamewood/manager/manager_defs.h
@@ -89,11 +89,11 @@
 /* Orders. */
 
 enum order_type {
-	ORDER_START,	   ///< start one attempt
-	ORDER_STOP,	   ///< stop one attempt
-	ORDER_LOOK,	   ///< extend the lease, take ends, list what runs
-	ORDER_PACE,	   ///< let an attempt work at a share of its speed
-	ORDER_ADVISE,	   ///< ask which endpoints may run a step
+	ORDER_START,  ///< start one attempt
+	ORDER_STOP,   ///< stop one attempt
+	ORDER_LOOK,   ///< extend the lease, take ends, list what runs
+	ORDER_PACE,   ///< let an attempt work at a share of its speed
+	ORDER_ADVISE, ///< ask which endpoints may run a step
 	ORDER_MACHINE_LIST,
 	ORDER_MACHINE_MOVE,
 	ORDER_MACHINE_UPKEEP,
@@ -108,21 +108,21 @@
 	uint64_t fence;
 	char *task; ///< name of the task; advise: name of the step
 	uint32_t attempt;
-	char *payload;		///< start
-	char *checkpoint;	///< start: "" for none
-	char *ticket;		///< start: "" for none
-	int64_t until_ms;	///< start, look: end of the lease on the endpoint's clock
-	uint64_t ack_through;	///< look
-	uint32_t wait_ms;	///< look: answer when an end comes, or then
-	uint32_t percent;	///< pace
-	GPtrArray *instances;	///< advise: ids
-	char *machine;		///< machine orders
-	char *pool;		///< machine move
-	uint64_t wave;		///< machine upkeep
-	char *holder;		///< machine orders
-	char *page;		///< machine list: "" for the first
-	bool direct;		///< the leader sends it itself
-	clock_ms_t not_after;	///< not sent later than this
+	char *payload;	      ///< start
+	char *checkpoint;     ///< start: "" for none
+	char *ticket;	      ///< start: "" for none
+	int64_t until_ms;     ///< start, look: end of the lease on the endpoint's clock
+	uint64_t ack_through; ///< look
+	uint32_t wait_ms;     ///< look: answer when an end comes, or then
+	uint32_t percent;     ///< pace
+	GPtrArray *instances; ///< advise: ids
+	char *machine;	      ///< machine orders
+	char *pool;	      ///< machine move
+	uint64_t wave;	      ///< machine upkeep
+	char *holder;	      ///< machine orders
+	char *page;	      ///< machine list: "" for the first
+	bool direct;	      ///< the leader sends it itself
+	clock_ms_t not_after; ///< not sent later than this
 };
 
 enum order_status {
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -15,37 +15,37 @@
 	clock_ms_t since;
 	GPtrArray *effects;
 	uint64_t next_order;
-	GHashTable *endpoints; ///< struct endpoint by id
-	GHashTable *runs;      ///< struct run by task name; owned
-	GHashTable *orders;    ///< struct pending by order id; owned
-	GHashTable *advice;    ///< struct advice by step name; owned
-	GHashTable *ratios;    ///< struct ratio by queue, step and image; owned
-	GPtrArray *active;     ///< of struct job, not over or with attempts out
-	clock_ms_t round_from; ///< no placement round before then
-	clock_ms_t round_at; ///< a placement round is due then at the latest
-	clock_ms_t runs_at;  ///< next pass over the endpoints
+	GHashTable *endpoints;	  ///< struct endpoint by id
+	GHashTable *runs;	  ///< struct run by task name; owned
+	GHashTable *orders;	  ///< struct pending by order id; owned
+	GHashTable *advice;	  ///< struct advice by step name; owned
+	GHashTable *ratios;	  ///< struct ratio by queue, step and image; owned
+	GPtrArray *active;	  ///< of struct job, not over or with attempts out
+	clock_ms_t round_from;	  ///< no placement round before then
+	clock_ms_t round_at;	  ///< a placement round is due then at the latest
+	clock_ms_t runs_at;	  ///< next pass over the endpoints
 	GHashTable *due_machines; ///< names of machines with upkeep before them
-	bool dirty;	        ///< something changed that may let work be placed
+	bool dirty;		  ///< something changed that may let work be placed
 	bool fenced_off;
 	clock_ms_t forget_at;
-	clock_ms_t waves_at;   ///< next look at the waves
-	GHashTable *machines;  ///< struct machine by name; owned
-	GHashTable *arriving;  ///< work that arrives in a ms, double, by pool; owned
-	uint32_t machine_cpu;  ///< of the largest machine seen
-	bool listing;	       ///< a machine list is on its way
+	clock_ms_t waves_at;  ///< next look at the waves
+	GHashTable *machines; ///< struct machine by name; owned
+	GHashTable *arriving; ///< work that arrives in a ms, double, by pool; owned
+	uint32_t machine_cpu; ///< of the largest machine seen
+	bool listing;	      ///< a machine list is on its way
 	clock_ms_t list_at;
-	clock_ms_t pools_at; ///< next look at the pools
+	clock_ms_t pools_at;	///< next look at the pools
 	GHashTable *on_machine; ///< struct endpoint by machine, made anew before each use
-	GHashTable *upkeeps;   ///< struct upkeep by machine; owned
+	GHashTable *upkeeps;	///< struct upkeep by machine; owned
 };
 
 /// What an order in flight was for.
 struct pending {
 	uint64_t id;
 	enum order_type type;
-	char *endpoint;	       ///< id, or NULL
-	int64_t born_wall_ms;  ///< life that it was sent to
-	char *task;	       ///< task name, or step name of an advice call
+	char *endpoint;	      ///< id, or NULL
+	int64_t born_wall_ms; ///< life that it was sent to
+	char *task;	      ///< task name, or step name of an advice call
 	uint32_t attempt;
 	char *machine;
 	uint64_t wave;
--- a/src/sesamewood/manager/relay.c
+++ b/src/sesamewood/manager/relay.c
@@ -7,8 +7,9 @@
 #include <glib.h>
 #include <string.h>
 
-#define TRY_TIMEOUT_MS 700 /* over a group commit with a slow disk; two tries fit a caller's second */
-#define RETRY_S 0.06	   /* several within an election */
+#define TRY_TIMEOUT_MS                                                                             \
+	700	     /* over a group commit with a slow disk; two tries fit a caller's second */
+#define RETRY_S 0.06 /* several within an election */
 #define SEEDS_MAX 3
 #define MEMBERS_MAX 16
 
--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -80,23 +80,24 @@
 	int64_t until_ms; ///< end of the longest lease that any order may have given
 	/* Looks. */
 	bool looking;
-	bool fenced; ///< it has seen this leader's fence
-	bool must_fence; ///< a later life under its id: late orders to the earlier one must meet a fence
+	bool fenced;	 ///< it has seen this leader's fence
+	bool must_fence; ///< a later life under its id: late orders to the earlier one must meet a
+			 ///< fence
 	uint32_t lives;	 ///< later lives under its id that this leader saw; part of the fence
-	clock_ms_t look_at; ///< not before then
+	clock_ms_t look_at;   ///< not before then
 	clock_ms_t looked_at; ///< last answered look
-	uint64_t taken;	 ///< number of the last end that was proposed
-	uint64_t acked;	 ///< number up to which ends were acknowledged
-	uint32_t misses; ///< calls in a row without an answer
+	uint64_t taken;	      ///< number of the last end that was proposed
+	uint64_t acked;	      ///< number up to which ends were acknowledged
+	uint32_t misses;      ///< calls in a row without an answer
 	clock_ms_t avoid_until;
-	uint32_t failures; ///< tasks of different jobs that failed here since one was done
-	GPtrArray *runs; ///< of struct run, borrowed; change by endpoint_add_run() and its kin
-	struct room used; ///< by the runs
+	uint32_t failures;    ///< tasks of different jobs that failed here since one was done
+	GPtrArray *runs;      ///< of struct run, borrowed; change by endpoint_add_run() and its kin
+	struct room used;     ///< by the runs
 	unsigned int serving; ///< runs with a response time target
 	unsigned int filling; ///< runs that fill
 	unsigned int lasting; ///< runs that last
-	bool ending;	 ///< its machine was ordered to go down
-	bool cordoned;	 ///< kept free for a maintenance wave
+	bool ending;	      ///< its machine was ordered to go down
+	bool cordoned;	      ///< kept free for a maintenance wave
 	clock_ms_t cordoned_at;
 };
 
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -14,16 +14,16 @@
 #define LOOK_GAP_MS 25		/* ends that come together are taken by one look */
 #define LAST_ACK_DELAY_MS 150	/* a new start there often makes an extra look needless */
 #define CALL_TIMEOUT_MS 900
-#define ORDER_SPAN_MS 1500 /* a start that could not be sent for so long is placed anew */
-#define RUNS_PERIOD_MS 10 /* under the gap between looks; each pass goes over all attempts */
+#define ORDER_SPAN_MS 1500  /* a start that could not be sent for so long is placed anew */
+#define RUNS_PERIOD_MS 10   /* under the gap between looks; each pass goes over all attempts */
 #define LATE_ORDER_MS 15000 /* an order is executed at most 12 s late */
 #define RETRY_MS 120
-#define LEFT_DELAY_MS 300	   /* from the last word to the end */
-#define STALL_MS 2500		   /* without progress while looks are answered */
-#define STALL_GANG_MS 6000	   /* a gang waits for its members first */
-#define STALL_LASTING_MS 8000	   /* start-up of a lasting task */
-#define FORGET_ENDPOINT_MS 30000   /* silent for so long, and nothing runs there */
-#define ENDS_PAGE 500		   /* ends that a look lists at most */
+#define LEFT_DELAY_MS 300	 /* from the last word to the end */
+#define STALL_MS 2500		 /* without progress while looks are answered */
+#define STALL_GANG_MS 6000	 /* a gang waits for its members first */
+#define STALL_LASTING_MS 8000	 /* start-up of a lasting task */
+#define FORGET_ENDPOINT_MS 30000 /* silent for so long, and nothing runs there */
+#define ENDS_PAGE 500		 /* ends that a look lists at most */
 #define SILENT_ANNOUNCEMENTS 3
 
 /* Names of tasks. */
@@ -250,11 +250,12 @@
 	return e;
 }
 
-/// The first reading of a clock bounds what an earlier leader may have granted.
-static void bound_earlier_lease(struct endpoint *e)
+/// The first reading of a clock bounds what an earlier leader may have granted, also by an order
+/// that meant an earlier life and its clock: endpoints shorten what is longer.
+static void bound_earlier_lease(const struct manager *m, struct endpoint *e)
 {
 	if (e->clock_ms >= 0)
-		e->until_ms = MAX(e->until_ms, e->clock_ms + RUN_LEASE_MS);
+		e->until_ms = MAX(e->until_ms, e->clock_ms + m->settings.lease_max_ms);
 }
 
 static void forget_life(struct endpoint *e)
@@ -343,7 +344,7 @@
 		return;
 	/* Its orders from earlier leaders may still be on their way. */
 	e->must_fence |= m->term > 1 && now - m->since < LATE_ORDER_MS;
-	bound_earlier_lease(e);
+	bound_earlier_lease(m, e);
 	take_address(m, e);
 	m->dirty = true;
 }
@@ -375,11 +376,13 @@
 		for (u_int k = 0; job->assigned && k < job->image.occurrences.occurrences_len; k++)
 			for (u_int s = 0; s < job->image.spec.steps.steps_len; s++) {
 				const job_step_state *state =
-					&job->image.occurrences.occurrences_val[k].steps.steps_val[s];
+					&job->image.occurrences.occurrences_val[k]
+						 .steps.steps_val[s];
 
 				for (u_int i = 0; i < state->tasks.tasks_len; i++) {
 					const job_task *t = &state->tasks.tasks_val[i];
-					const struct job_life *life = jobs_life(m->jobs, t->endpoint);
+					const struct job_life *life =
+						jobs_life(m->jobs, t->endpoint);
 					job_task_ref ref = {job->image.spec.id, k, s, i};
 					struct endpoint *e;
 					struct run *r;
@@ -435,7 +438,7 @@
 		return;
 	endpoint_note_clock(e, result->clock_ms, now);
 	if (first)
-		bound_earlier_lease(e);
+		bound_earlier_lease(m, e);
 }
 
 static void finish_start(struct manager *m, clock_ms_t now, struct run *r,
@@ -726,7 +729,7 @@
 	if (!e->misses && now - e->heard_at < SILENT_ANNOUNCEMENTS * m->settings.announce_ms)
 		return false;
 	if (e->clock_ms < 0)
-		return now - m->since > RUN_LEASE_MS + RUN_LEASE_MS / 20;
+		return now - m->since > m->settings.lease_max_ms + m->settings.lease_max_ms / 20;
 	return endpoint_lease_over(e, now);
 }
 
--- a/src/sesamewood/sched/place.h
+++ b/src/sesamewood/sched/place.h
@@ -11,15 +11,15 @@
 
 struct place_candidate {
 	struct endpoint *endpoint;
-	struct room room;	///< free, counting what was placed in this round
-	unsigned int runs;	///< attempts there
-	unsigned int serving;	///< of them with a response time target
-	unsigned int filling;	///< of them that fill
-	unsigned int lasting;	///< of them that last
-	bool set_aside;		///< by its record: only when nothing else is left
-	bool due;		///< its machine is due for maintenance soon
-	unsigned int taken;	///< of this step, chosen but not ordered yet
-	const char *ticket;	///< NULL: the step needs none, or there is none
+	struct room room;     ///< free, counting what was placed in this round
+	unsigned int runs;    ///< attempts there
+	unsigned int serving; ///< of them with a response time target
+	unsigned int filling; ///< of them that fill
+	unsigned int lasting; ///< of them that last
+	bool set_aside;	      ///< by its record: only when nothing else is left
+	bool due;	      ///< its machine is due for maintenance soon
+	unsigned int taken;   ///< of this step, chosen but not ordered yet
+	const char *ticket;   ///< NULL: the step needs none, or there is none
 };
 
 struct place_request {
--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -32,9 +32,9 @@
 	char *pool;
 	bool is_up;
 	bool in_flight;
-	char *target;	    ///< of the move in flight or without an answer
-	char *not_for;	    ///< a pool that does not take it
-	clock_ms_t next_at; ///< no order before then
+	char *target;	       ///< of the move in flight or without an answer
+	char *not_for;	       ///< a pool that does not take it
+	clock_ms_t next_at;    ///< no order before then
 	clock_ms_t arrives_by; ///< on its way to its pool until then
 	clock_ms_t idle_since; ///< 0: it has work, or no endpoint
 };
--- a/src/sesamewood/sched/schedule.c
+++ b/src/sesamewood/sched/schedule.c
@@ -8,11 +8,11 @@
 #include <string.h>
 
 #define SILENT_ANNOUNCEMENTS 3
-#define RATIO_FULL 100	    /* percent: the statement is true */
-#define RATIO_WEIGHT 8	    /* an eighth of each new observation; runs differ by about a third */
-#define RATIO_MAX 2000	    /* percent */
+#define RATIO_FULL 100	     /* percent: the statement is true */
+#define RATIO_WEIGHT 8	     /* an eighth of each new observation; runs differ by about a third */
+#define RATIO_MAX 2000	     /* percent */
 #define FAR_WAIT_PERCENT 200 /* of the estimate: waiting longer for near data costs more */
-#define ADVICE_ASKED_MAX 30 /* the objective counts one call on 30 endpoints */
+#define ADVICE_ASKED_MAX 30  /* the objective counts one call on 30 endpoints */
 #define ADVICE_MARGIN_MS 300 /* a start needs so long to arrive */
 #define ADVICE_TIMEOUT_MS 2000
 
@@ -203,9 +203,9 @@
 {
 	const job_step *s = &job->image.spec.steps.steps_val[step];
 
-	return s->persistent || s->fills ? 0
-					 : (int64_t)s->cpu_milli * s->estimate_ms / 100 *
-						   ratio_of(m, job, step);
+	return s->persistent || s->fills
+		       ? 0
+		       : (int64_t)s->cpu_milli * s->estimate_ms / 100 * ratio_of(m, job, step);
 }
 
 int64_t schedule_work(const struct manager *m, const struct job *job)
@@ -249,9 +249,8 @@
 		struct schedule_demand *d;
 		const char *pool;
 
-		if (job_is_over(job) ||
-		    (job->unfinished == job->assigned &&
-		     !job->image.spec.steps.steps_val[0].persistent))
+		if (job_is_over(job) || (job->unfinished == job->assigned &&
+					 !job->image.spec.steps.steps_val[0].persistent))
 			continue;
 		queue = jobs_queue(m->jobs, job->image.spec.queue);
 		pool = queue ? queue->pool : job->image.spec.pool;
@@ -377,8 +376,8 @@
 		struct endpoint *e = value;
 		struct place_candidate c = {.endpoint = e};
 
-		if (!health_is_eligible(e, now, silent_ms) || e->cordoned ||
-		    e->ending || !g_str_equal(e->pool, pool))
+		if (!health_is_eligible(e, now, silent_ms) || e->cordoned || e->ending ||
+		    !g_str_equal(e->pool, pool))
 			continue;
 		c.room = endpoint_free_room(e);
 		c.set_aside = health_is_set_aside(e, now);
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -12,17 +12,17 @@
 #define DRAIN_WAIT_MS 2500    /* short work is given so long to end first */
 #define HOLDER_MARGIN_MS 500  /* added to the time that two holders keep apart */
 #define SAY_PERIOD_MS 3000
-#define BACK_MARGIN_MS 300    /* from the end of an upkeep to the certainty that it is over */
+#define BACK_MARGIN_MS 300 /* from the end of an upkeep to the certainty that it is over */
 
 /// An upkeep that was ordered.
 struct upkeep {
 	bool in_flight;
 	bool begun; ///< the machine service agreed
 	clock_ms_t begun_at;
-	clock_ms_t next_at;	///< not ordered again before then
-	int64_t born_wall_ms;	///< life of the endpoint that was there
-	clock_ms_t said_at;	///< reason for waiting not logged before then
-	bool back;		///< a later life has reported
+	clock_ms_t next_at;   ///< not ordered again before then
+	int64_t born_wall_ms; ///< life of the endpoint that was there
+	clock_ms_t said_at;   ///< reason for waiting not logged before then
+	bool back;	      ///< a later life has reported
 };
 
 static struct upkeep *upkeep_of(struct manager *m, const char *machine)
@@ -47,8 +47,7 @@
 		struct endpoint *e = value;
 		const struct endpoint *other = g_hash_table_lookup(m->on_machine, e->machine);
 
-		if (!e->gone && *e->machine &&
-		    (!other || e->born_wall_ms > other->born_wall_ms))
+		if (!e->gone && *e->machine && (!other || e->born_wall_ms > other->born_wall_ms))
 			g_hash_table_replace(m->on_machine, e->machine, e);
 	}
 }
@@ -87,8 +86,8 @@
 static bool is_at_work(const struct manager *m, const job_task_ref *ref, const job_task *t,
 		       clock_ms_t now)
 {
-	g_autofree char *name = g_strdup_printf("%s.%u.%u.%u", ref->job, ref->occurrence,
-						ref->step, ref->index);
+	g_autofree char *name =
+		g_strdup_printf("%s.%u.%u.%u", ref->job, ref->occurrence, ref->step, ref->index);
 	const struct run *r = g_hash_table_lookup(m->runs, name);
 
 	return t->phase == JOB_TASK_ASSIGNED && r && r->state == RUN_CONFIRMED && r->at_work_at &&
@@ -137,8 +136,7 @@
 	return job->image.spec.steps.steps_val[r->ref.step].max_unavailable;
 }
 
-const struct run *waves_hindrance(const struct manager *m, const struct endpoint *e,
-				  clock_ms_t now)
+const struct run *waves_hindrance(const struct manager *m, const struct endpoint *e, clock_ms_t now)
 {
 	for (guint i = 0; i < e->runs->len; i++) {
 		const struct run *r = e->runs->pdata[i];
@@ -223,8 +221,8 @@
 		.holder = g_strdup(m->settings.holder),
 		.not_after = CLOCK_NEVER,
 	};
-	log_info("upkeep ordered", "MACHINE", machine, "WAVE", log_number(wave->number),
-		 "RUNS", log_number(e ? e->runs->len : 0));
+	log_info("upkeep ordered", "MACHINE", machine, "WAVE", log_number(wave->number), "RUNS",
+		 log_number(e ? e->runs->len : 0));
 	if (e)
 		e->ending = true;
 	u->in_flight = true;
@@ -234,7 +232,8 @@
 }
 
 /// Tells whether a machine may go down now.
-static bool is_ready(const struct manager *m, const struct endpoint *e, clock_ms_t now, bool pressed)
+static bool is_ready(const struct manager *m, const struct endpoint *e, clock_ms_t now,
+		     bool pressed)
 {
 	if (!e)
 		return true;
@@ -253,9 +252,8 @@
 		return;
 	u->said_at = now + SAY_PERIOD_MS;
 	log_info("upkeep waits", "MACHINE", machine, "KEPT_FREE", e->cordoned ? "true" : "false",
-		 "RUNS", log_number(e->runs->len), "SHORT", log_number(short_runs(e)),
-		 "BUDGET_OF", r ? r->name : "", "AWAY",
-		 log_number(r ? away_elsewhere(m, r, e, now) : 0));
+		 "RUNS", log_number(e->runs->len), "SHORT", log_number(short_runs(e)), "BUDGET_OF",
+		 r ? r->name : "", "AWAY", log_number(r ? away_elsewhere(m, r, e, now) : 0));
 }
 
 /// Frees a machine that holds more tasks of a step than its budget lets end at once: they are
@@ -321,9 +319,9 @@
 			kept++;
 	}
 	/* Each turn takes an upkeep and about half a second around it. */
-	pressed = wall + (clock_ms_t)(open / MAX(wave->cap, 1) + 1) *
-				 (m->settings.upkeep_ms + 500) >
-		  wave->due_wall_ms;
+	pressed =
+		wall + (clock_ms_t)(open / MAX(wave->cap, 1) + 1) * (m->settings.upkeep_ms + 500) >
+		wave->due_wall_ms;
 	for (u_int i = 0; i < wave->machines.machines_len; i++) {
 		const job_wave_machine *w = &wave->machines.machines_val[i];
 		struct upkeep *u = upkeep_of(m, w->machine);
@@ -363,8 +361,7 @@
 
 void waves_tick(struct manager *m, clock_ms_t now, clock_ms_t wall)
 {
-	if (now < m->waves_at ||
-	    now < m->since + m->settings.holder_lease_ms + HOLDER_MARGIN_MS)
+	if (now < m->waves_at || now < m->since + m->settings.holder_lease_ms + HOLDER_MARGIN_MS)
 		return;
 	m->waves_at = now + WAVES_PERIOD_MS;
 	note_due_machines(m);
--- a/tests/model/fleet_model.cc
+++ b/tests/model/fleet_model.cc
@@ -49,13 +49,14 @@
 } // namespace
 
 Fleet::Fleet(uint64_t seed, unsigned int pools, unsigned int per_pool)
-	: random(seed), committed(jobs_new())
+    : random(seed), committed(jobs_new())
 {
 	for (unsigned int p = 0; p < pools; p++)
 		for (unsigned int i = 0; i < per_pool; i++) {
 			auto e = std::make_unique<Endpoint>();
 
-			e->address = "10.0." + std::to_string(p) + "." + std::to_string(i + 1) + ":80";
+			e->address =
+				"10.0." + std::to_string(p) + "." + std::to_string(i + 1) + ":80";
 			e->pool = "pool" + std::to_string(p);
 			e->machine = "m-" + std::to_string(p) + "-" + std::to_string(i);
 			reborn(*e, false);
@@ -427,7 +428,8 @@
 		throw Broken(std::string("starts after its noted end: ") + o.task);
 	f.last_start = now;
 	for (unsigned int i = 0; step && i < plan.steps[step - 1].count; i++)
-		if (!facts[plan.id + ".0." + std::to_string(step - 1) + "." + std::to_string(i)].done)
+		if (!facts[plan.id + ".0." + std::to_string(step - 1) + "." + std::to_string(i)]
+			     .done)
 			throw Broken(std::string("starts before an earlier step: ") + o.task);
 	if (!s.persistent && f.failed_noted >= kMaxAttempts)
 		throw Broken(std::string("too many attempts: ") + o.task);
@@ -445,7 +447,7 @@
 
 	if (o.until_ms <= clock_of(e))
 		return result(o, ORDER_TOO_LATE);
-	e.lease = std::max(e.lease, o.until_ms);
+	e.lease = std::max(e.lease, std::min(o.until_ms, clock_of(e) + kLeaseMaxMs));
 	if (running != e.running.end() && running->second.attempt == o.attempt)
 		return result(o, ORDER_OK);
 	if ((settled != e.settled.end() && settled->second >= o.attempt) ||
@@ -600,7 +602,8 @@
 	}
 	case ORDER_LOOK:
 		if (o.until_ms)
-			e->lease = std::max(e->lease, o.until_ms);
+			e->lease = std::max(e->lease,
+					    std::min(o.until_ms, clock_of(*e) + kLeaseMaxMs));
 		while (!e->ended.empty() && e->ended.front().number <= o.ack_through) {
 			const End &end = e->ended.front();
 			TaskFacts &f = facts[end.task];
@@ -652,12 +655,15 @@
 
 	orders++;
 	if (order->task)
-		trace(now, lost ? "order lost" : late ? "order late" : "order", order->task,
-		      order->instance ? order->instance : "", order->type);
+		trace(now,
+		      lost   ? "order lost"
+		      : late ? "order late"
+			     : "order",
+		      order->task, order->instance ? order->instance : "", order->type);
 	if (on_order)
 		on_order(order);
 	if (lost || late) {
-		InFlight silence{now + o->timeout_ms, term, o, true, true, false,
+		InFlight silence{now + o->timeout_ms,	     term, o, true, true, false,
 				 result(*o, ORDER_NO_ANSWER)};
 
 		flying.emplace(silence.at, silence);
@@ -686,8 +692,8 @@
 			f.at = now + f.order->timeout_ms;
 		else if (f.order->type == ORDER_LOOK && f.order->wait_ms &&
 			 f.result->status == ORDER_OK && !f.result->ends->len) {
-			looks.push_back({now + f.order->wait_ms, f.term, f.order,
-					 at(f.order->address)});
+			looks.push_back(
+				{now + f.order->wait_ms, f.term, f.order, at(f.order->address)});
 			return;
 		} else
 			f.at = now + answer_ms;
--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -65,8 +65,8 @@
 };
 
 struct Fault {
-	int lost_percent = 0;	  ///< orders without an answer, executed or not
-	int late_percent = 0;	  ///< orders executed some seconds late, without an answer
+	int lost_percent = 0;	   ///< orders without an answer, executed or not
+	int late_percent = 0;	   ///< orders executed some seconds late, without an answer
 	int task_fail_percent = 0; ///< attempts that fail by themselves
 };
 
@@ -135,8 +135,8 @@
 		Endpoint *endpoint;
 	};
 	struct TaskFacts {
-		bool done = false;	    ///< a run has ended so
-		bool done_noted = false;    ///< and that was acknowledged
+		bool done = false;	 ///< a run has ended so
+		bool done_noted = false; ///< and that was acknowledged
 		clock_ms_t last_start = 0;
 		uint32_t failed_noted = 0;
 		bool ended_by_order = false; ///< lasting task: how its last run ended
