--- a/src/sesamewood/control/storage.c
+++ b/src/sesamewood/control/storage.c
@@ -14,6 +14,7 @@
 #define SNAPSHOT_NEW "snapshot.new"
 #define SEGMENT_PREFIX "log-"
 #define FRAME_MAGIC 0x53574631U
+#define FRAME_RECORDS_MAX 8000 /* under SW_LIST_MAX, with what one more effect may add */
 #define SEGMENT_BYTES ((gsize)4 * 1024 * 1024)
 
 /// Precedes the XDR payload of every frame; big-endian on disk.
@@ -337,6 +338,28 @@
 	return out;
 }
 
+/// Gathers the records of the append effects from @p from on, up to the next effect that concerns
+/// storage otherwise: they are written as one frame, with one sync.
+///
+/// @param[out] next the effect after them
+static GPtrArray *gather_records(GPtrArray *effects, guint from, guint *next)
+{
+	GPtrArray *records = g_ptr_array_new();
+	guint i;
+
+	for (i = from; i < effects->len && records->len < FRAME_RECORDS_MAX; i++) {
+		const struct raft_effect *e = effects->pdata[i];
+
+		if (e->type == RAFT_SAVE_META || e->type == RAFT_SAVE_SNAPSHOT)
+			break;
+		if (e->type == RAFT_APPEND_LOG)
+			for (guint r = 0; r < e->u.records->len; r++)
+				g_ptr_array_add(records, e->u.records->pdata[r]);
+	}
+	*next = i;
+	return records;
+}
+
 static bool append_records(struct storage *s, GPtrArray *records, GError **error)
 {
 	struct segment *segment =
@@ -365,17 +388,23 @@
 
 bool storage_write(struct storage *s, GPtrArray *effects, GError **error)
 {
-	for (guint i = 0; i < effects->len; i++) {
+	guint next;
+
+	for (guint i = 0; i < effects->len; i = next) {
 		const struct raft_effect *e = effects->pdata[i];
+		g_autoptr(GPtrArray) records = NULL;
 		bool ok = true;
 
+		next = i + 1;
+
 		switch (e->type) {
 		case RAFT_SAVE_META:
 			ok = write_whole_file(s, META_NEW, META_NAME, CODEC_PROC(raft_meta),
 					      &e->u.meta, error);
 			break;
 		case RAFT_APPEND_LOG:
-			ok = append_records(s, e->u.records, error);
+			records = gather_records(effects, i, &next);
+			ok = append_records(s, records, error);
 			break;
 		case RAFT_SAVE_SNAPSHOT:
 			ok = write_snapshot(s, e, error);
--- a/src/sesamewood/jobs/jobs.c
+++ b/src/sesamewood/jobs/jobs.c
@@ -212,6 +212,34 @@
 	g_hash_table_insert(j->by_id, job->image.spec.id, job);
 }
 
+/// Drops what a job that is over no longer needs: only its state is asked for.
+static void shrink(struct job *job)
+{
+	job_spec *spec = &job->image.spec;
+	job_spec kept = {
+		.id = spec->id,
+		.queue = spec->queue,
+		.pool = spec->pool,
+		.payload = strdup(""),
+		.max_attempts = spec->max_attempts,
+		.accepted_wall_ms = spec->accepted_wall_ms,
+	};
+	job_image dropped = job->image;
+
+	if (!job_is_over(job) || job->assigned || !spec->steps.steps_len) {
+		free(kept.payload);
+		return;
+	}
+	dropped.spec.id = NULL;
+	dropped.spec.queue = NULL;
+	dropped.spec.pool = NULL;
+	codec_free(CODEC_PROC(job_image), &dropped);
+	job->image.spec = kept;
+	job->image.occurrences.occurrences_len = 0;
+	job->image.occurrences.occurrences_val = NULL;
+	job->unfinished = 0;
+}
+
 static void end_job(struct job *job, job_phase phase, int64_t at_wall_ms)
 {
 	if (job_is_over(job))
@@ -224,8 +252,10 @@
 {
 	struct job *job = jobs_find(j, c->id);
 
-	if (job)
-		end_job(job, JOB_CANCELLED, c->at_wall_ms);
+	if (!job)
+		return;
+	end_job(job, JOB_CANCELLED, c->at_wall_ms);
+	shrink(job);
 }
 
 static void apply_endpoint(struct jobs *j, const job_endpoint *e)
@@ -342,6 +372,7 @@
 		release(j, job, task);
 		break;
 	}
+	shrink(job);
 }
 
 static void apply_wave(struct jobs *j, const job_wave *wave)
--- a/src/sesamewood/manager/control_shell.c
+++ b/src/sesamewood/manager/control_shell.c
@@ -32,6 +32,9 @@
 #define AGENTS_FROM_ENDPOINTS 120
 #define AGENT_ALIVE_MS 350 /* three heartbeats and a half */
 #define TICK_S (MANAGER_TICK_MS / 1000.0)
+#define SLOW_COMMIT_MS 300 /* ten times the usual */
+#define SLOW_LOOP_MS 150   /* callers notice, and a heartbeat is late */
+#define SLOW_PERIOD_MS 1000
 #define EXIT_DISK 3
 #define EXIT_LISTEN 4
 #define STOP_LEAST_MS 1200 /* callers have found the next leader by then */
@@ -47,6 +50,7 @@
 struct held {
 	uint64_t index;
 	struct effect *effect;
+	clock_ms_t since;
 };
 
 struct shell {
@@ -79,6 +83,9 @@
 	struct metric *orders;
 	struct metric *proposals;
 	struct metric *order_ms;
+	struct metric *commit_ms;
+	clock_ms_t said_slow_commit;
+	clock_ms_t said_slow_loop;
 };
 
 /* Answers. */
@@ -331,11 +338,24 @@
 			continue;
 		}
 		h = g_new0(struct held, 1);
-		*h = (struct held){.index = raft_last_index(sh->raft), .effect = e};
+		*h = (struct held){.index = raft_last_index(sh->raft),
+				   .effect = e,
+				   .since = clock_monotonic()};
 		g_queue_push_tail(&sh->held, h);
 	}
 }
 
+/// Tells, at most once a second, that something took long.
+static void note_slow(clock_ms_t *said_at, const char *what, clock_ms_t since, clock_ms_t bound)
+{
+	clock_ms_t now = clock_monotonic();
+
+	if (now - since < bound || now - *said_at < SLOW_PERIOD_MS)
+		return;
+	*said_at = now;
+	log_warning(what, "MS", log_number((guint64)(now - since)));
+}
+
 /// Releases effects whose commands are committed, while this replica surely leads.
 static bool release_held(struct shell *sh)
 {
@@ -348,6 +368,8 @@
 		if (!h || h->index > sh->state_index)
 			break;
 		g_queue_pop_head(&sh->held);
+		metrics_observe(sh->commit_ms, clock_monotonic() - h->since);
+		note_slow(&sh->said_slow_commit, "commit was slow", h->since, SLOW_COMMIT_MS);
 		e = h->effect;
 		g_free(h);
 		any = true;
@@ -466,6 +488,7 @@
 static void flush(struct shell *sh)
 {
 	bool any = true;
+	clock_ms_t from = clock_monotonic();
 
 	while (any) {
 		apply_committed(sh);
@@ -478,6 +501,7 @@
 		any |= take_raft_effects(sh);
 	}
 	agents_flush(sh->agents, sh->node);
+	note_slow(&sh->said_slow_loop, "one pass of the loop was slow", from, SLOW_LOOP_MS);
 }
 
 static void on_before_wait(struct ev_loop *loop, ev_prepare *w, int revents)
@@ -764,6 +788,8 @@
 				      "orders sent to endpoints and services"),
 		.proposals = metrics_get(METRIC_COUNTER, "sesamewood_proposals_total", "",
 					 "commands proposed to the log"),
+		.commit_ms = metrics_get(METRIC_HISTOGRAM, "sesamewood_commit_ms", "",
+					 "time that replies and orders wait for a commit, ms"),
 		.order_ms = metrics_get(METRIC_HISTOGRAM, "sesamewood_order_ms", "",
 					"time to the answer of an order, ms"),
 	};
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -512,15 +512,10 @@
 }
 
 /// A gang ends as done all at once: its other members are no longer followed.
-static void drop_done_members(struct manager *m, const job_task_ref *ref)
+static void drop_done_members(struct manager *m, const job_task_ref *ref, uint32_t count)
 {
-	const struct job *job = jobs_find(m->jobs, ref->job);
 	job_task_ref member = *ref;
-	u_int count;
 
-	if (!job || !job->image.spec.steps.steps_val[ref->step].gang)
-		return;
-	count = job->image.spec.steps.steps_val[ref->step].count;
 	for (member.index = 0; member.index < count; member.index++) {
 		g_autofree char *name = task_name(&member);
 		struct run *r = g_hash_table_lookup(m->runs, name);
@@ -543,12 +538,13 @@
 	case RUN_DONE: {
 		job_task_ref ref = r->ref;
 		g_autofree char *id = g_strdup(ref.job);
+		uint32_t members = r->gang ? r->job->image.spec.steps.steps_val[ref.step].count : 0;
 
 		ref.job = id;
 		health_note_done(e);
 		schedule_note_duration(m, now, r);
 		release(m, r, JOB_END_DONE, row->checkpoint);
-		drop_done_members(m, &ref);
+		drop_done_members(m, &ref, members);
 		return;
 	}
 	case RUN_FAILED:
@@ -726,7 +722,8 @@
 /// Tells whether an endpoint is silent and whatever ran there has ended with its lease.
 static bool is_lost(const struct manager *m, const struct endpoint *e, clock_ms_t now)
 {
-	if (!e->misses && now - e->heard_at < SILENT_ANNOUNCEMENTS * m->settings.announce_ms)
+	if (!e->misses &&
+	    now - e->heard_at < SILENT_ANNOUNCEMENTS * (clock_ms_t)m->settings.announce_ms)
 		return false;
 	if (e->clock_ms < 0)
 		return now - m->since > m->settings.lease_max_ms + m->settings.lease_max_ms / 20;
