--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -12,7 +12,7 @@
 	RUN_ORDERED,   ///< the start has not been answered
 	RUN_CONFIRMED, ///< the endpoint said that it runs
 	RUN_INHERITED, ///< ordered by an earlier leader
-	RUN_IN_DOUBT,  ///< the start got no answer: it is stopped
+	RUN_IN_DOUBT,  ///< the start got no answer: stopped, unless a look shows that it runs
 };
 
 struct run {
@@ -97,7 +97,8 @@
 	unsigned int filling; ///< runs that fill
 	unsigned int lasting; ///< runs that last
 	bool ending;	      ///< its machine was ordered to go down
-	bool cordoned;	      ///< kept free for a maintenance wave
+	clock_ms_t proves_from; ///< a report after this proves that it has not; 0: none does
+	bool cordoned;		///< kept free for a maintenance wave
 	clock_ms_t cordoned_at;
 };
 
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -194,6 +194,8 @@
 	c.job_command_u.start =
 		(job_start){.endpoint = e->number, .attempt = attempt, .task = r->ref};
 	emit_command(m, &c);
+	log_debug("attempt ordered", "TASK", r->name, "ATTEMPT", log_number(attempt), "ENDPOINT",
+		  e->id, "MACHINE", e->machine, "POOL", e->pool);
 	emit_order(m, now, o, e, NULL, 0);
 }
 
@@ -223,7 +225,8 @@
 	o = order_to(e, ORDER_LOOK, wait_ms + LOOK_TIMEOUT_MS);
 	o->ack_through = e->taken;
 	o->wait_ms = wait_ms;
-	if (e->runs->len && e->clock_ms >= 0)
+	/* Not after a miss: a silent endpoint's lease must come to its end. */
+	if (e->runs->len && e->clock_ms >= 0 && !e->misses)
 		o->until_ms = extend_lease(e, now);
 	e->looking = true;
 	emit_order(m, now, o, e, NULL, 0);
@@ -273,6 +276,7 @@
 	e->announced = false;
 	e->cordoned = false;
 	e->ending = false;
+	e->proves_from = 0;
 	e->failures = 0;
 	e->avoid_until = 0;
 	e->misses = 0;
@@ -292,7 +296,6 @@
 		}
 		if (r->state != RUN_INHERITED)
 			r->state = RUN_IN_DOUBT;
-		r->stop_wanted = true;
 		r->stop_in_flight = false;
 		r->stopped_at = 0;
 		r->stop_at = now;
@@ -340,6 +343,11 @@
 	if (e->draining != a->draining && a->draining)
 		log_info("endpoint drains", "ENDPOINT", e->id);
 	endpoint_update(e, a, now);
+	if (e->proves_from && now > e->proves_from) {
+		e->ending = false;
+		e->cordoned = false;
+		e->proves_from = 0;
+	}
 	if (!is_new)
 		return;
 	/* Its orders from earlier leaders may still be on their way. */
@@ -455,8 +463,8 @@
 		}
 		return;
 	case ORDER_NO_ANSWER:
-		r->state = RUN_IN_DOUBT;
-		r->stop_wanted = true;
+		r->state = RUN_IN_DOUBT; /* the next look tells whether it runs */
+		e->look_at = MIN(e->look_at, now);
 		health_note_silence(e, now);
 		return;
 	case ORDER_SUPERSEDED:
@@ -561,7 +569,7 @@
 {
 	if (r->state != RUN_CONFIRMED && r->state != RUN_IN_DOUBT)
 		r->progress_at = now;
-	if (r->state != RUN_IN_DOUBT)
+	if (r->state != RUN_IN_DOUBT || !r->stop_wanted)
 		r->state = RUN_CONFIRMED;
 	if (row->percent != r->percent)
 		r->progress_at = now;
@@ -631,8 +639,12 @@
 	for (guint i = e->runs->len; i > 0 && result->ends->len < ENDS_PAGE; i--) {
 		struct run *r = e->runs->pdata[i - 1];
 
-		if (!g_hash_table_contains(listed, r) && is_proved_over(r, p->sent_at))
+		if (g_hash_table_contains(listed, r))
+			continue;
+		if (is_proved_over(r, p->sent_at))
 			release(m, r, JOB_END_RELEASED, r->checkpoint);
+		else if (r->state == RUN_IN_DOUBT)
+			r->stop_wanted = true; /* its order may still come */
 	}
 	pace_endpoint(e, now);
 	m->dirty = true;
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -11,6 +11,7 @@
 #define ORDER_TIMEOUT_MS 1500 /* the machine service may be slow */
 #define DRAIN_WAIT_MS 2500    /* short work is given so long to end first */
 #define HOLDER_MARGIN_MS 500  /* added to the time that two holders keep apart */
+#define REPORT_DELAY_MS 300   /* a report may have been on its way for so long */
 #define SAY_PERIOD_MS 3000
 #define BACK_MARGIN_MS 300 /* from the end of an upkeep to the certainty that it is over */
 
@@ -95,9 +96,12 @@
 	       !r->endpoint->misses && !r->endpoint->ending;
 }
 
-/// Counts the tasks of a step that are away and not at @p e.
-static u_int away_elsewhere(const struct manager *m, const struct run *of, const struct endpoint *e,
-			    clock_ms_t now)
+/// Counts the tasks of an attempt's step that are away, but for those at an endpoint and for the
+/// attempt itself.
+///
+/// @param e those at this endpoint are not counted; NULL: all are
+static u_int count_away(const struct manager *m, const struct run *of, const struct endpoint *e,
+			clock_ms_t now)
 {
 	const struct job *job = jobs_find(m->jobs, of->ref.job);
 	job_task_ref ref = of->ref;
@@ -106,9 +110,9 @@
 
 	for (ref.index = 0; ref.index < count; ref.index++) {
 		const job_task *t = jobs_task(m->jobs, &ref);
-		bool here = t->phase == JOB_TASK_ASSIGNED && t->endpoint == e->number;
+		bool here = e && t->phase == JOB_TASK_ASSIGNED && t->endpoint == e->number;
 
-		away += !here && !is_at_work(m, &ref, t, now);
+		away += !here && ref.index != of->ref.index && !is_at_work(m, &ref, t, now);
 	}
 	return away;
 }
@@ -142,26 +146,12 @@
 		const struct run *r = e->runs->pdata[i];
 		u_int budget = budget_of(m, r);
 
-		if (budget && away_elsewhere(m, r, e, now) + count_here(e, r) > budget)
+		if (budget && count_away(m, r, e, now) + count_here(e, r) > budget)
 			return r;
 	}
 	return NULL;
 }
 
-static u_int stops_here(const struct endpoint *e, const struct run *of)
-{
-	u_int n = 0;
-
-	for (guint i = 0; i < e->runs->len; i++) {
-		const struct run *r = e->runs->pdata[i];
-
-		n += r->stop_wanted && r->ref.step == of->ref.step &&
-		     r->ref.occurrence == of->ref.occurrence &&
-		     g_str_equal(r->ref.job, of->ref.job);
-	}
-	return n;
-}
-
 /// Tells whether a machine holds more of some step than may end at once.
 static bool is_crowded(const struct manager *m, const struct endpoint *e)
 {
@@ -203,7 +193,7 @@
 }
 
 static void send_upkeep(struct manager *m, clock_ms_t now, const job_wave *wave,
-			const char *machine)
+			const char *machine, bool first)
 {
 	struct upkeep *u = upkeep_of(m, machine);
 	struct endpoint *e = endpoint_on(m, machine);
@@ -226,7 +216,9 @@
 	if (e)
 		e->ending = true;
 	u->in_flight = true;
-	u->born_wall_ms = e ? e->born_wall_ms : 0;
+	/* A repeated order is agreed to as well when an earlier one was executed: it then says
+	 * nothing of the life that is there now. */
+	u->born_wall_ms = first && e ? e->born_wall_ms : u->born_wall_ms;
 	emit_command(m, &c);
 	emit_order(m, now, o, NULL, machine, wave->number);
 }
@@ -253,7 +245,7 @@
 	u->said_at = now + SAY_PERIOD_MS;
 	log_info("upkeep waits", "MACHINE", machine, "KEPT_FREE", e->cordoned ? "true" : "false",
 		 "RUNS", log_number(e->runs->len), "SHORT", log_number(short_runs(e)), "BUDGET_OF",
-		 r ? r->name : "", "AWAY", log_number(r ? away_elsewhere(m, r, e, now) : 0));
+		 r ? r->name : "", "AWAY", log_number(r ? count_away(m, r, e, now) : 0));
 }
 
 /// Frees a machine that holds more tasks of a step than its budget lets end at once: they are
@@ -266,7 +258,7 @@
 
 		if (!budget || r->stop_wanted || count_here(e, r) <= budget)
 			continue;
-		if (away_elsewhere(m, r, e, now) + stops_here(e, r) < budget)
+		if (count_away(m, r, NULL, now) < budget)
 			r->stop_wanted = true;
 	}
 }
@@ -336,14 +328,14 @@
 			evacuate(m, e, now);
 		if (w->ordered) {
 			if (!e || !waves_hindrance(m, e, now))
-				send_upkeep(m, now, wave, w->machine);
+				send_upkeep(m, now, wave, w->machine, false);
 			continue;
 		}
 		if (down < wave->cap)
 			say_why_waiting(m, u, w->machine, e, now);
 		if (down >= wave->cap || (e && !e->cordoned) || !is_ready(m, e, now, pressed))
 			continue;
-		send_upkeep(m, now, wave, w->machine);
+		send_upkeep(m, now, wave, w->machine, true);
 		down++;
 		kept -= kept > 0;
 	}
@@ -412,6 +404,8 @@
 		settle(m, p);
 		if (e && e->born_wall_ms == u->born_wall_ms)
 			runs_endpoint_over(m, e);
+		else if (e)
+			e->proves_from = now + REPORT_DELAY_MS;
 		break;
 	case ORDER_WRONG:
 	case ORDER_MACHINE_ALIEN:
--- a/tests/model/fleet_model.cc
+++ b/tests/model/fleet_model.cc
@@ -282,6 +282,7 @@
 
 	if (!manager || !plans.count(id))
 		return;
+	cancels.insert(id);
 	c.type = CALL_CANCEL;
 	c.host = g_strdup("h");
 	c.path = g_strdup((prefix_of(plans[id].pool) + id).c_str());
@@ -523,6 +524,29 @@
 	return r;
 }
 
+/// Checks that ending a lasting task that is at work keeps its step's budget.
+void Fleet::check_away(const Run &run, const char *by)
+{
+	unsigned int step;
+	const JobPlan *plan = plan_of(run.task, step);
+	const job_step &s = plan->steps[step];
+	unsigned int away = 0;
+
+	trace(now, by, run.task, "", run.attempt);
+	if (!s.max_unavailable || cancels.count(plan->id) || now - run.started < kWarmUpMs)
+		return;
+	for (unsigned int i = 0; i < s.count; i++) {
+		std::string other =
+			plan->id + ".0." + std::to_string(step) + "." + std::to_string(i);
+		const TaskFacts &f = facts[other];
+
+		away += other != run.task && f.away_since &&
+			(f.ended_by_order || now - f.away_since > kNoticeMs);
+	}
+	if (away >= s.max_unavailable)
+		throw Broken(std::string(by) + " takes too much of a step: " + run.task);
+}
+
 /// An upkeep or a move ends everything at the endpoint.
 std::shared_ptr<struct order_result> Fleet::machine_order(const struct order &o, bool late)
 {
@@ -538,25 +562,8 @@
 		if (now < e->off_until)
 			return result(o, ORDER_OK);
 		for (const auto &run : e->running) {
-			unsigned int step;
-			const JobPlan *plan = plan_of(run.first, step);
-			const job_step &s = plan->steps[step];
-			unsigned int away = 0;
-
-			trace(now, "upkeep at", run.first, e->id, 0);
-			if (late || !s.max_unavailable || cancelled.count(plan->id) ||
-			    now - run.second.started < kWarmUpMs)
-				continue;
-			for (unsigned int i = 0; i < s.count; i++) {
-				std::string other = plan->id + ".0." + std::to_string(step) + "." +
-						    std::to_string(i);
-				const TaskFacts &f = facts[other];
-
-				away += other != run.first && f.away_since &&
-					(f.ended_by_order || now - f.away_since > kNoticeMs);
-			}
-			if (away >= s.max_unavailable)
-				throw Broken("upkeep takes too much of a step: " + run.first);
+			if (!late)
+				check_away(run.second, "an upkeep");
 			facts[run.first].ended_by_order = true;
 			facts[run.first].away_since = now;
 		}
@@ -595,6 +602,8 @@
 	case ORDER_STOP: {
 		auto it = e->running.find(o.task);
 
+		if (it != e->running.end() && it->second.attempt == o.attempt && !late)
+			check_away(it->second, "a stop");
 		if (it != e->running.end() && it->second.attempt == o.attempt)
 			finish(*e, o.task, RUN_ENDED_OUTSIDE);
 		e->settled[o.task] = std::max(e->settled[o.task], o.attempt);
--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -109,6 +109,7 @@
 	/// Commands and orders so far.
 	uint64_t commands = 0, orders = 0;
 	std::set<std::string> acked, cancelled;
+	std::set<std::string> cancels; ///< sent, acknowledged or not
 	struct manager *manager = nullptr;
 	clock_ms_t commit_ms = 8;
 	clock_ms_t answer_ms = 1;
@@ -178,6 +179,7 @@
 	void answer_looks();
 	void check_start(const Endpoint &e, const struct order &o, const JobPlan &plan,
 			 unsigned int step);
+	void check_away(const Run &run, const char *by);
 	Endpoint *at(const char *address);
 	void put_config(unsigned int pools);
 	void reborn(Endpoint &e, bool same_id);
--- a/tests/property/property_jobs.cc
+++ b/tests/property/property_jobs.cc
@@ -112,6 +112,35 @@
 	reached.deposed += fleet.deposed;
 	reached.jobs += fleet.acked.size();
 }
+
+/// An endpoint falls silent for good: its lasting tasks run elsewhere once its lease is over.
+void lost_endpoint_is_replaced(uint32_t which)
+{
+	model::Fleet fleet(which, 1, 5);
+	model::JobPlan plan;
+	job_step step = {};
+	unsigned int running = 0;
+
+	plan.id = "job0";
+	plan.pool = "pool0";
+	step.count = 4;
+	step.cpu_milli = 1000;
+	step.mem_mb = 1000;
+	step.persistent = true;
+	step.max_unavailable = 1;
+	plan.steps = {step};
+	try {
+		fleet.submit(plan);
+		fleet.advance(3000);
+		fleet.endpoints[which % fleet.endpoints.size()]->cut = true;
+		fleet.advance(12000);
+	} catch (const model::Broken &broken) {
+		RC_FAIL(broken.what());
+	}
+	for (const auto &e : fleet.endpoints)
+		running += e->cut ? 0 : static_cast<unsigned int>(e->running.size());
+	RC_ASSERT(running == 4U);
+}
 } // namespace
 
 int main()
@@ -119,6 +148,8 @@
 	Property property("/jobs");
 
 	property.check("keeps_its_promises", [] { keeps_its_promises(*actions(120)); });
+	property.check("lost_endpoint_is_replaced",
+		       [] { lost_endpoint_is_replaced(*rc::gen::inRange<uint32_t>(0, 1000)); });
 	std::printf("# reached: %lu actions, %lu jobs, %lu starts, %lu done, %lu leaders deposed, "
 		    "%lu cancelled\n",
 		    reached.actions, reached.jobs, reached.starts, reached.done, reached.deposed,
