--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -23,6 +23,7 @@
 	clock_ms_t next_at;   ///< not ordered again before then
 	int64_t born_wall_ms; ///< life of the endpoint that was there
 	clock_ms_t said_at;   ///< reason for waiting not logged before then
+	clock_ms_t sent_at;   ///< latest order
 	bool back;	      ///< a later life has reported
 };
 
@@ -216,6 +217,7 @@
 	if (e)
 		e->ending = true;
 	u->in_flight = true;
+	u->sent_at = now;
 	/* A repeated order is agreed to as well when an earlier one was executed: it then says
 	 * nothing of the life that is there now. */
 	u->born_wall_ms = first && e ? e->born_wall_ms : u->born_wall_ms;
@@ -422,10 +424,12 @@
 	}
 }
 
-void waves_announced(struct manager *m, const struct announcement *a)
+void waves_announced(struct manager *m, clock_ms_t now, const struct announcement *a)
 {
 	struct upkeep *u = g_hash_table_lookup(m->upkeeps, a->machine);
 
-	if (u && u->begun && a->born_wall_ms > u->born_wall_ms)
+	/* A life that reports sooner is one from before the upkeep. */
+	if (u && u->begun && a->born_wall_ms > u->born_wall_ms &&
+	    now - u->sent_at >= (clock_ms_t)m->settings.upkeep_ms)
 		u->back = true;
 }
--- a/tests/model/fleet_model.cc
+++ b/tests/model/fleet_model.cc
@@ -552,15 +552,18 @@
 {
 	unsigned int down = 0;
 
-	for (auto &e : endpoints) {
+	for (const auto &e : endpoints)
 		down += now < e->off_until;
+	for (auto &e : endpoints) {
 		if (e->machine != o.machine)
 			continue;
 		if (o.fence < machine_fence[o.machine])
 			return result(o, ORDER_FENCED);
 		machine_fence[o.machine] = o.fence;
-		if (now < e->off_until)
+		if (now < e->off_until || !upkeep_done.insert(o.machine).second)
 			return result(o, ORDER_OK);
+		if (down >= jobs_wave(committed, o.wave)->cap)
+			throw Broken(std::string("more machines down than the cap: ") + o.machine);
 		for (const auto &run : e->running) {
 			if (!late)
 				check_away(run.second, "an upkeep");
--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -157,6 +157,7 @@
 	std::map<std::string, JobPlan> plans;
 	std::map<std::string, TaskFacts> facts;
 	std::map<std::string, uint64_t> machine_fence;
+	std::set<std::string> upkeep_done;
 	int64_t next_born = 1;
 	unsigned int next_id = 0;
 
