--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -422,7 +422,7 @@
 
 /* Results. */
 
-static void note_answer(struct manager *m, clock_ms_t now, struct endpoint *e,
+static void note_answer(struct manager *m, clock_ms_t now, struct endpoint *e, enum order_type type,
 			const struct order_result *result)
 {
 	bool first = e->clock_ms < 0;
@@ -435,12 +435,11 @@
 		runs_endpoint_over(m, e);
 		return;
 	}
-	if (result->status == ORDER_NO_ANSWER) {
-		e->misses++;
+	if (result->status == ORDER_NO_ANSWER || result->status == ORDER_NOT_SENT) {
+		/* Other orders are also left unsent when they have waited for too long here. */
+		e->misses += result->status == ORDER_NO_ANSWER || type == ORDER_LOOK;
 		return;
 	}
-	if (result->status == ORDER_NOT_SENT)
-		return;
 	e->misses = 0;
 	if (result->clock_ms < 0)
 		return;
@@ -666,7 +665,7 @@
 	}
 	if (p->born_wall_ms != e->born_wall_ms && e->born_wall_ms)
 		return;
-	note_answer(m, now, e, result);
+	note_answer(m, now, e, p->type, result);
 	if (e->gone || m->fenced_off)
 		return;
 	if (p->type == ORDER_LOOK) {
--- a/tests/model/fleet_model.cc
+++ b/tests/model/fleet_model.cc
@@ -587,7 +587,7 @@
 		return result(o, ORDER_TRY_LATER);
 	e = at(o.address);
 	if (!e || !e->up || e->cut || now < e->off_until)
-		return result(o, ORDER_NO_ANSWER);
+		return result(o, fault.unreachable ? ORDER_NOT_SENT : ORDER_NO_ANSWER);
 	if (e->id != o.instance)
 		return result(o, ORDER_OTHER_INSTANCE);
 	if (o.fence < e->fence)
@@ -700,7 +700,7 @@
 		f.result = perform(*f.order, f.late);
 		if (!f.answers)
 			return;
-		if (f.result->status == ORDER_NO_ANSWER)
+		if (f.result->status == ORDER_NO_ANSWER || f.result->status == ORDER_NOT_SENT)
 			f.at = now + f.order->timeout_ms;
 		else if (f.order->type == ORDER_LOOK && f.order->wait_ms &&
 			 f.result->status == ORDER_OK && !f.result->ends->len) {
--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -68,6 +68,7 @@
 	int lost_percent = 0;	   ///< orders without an answer, executed or not
 	int late_percent = 0;	   ///< orders executed some seconds late, without an answer
 	int task_fail_percent = 0; ///< attempts that fail by themselves
+	bool unreachable = false;  ///< no connection to cut endpoints, so that nothing is sent
 };
 
 struct JobPlan {
--- a/tests/property/property_jobs.cc
+++ b/tests/property/property_jobs.cc
@@ -69,6 +69,8 @@
 		fleet.fault.lost_percent = static_cast<int>(random % 30);
 	else if (what < 92)
 		fleet.fault.late_percent = static_cast<int>(random % 20);
+	else if (what < 93)
+		fleet.fault.unreachable = random % 2;
 	else if (what < 94)
 		fleet.fault.task_fail_percent = static_cast<int>(random % 20);
 	else
@@ -121,6 +123,7 @@
 	job_step step = {};
 	unsigned int running = 0;
 
+	fleet.fault.unreachable = which % 2;
 	plan.id = "job0";
 	plan.pool = "pool0";
 	step.count = 4;
