fix(calls): a request counts as sent once any connection took it

Cause: after a reset curl sends again on a fresh connection; when that fails, its size of the request says nothing was sent, and a start that may have been executed counted as not sent. Change: noted right before each sending.

--- a/src/sesamewood/base/http_calls.c
+++ b/src/sesamewood/base/http_calls.c
@@ -22,6 +22,7 @@
 	CURL *easy;
 	struct curl_slist *headers;
 	GByteArray *answer;
+	bool sent; ///< also when curl tried again on another connection
 	http_call_fn fn;
 	void *ctx;
 };
@@ -36,6 +37,16 @@
 	return size * count;
 }
 
+static int before_send(void *ctx, char *remote_ip, char *local_ip, int remote_port, int local_port)
+{
+	(void)remote_ip;
+	(void)local_ip;
+	(void)remote_port;
+	(void)local_port;
+	((struct transfer *)ctx)->sent = true;
+	return CURL_PREREQFUNC_OK;
+}
+
 static int on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose)
 {
 	unsigned int timeout_ms = UNACKED_TIMEOUT_MS;
@@ -51,12 +62,10 @@
 	struct transfer *t;
 	struct http_call_result result = {0};
 	long status = 0;
-	long sent = 0;
 
 	(void)ctx;
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&t);
-	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
-	result.sent = sent > 0;
+	result.sent = t->sent;
 	if (code == CURLE_OK) {
 		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 		result.status = (unsigned int)status;
@@ -115,6 +124,8 @@
 			 MIN(CONNECT_TIMEOUT_MS, (long)call->timeout_ms));
 	curl_easy_setopt(t->easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
 	curl_easy_setopt(t->easy, CURLOPT_SOCKOPTFUNCTION, on_socket);
+	curl_easy_setopt(t->easy, CURLOPT_PREREQFUNCTION, before_send);
+	curl_easy_setopt(t->easy, CURLOPT_PREREQDATA, t);
 	curl_easy_setopt(t->easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(t->easy, CURLOPT_WRITEDATA, t->answer);
 	if (!call->get) {
