--- a/src/sesamewood/entry/upstream.c
+++ b/src/sesamewood/entry/upstream.c
@@ -27,6 +27,7 @@
 	CURL *easy;
 	struct curl_slist *headers;
 	struct upstream_answer *answer;
+	bool sent;   ///< also when curl tried again on another connection
 	bool framed; ///< the answer told where it ends
 	bool too_large;
 	bool head;
@@ -136,14 +137,12 @@
 
 static enum verdict judge(const struct attempt *a, CURLcode code)
 {
-	long sent = 0;
 	long status = 0;
 	bool bodyless;
 
-	curl_easy_getinfo(a->easy, CURLINFO_REQUEST_SIZE, &sent);
 	curl_easy_getinfo(a->easy, CURLINFO_RESPONSE_CODE, &status);
 	if (code != CURLE_OK)
-		return sent ? VERDICT_MAY_HAVE_RUN : VERDICT_NOT_RUN;
+		return a->sent ? VERDICT_MAY_HAVE_RUN : VERDICT_NOT_RUN;
 	bodyless = a->head || status == HTTP_NO_CONTENT || status == HTTP_NOT_MODIFIED;
 	return a->framed || bodyless ? VERDICT_RAN : VERDICT_MAY_HAVE_RUN;
 }
@@ -201,15 +200,17 @@
 
 static int before_send(void *ctx, char *remote_ip, char *local_ip, int remote_port, int local_port)
 {
-	const struct attempt *a = ctx;
+	struct attempt *a = ctx;
 	const struct upstream *u = a->upstream;
 
 	(void)remote_ip;
 	(void)local_ip;
 	(void)remote_port;
 	(void)local_port;
-	return u->handlers->may_send(u->ctx, a->id, a->number) ? CURL_PREREQFUNC_OK
-							       : CURL_PREREQFUNC_ABORT;
+	if (!u->handlers->may_send(u->ctx, a->id, a->number))
+		return CURL_PREREQFUNC_ABORT;
+	a->sent = true;
+	return CURL_PREREQFUNC_OK;
 }
 
 static void set_method(struct attempt *a, const struct http_request *from)
--- a/tests/unit/fuzz_parsers.c
+++ b/tests/unit/fuzz_parsers.c
@@ -1,6 +1,8 @@
 /// @file
 /// libFuzzer target over the parsers of outside input: the first byte chooses the parser.
 
+#include "codec.h"
+
 #include "base/codec.h"
 #include "base/tables.h"
 #include "control/trace.h"
@@ -10,6 +12,29 @@
 #include <stdint.h>
 #include <string.h>
 
+/// The platform's calls and answers: decoded or refused, never believed in part.
+static void fuzz_platform(uint8_t which, const char *text, size_t len)
+{
+	static const char *const targets[] = {"/q/a", "/api/config/replace", "/api/wave-start",
+					      "/api/executors/i-1/heartbeat"};
+	static struct platform_codec codec = {.control_address = "10.0.0.1:1"};
+	struct wire wire = platform_wire(&codec);
+	const struct order order = {.id = 1, .type = (enum order_type)(which % 8)};
+	const struct wire_call from = {
+		.from_caller = which % 4 == 0,
+		.method = "POST",
+		.host = "h",
+		.target = targets[which % 4],
+		.body = text,
+		.len = len,
+	};
+	struct call call = {0};
+
+	wire.decode_call(wire.ctx, &from, &call);
+	call_clear(&call);
+	order_result_free(wire.decode_result(wire.ctx, &order, 200, text, len));
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t len);
 
 static void fuzz_tables(const char *text, size_t len, bool routes)
@@ -56,7 +81,7 @@
 
 	if (!len)
 		return 0;
-	switch (data[0] % 5) {
+	switch (data[0] % 6) {
 	case 0:
 		fuzz_tables((const char *)data + 1, len - 1, true);
 		break;
@@ -67,7 +92,10 @@
 		fuzz_announcement((const char *)data + 1, len - 1);
 		break;
 	case 3:
-		fuzz_records(data + 1, len - 1, 1 + data[0] / 5 % 8);
+		fuzz_records(data + 1, len - 1, 1 + data[0] / 6 % 11);
+		break;
+	case 4:
+		fuzz_platform(data[0] / 6, (const char *)data + 1, len - 1);
 		break;
 	default:
 		fuzz_trace(text);
--- /dev/null
+++ b/tests/unit/unit_codec.c
@@ -0,0 +1,186 @@
+/// @file
+/// The platform's codec: what is read, and that what can't be read is not believed.
+
+#include "codec.h"
+
+#include <string.h>
+
+static struct platform_codec codec = {
+	.control_address = "10.0.0.1:1", .adviser = "10.0.0.2:2", .machines = "10.0.0.3:3"};
+
+static struct call decode(bool from_caller, const char *method, const char *target,
+			  const char *body)
+{
+	struct wire wire = platform_wire(&codec);
+	struct call call = {0};
+	const struct wire_call from = {
+		.from_caller = from_caller,
+		.method = method,
+		.host = "h.example:80",
+		.target = target,
+		.body = body,
+		.len = strlen(body),
+	};
+
+	wire.decode_call(wire.ctx, &from, &call);
+	return call;
+}
+
+static enum call_type type_of(bool from_caller, const char *method, const char *target,
+			      const char *body)
+{
+	struct call call = decode(from_caller, method, target, body);
+	enum call_type type = call.type;
+
+	call_clear(&call);
+	return type;
+}
+
+static void test_job(void)
+{
+	struct call c = decode(true, "POST", "/q/0123456789abcdef?x=1",
+			       "{\"spec\":\"t\",\"phases\":[{\"count\":4,\"cpu\":500,\"memMb\":256,"
+			       "\"estimateMs\":900,\"dataRack\":\"r1\"},{\"count\":2,\"after\":[0],"
+			       "\"gang\":true,\"new\":1}]}");
+
+	g_assert_cmpint(c.type, ==, CALL_SUBMIT);
+	g_assert_cmpstr(c.host, ==, "h.example");
+	g_assert_cmpstr(c.path, ==, "/q/0123456789abcdef");
+	g_assert_cmpuint(c.spec.steps.steps_len, ==, 2);
+	g_assert_cmpuint(c.spec.steps.steps_val[0].cpu_milli, ==, 500);
+	g_assert_cmpstr(c.spec.steps.steps_val[0].data_rack, ==, "r1");
+	g_assert_true(c.spec.steps.steps_val[1].gang);
+	g_assert_cmpuint(c.spec.steps.steps_val[1].after.after_len, ==, 1);
+	call_clear(&c);
+}
+
+static void test_malformed_jobs(void)
+{
+	static const char *const bodies[] = {
+		"",
+		"{",
+		"[]",
+		"{\"phases\":3}",
+		"{\"spec\":1,\"phases\":[]}",
+		"{\"phases\":[{\"count\":\"many\"}]}",
+		"{\"phases\":[{\"count\":-1}]}",
+		"{\"phases\":[{\"count\":1,\"after\":[-1]}]}",
+		"{\"phases\":[7]}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++)
+		g_assert_cmpint(type_of(true, "POST", "/q/a", bodies[i]), ==, CALL_INVALID);
+}
+
+#define QUEUE                                                                                      \
+	"{\"name\":\"r\",\"hostname\":\"h\",\"pathPrefix\":\"/q/\",\"backend\":\"s\","             \
+	"\"timeoutMs\":3000,\"maxAttempts\":2,\"stretch\":1.6}"
+#define POOL "{\"name\":\"s\",\"admissionControl\":false,\"standby\":false}"
+
+static void test_configuration(void)
+{
+	struct call c = decode(false, "POST", "/api/config/replace",
+			       "{\"version\":7,\"routes\":[" QUEUE "],\"services\":[" POOL "]}");
+
+	g_assert_cmpint(c.type, ==, CALL_CONFIG_PUT);
+	g_assert_cmpuint(c.config.config_version, ==, 7);
+	g_assert_cmpstr(c.config.queues.queues_val[0].key, ==, "h /q/");
+	g_assert_cmpuint(c.config.queues.queues_val[0].stretch_milli, ==, 1600);
+	call_clear(&c);
+}
+
+static void test_invalid_configurations(void)
+{
+	static const char *const bodies[] = {
+		"{\"version\":7,\"routes\":[" QUEUE "],\"services\":[" POOL "]", /* cut short */
+		"{\"version\":7,\"routes\":[" QUEUE "],\"services\":[]}",	 /* unknown pool */
+		"{\"version\":7,\"routes\":[" QUEUE "," QUEUE "],\"services\":[" POOL "]}",
+		"{\"version\":7,\"routes\":[],\"services\":[" POOL "," POOL "]}",
+		"{\"version\":0,\"routes\":[],\"services\":[]}",
+		"{\"version\":\"7\",\"routes\":[],\"services\":[]}",
+		"{\"version\":7,\"routes\":[{\"name\":\"r\",\"hostname\":\"h\",\"pathPrefix\":\"/"
+		"\","
+		"\"backend\":\"s\",\"timeoutMs\":0}],\"services\":[" POOL "]}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++)
+		g_assert_cmpint(type_of(false, "POST", "/api/config/replace", bodies[i]), ==,
+				CALL_INVALID);
+}
+
+#define REPORT(state)                                                                              \
+	"{\"backend\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"state\":" state           \
+	",\"capacity\":{\"cpu\":16000,\"memMb\":1000,\"gpu\":0},\"labels\":[\"a\",\"r1\"],"        \
+	"\"clockMs\":5,\"sequence\":4,\"born\":99,\"hostMachine\":\"m-1\"}"
+
+static void test_reports(void)
+{
+	const char *path = "/api/executors/i-1/heartbeat";
+	struct call c = decode(false, "POST", path, REPORT("\"draining\""));
+
+	g_assert_cmpint(c.type, ==, CALL_ANNOUNCE);
+	g_assert_cmpstr(c.report.id, ==, "i-1");
+	g_assert_cmpstr(c.report.machine, ==, "m-1");
+	g_assert_true(c.report.draining);
+	g_assert_cmpint(c.report.born_wall_ms, ==, 99);
+	call_clear(&c);
+	g_assert_cmpint(type_of(false, "POST", path, REPORT("\"odd\"")), ==, CALL_INVALID);
+	g_assert_cmpint(type_of(false, "POST", path, REPORT("3")), ==, CALL_INVALID);
+	g_assert_cmpint(type_of(false, "POST", path, "\xff\xfe"), ==, CALL_INVALID);
+	g_assert_cmpint(type_of(false, "POST", "/api/executors/i-1/other", "{}"), ==,
+			CALL_UNKNOWN_PLACE);
+	g_assert_cmpint(type_of(false, "POST", "/api/executors/i-1/deregister", ""), ==,
+			CALL_LEAVE);
+}
+
+static struct order_result *answer(enum order_type type, unsigned int status, const char *body)
+{
+	struct wire wire = platform_wire(&codec);
+	const struct order order = {.id = 1, .type = type};
+
+	return wire.decode_result(wire.ctx, &order, status, body, strlen(body));
+}
+
+static void expect(enum order_type type, unsigned int status, const char *body,
+		   enum order_status expected)
+{
+	struct order_result *r = answer(type, status, body);
+
+	g_assert_cmpint(r->status, ==, expected);
+	order_result_free(r);
+}
+
+static void test_results(void)
+{
+	struct order_result *r =
+		answer(ORDER_LOOK, 200,
+		       "{\"clockMs\":12,\"born\":7,\"running\":[[\"j.0.1.2\",2,\"c\",41,9]],"
+		       "\"endedRuns\":[[58,\"j.0.1.9\",1,\"done\",\"\"],[\"odd\"]]}");
+
+	g_assert_cmpint(r->status, ==, ORDER_OK);
+	g_assert_cmpint(r->clock_ms, ==, 12);
+	g_assert_cmpint(r->born_wall_ms, ==, 7);
+	g_assert_cmpuint(r->runs->len, ==, 1);
+	g_assert_cmpuint(r->ends->len, ==, 1);
+	g_assert_cmpuint(g_array_index(r->ends, struct end_row, 0).number, ==, 58);
+	order_result_free(r);
+	expect(ORDER_START, 409, "{\"reason\":\"fence\"}", ORDER_FENCED);
+	expect(ORDER_START, 409, "{\"reason\":\"old\"}", ORDER_SUPERSEDED);
+	expect(ORDER_START, 421, "", ORDER_OTHER_INSTANCE);
+	expect(ORDER_START, 503, "", ORDER_TRY_LATER);
+	expect(ORDER_START, 500, "", ORDER_NO_ANSWER);
+	expect(ORDER_LOOK, 200, "{}", ORDER_NO_ANSWER);
+	expect(ORDER_LOOK, 200, "garbage", ORDER_NO_ANSWER);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/codec/job", test_job);
+	g_test_add_func("/codec/malformed_jobs", test_malformed_jobs);
+	g_test_add_func("/codec/configuration", test_configuration);
+	g_test_add_func("/codec/invalid_configurations", test_invalid_configurations);
+	g_test_add_func("/codec/reports", test_reports);
+	g_test_add_func("/codec/results", test_results);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/unit/unit_sched.c
@@ -0,0 +1,139 @@
+/// @file
+/// The pure decisions of the scheduler, each on the load that it answers.
+
+#include "sched/health.h"
+#include "sched/pace.h"
+#include "sched/place.h"
+#include "sched/pools.h"
+#include "sched/schedule.h"
+
+/* Need of machines. */
+
+static void test_surge_asks_for_machines(void)
+{
+	struct pool_load load = {
+		.machine = 32000, .have = 8, .lasting = 30000, .arriving = 10000, .running = 10000};
+
+	g_assert_cmpuint(pools_needed(&load), <=, 3);
+	load.arriving = 500000; /* four times the mean of a pool of eight */
+	g_assert_cmpuint(pools_needed(&load), >, 16);
+	load.arriving = 0;
+	load.waiting = 800000000; /* a backlog of 800 core-seconds */
+	g_assert_cmpuint(pools_needed(&load), >, 16);
+}
+
+static void test_spread_keeps_machines(void)
+{
+	struct pool_load load = {.machine = 32000, .have = 8, .spread = 6};
+
+	g_assert_cmpuint(pools_needed(&load), ==, 6);
+}
+
+static void test_unknown_machine_size_changes_nothing(void)
+{
+	struct pool_load load = {.have = 5, .waiting = 1000000};
+
+	g_assert_cmpuint(pools_needed(&load), ==, 5);
+}
+
+/* Pace. */
+
+static void test_fillers_yield_to_served(void)
+{
+	uint32_t pace = PACE_FULL;
+
+	g_assert_cmpuint(pace_next(pace, 140), ==, 0);
+	for (int i = 0; i < 4; i++)
+		pace = pace_next(pace, 100);
+	g_assert_cmpuint(pace, ==, 0);
+	for (int i = 0; i < 20; i++)
+		pace = pace_next(pace, 50);
+	g_assert_cmpuint(pace, ==, PACE_FULL);
+	g_assert_cmpuint(pace_next(40, 85), ==, 40);
+}
+
+/* Waiting order. */
+
+static void test_order_of_waiting(void)
+{
+	const struct waiting_key urgent = {.priority = 0, .slack_ms = 900};
+	const struct waiting_key soon = {.priority = 1, .slack_ms = 100};
+	const struct waiting_key later = {.priority = 1, .slack_ms = 500};
+	const struct waiting_key missed = {.priority = 1, .late = true, .slack_ms = -50};
+
+	g_assert_cmpint(schedule_compare(&urgent, &soon), <, 0);
+	g_assert_cmpint(schedule_compare(&soon, &later), <, 0);
+	g_assert_cmpint(schedule_compare(&later, &missed), <, 0);
+	g_assert_cmpint(schedule_compare(&missed, &soon), >, 0);
+}
+
+/* Health. */
+
+static void test_endpoint_that_fails_everything_is_set_aside(void)
+{
+	struct endpoint *e = endpoint_new("i-1");
+
+	health_note_failure(e, 1000, false);
+	g_assert_false(health_is_set_aside(e, 1001));
+	health_note_failure(e, 1100, false);
+	g_assert_true(health_is_set_aside(e, 1200));
+	g_assert_false(health_is_set_aside(e, 3000));
+	health_note_done(e);
+	health_note_failure(e, 3000, false);
+	g_assert_false(health_is_set_aside(e, 3001));
+	endpoint_free(e);
+}
+
+/* Placement. */
+
+static void test_placement(void)
+{
+	g_autoptr(GArray) list = g_array_new(FALSE, TRUE, sizeof(struct place_candidate));
+	struct endpoint *e[3];
+	job_step step = {
+		.count = 1, .cpu_milli = 1000, .mem_mb = 100, .label = "", .data_rack = ""};
+	struct place_request q = {.step = &step, .job = "j"};
+
+	for (int i = 0; i < 3; i++) {
+		struct place_candidate c;
+
+		e[i] = endpoint_new(i == 0 ? "a" : i == 1 ? "b" : "c");
+		e[i]->cpu_milli = 4000;
+		e[i]->mem_mb = 4000;
+		g_ptr_array_add(e[i]->labels, g_strdup("kind"));
+		g_ptr_array_add(e[i]->labels, g_strdup(i == 2 ? "r2" : "r1"));
+		c = (struct place_candidate){.endpoint = e[i], .room = {4000, 4000, 0}};
+		g_array_append_val(list, c);
+	}
+	g_array_index(list, struct place_candidate, 1).room.cpu_milli = 1500;
+	g_assert_cmpint(place_choose(list, &q), ==, 1); /* packed */
+	step.cpu_milli = 2000;
+	g_assert_cmpint(place_choose(list, &q), !=, 1); /* does not fit there */
+	step.data_rack = "r2";
+	g_assert_cmpint(place_choose(list, &q), ==, 2); /* near its data */
+	step.label = "other";
+	g_assert_cmpint(place_choose(list, &q), ==, -1);
+	step.label = "";
+	q.needs_ticket = true;
+	g_assert_cmpint(place_choose(list, &q), ==, -1);
+	q.needs_ticket = false;
+	step.data_rack = "";
+	g_array_index(list, struct place_candidate, 0).set_aside = true;
+	g_assert_cmpint(place_choose(list, &q), ==, 2); /* not to one that is set aside */
+	for (int i = 0; i < 3; i++)
+		endpoint_free(e[i]);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/sched/surge_asks_for_machines", test_surge_asks_for_machines);
+	g_test_add_func("/sched/spread_keeps_machines", test_spread_keeps_machines);
+	g_test_add_func("/sched/unknown_machine_size", test_unknown_machine_size_changes_nothing);
+	g_test_add_func("/sched/fillers_yield_to_served", test_fillers_yield_to_served);
+	g_test_add_func("/sched/order_of_waiting", test_order_of_waiting);
+	g_test_add_func("/sched/failing_endpoint_is_set_aside",
+			test_endpoint_that_fails_everything_is_set_aside);
+	g_test_add_func("/sched/placement", test_placement);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/unit/unit_waves.c
@@ -0,0 +1,144 @@
+/// @file
+/// Maintenance waves at the job manager's public interface: cases that random ones rarely reach.
+
+#include "base/codec.h"
+#include "manager/manager.h"
+
+#include <string.h>
+
+#define START_MS 100000
+#define HOLDER_LEASE_MS 3000
+#define UPKEEP_MS 2000
+
+static struct manager *new_manager(clock_ms_t now)
+{
+	const struct manager_settings settings = {
+		.holder = "test",
+		.control_address = "10.0.0.1:1",
+		.announce_ms = 1500,
+		.lease_max_ms = 6000,
+		.keep_s = 120,
+		.holder_lease_ms = HOLDER_LEASE_MS,
+		.notice_ms = 4500,
+		.move_ms = 1500,
+		.upkeep_ms = UPKEEP_MS,
+	};
+	struct jobs *state = jobs_new();
+	struct manager *m = manager_new(&settings, state, 1, now, now);
+
+	jobs_free(state);
+	return m;
+}
+
+static void announce(struct manager *m, clock_ms_t now, const char *id, const char *machine,
+		     int64_t born)
+{
+	struct call c = {.type = CALL_ANNOUNCE};
+
+	c.report = (struct announcement){
+		.id = g_strdup(id),
+		.born_wall_ms = born,
+		.address = g_strdup_printf("10.1.0.%d:80", (int)born),
+		.pool = g_strdup("p"),
+		.zone = g_strdup("z"),
+		.machine = g_strdup(machine),
+		.labels = g_ptr_array_new_with_free_func(g_free),
+		.cpu_milli = 8000,
+		.mem_mb = 8000,
+		.sequence = 1,
+		.clock_ms = now,
+	};
+	manager_call(m, now, now, 1, &c);
+	call_clear(&c);
+}
+
+static void put_wave(struct manager *m, clock_ms_t now, const char *const *machines, unsigned int n,
+		     uint32_t cap)
+{
+	struct call c = {.type = CALL_WAVE_PUT, .wave_s = 30};
+
+	c.wave.number = 1;
+	c.wave.cap = cap;
+	c.wave.machines.machines_val = calloc(n, sizeof(job_wave_machine));
+	for (unsigned int i = 0; i < n; i++)
+		c.wave.machines.machines_val[c.wave.machines.machines_len++].machine =
+			strdup(machines[i]);
+	manager_call(m, now, now, 2, &c);
+	call_clear(&c);
+}
+
+/// Lets time pass up to @p until and agrees to every upkeep.
+///
+/// @return upkeep orders sent
+static unsigned int count_upkeeps(struct manager *m, clock_ms_t from, clock_ms_t until)
+{
+	unsigned int n = 0;
+
+	for (clock_ms_t now = from; now < until; now += MANAGER_TICK_MS) {
+		g_autoptr(GPtrArray) effects = NULL;
+
+		manager_tick(m, now, now);
+		effects = manager_take_effects(m);
+		for (guint i = 0; i < effects->len; i++) {
+			const struct effect *e = effects->pdata[i];
+			struct order_result *r;
+
+			if (e->type != EFFECT_ORDER || e->u.order->type != ORDER_MACHINE_UPKEEP)
+				continue;
+			n++;
+			r = order_result_new(e->u.order->id, ORDER_OK);
+			manager_result(m, now, now, r);
+			order_result_free(r);
+		}
+	}
+	return n;
+}
+
+/// A life that started just before the upkeep reports just after it: the machine is still down.
+static void test_earlier_life_does_not_prove_return(void)
+{
+	const char *const machines[] = {"m-1", "m-2"};
+	clock_ms_t now = START_MS;
+	struct manager *m = new_manager(now);
+
+	announce(m, now, "i-1", "m-1", 1);
+	announce(m, now, "i-2", "m-2", 2);
+	now += HOLDER_LEASE_MS + 1000;
+	announce(m, now, "i-1", "m-1", 1);
+	announce(m, now, "i-2", "m-2", 2);
+	put_wave(m, now, machines, 2, 1);
+	g_assert_cmpuint(count_upkeeps(m, now, now + 300), ==, 1);
+	now += 300;
+	announce(m, now, "i-3", "m-1", 3);
+	announce(m, now, "i-4", "m-2", 4);
+	g_assert_cmpuint(count_upkeeps(m, now, now + 1000), ==, 0);
+	manager_free(m);
+}
+
+/// The wave goes on once the machine is back.
+static void test_return_lets_the_next_go(void)
+{
+	const char *const machines[] = {"m-1", "m-2"};
+	clock_ms_t now = START_MS;
+	struct manager *m = new_manager(now);
+
+	now += HOLDER_LEASE_MS + 1000;
+	announce(m, now, "i-1", "m-1", 1);
+	announce(m, now, "i-2", "m-2", 2);
+	put_wave(m, now, machines, 2, 1);
+	g_assert_cmpuint(count_upkeeps(m, now, now + UPKEEP_MS), ==, 1);
+	now += UPKEEP_MS + 100;
+	announce(m, now, "i-3", "m-1", 3);
+	announce(m, now, "i-4", "m-2", 4);
+	g_assert_cmpuint(count_upkeeps(m, now, now + 1000), ==, 1);
+	manager_free(m);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/waves/earlier_life_does_not_prove_return",
+			test_earlier_life_does_not_prove_return);
+	g_test_add_func("/waves/return_lets_the_next_go", test_return_lets_the_next_go);
+	return g_test_run();
+}
