perf(pools): a new leader orders machines about at once, but for those its predecessor ordered lately

Cause: every machine order of a new leader waited 3.5 s so that two holders never take turns on one machine; surges went without moves after each change of leader. Change: each order is noted in the log first; a new leader waits only for the machines noted in the last 5 s. Waves still wait, for the endpoints' first reports.

--- a/src/sesamewood/jobs/jobs.c
+++ b/src/sesamewood/jobs/jobs.c
@@ -35,6 +35,7 @@
 	j->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
 	j->lives = g_hash_table_new_full(NULL, NULL, NULL, life_free);
 	j->waves = g_ptr_array_new_with_free_func(wave_free);
+	j->ordered = g_ptr_array_new_with_free_func(g_free);
 	j->next_endpoint = 1;
 	return j;
 }
@@ -47,6 +48,7 @@
 	g_hash_table_remove_all(j->by_id);
 	g_hash_table_remove_all(j->lives);
 	g_ptr_array_set_size(j->waves, 0);
+	g_ptr_array_set_size(j->ordered, 0);
 	j->next_endpoint = 1;
 }
 
@@ -57,6 +59,7 @@
 	g_hash_table_unref(j->by_id);
 	g_hash_table_unref(j->lives);
 	g_ptr_array_unref(j->waves);
+	g_ptr_array_unref(j->ordered);
 	g_free(j);
 }
 
@@ -419,6 +422,13 @@
 	g_hash_table_foreach_remove(j->lives, is_unused, NULL);
 }
 
+static void apply_machine_order(struct jobs *j, const job_machine_order *o)
+{
+	if (j->ordered->len > o->keep)
+		g_ptr_array_remove_range(j->ordered, 0, j->ordered->len - o->keep);
+	g_ptr_array_add(j->ordered, g_strdup(o->machine));
+}
+
 void jobs_apply(struct jobs *j, const job_command *c)
 {
 	switch (c->type) {
@@ -449,6 +459,9 @@
 	case JOB_COMMAND_FORGET:
 		apply_forget(j, &c->job_command_u.forget);
 		break;
+	case JOB_COMMAND_MACHINE_ORDER:
+		apply_machine_order(j, &c->job_command_u.machine_order);
+		break;
 	}
 }
 
@@ -473,6 +486,8 @@
 	s.waves.waves_val = g_new0(job_wave, j->waves->len + 1);
 	for (guint i = 0; i < j->waves->len; i++)
 		s.waves.waves_val[s.waves.waves_len++] = *(job_wave *)j->waves->pdata[i];
+	s.ordered_machines.ordered_machines_val = (sw_name *)j->ordered->pdata;
+	s.ordered_machines.ordered_machines_len = j->ordered->len;
 	out = codec_encode(CODEC_PROC(job_snapshot), &s);
 	g_free(s.endpoints.endpoints_val);
 	g_free(s.jobs.jobs_val);
@@ -522,6 +537,8 @@
 	}
 	for (u_int i = 0; i < s->waves.waves_len; i++)
 		apply_wave(j, &s->waves.waves_val[i]);
+	for (u_int i = 0; i < s->ordered_machines.ordered_machines_len; i++)
+		g_ptr_array_add(j->ordered, g_strdup(s->ordered_machines.ordered_machines_val[i]));
 }
 
 bool jobs_restore(struct jobs *j, const void *data, size_t len)
--- a/src/sesamewood/jobs/jobs.h
+++ b/src/sesamewood/jobs/jobs.h
@@ -30,7 +30,8 @@
 	GHashTable *by_id;  ///< struct job by id
 	GHashTable *lives;  ///< struct job_life by number
 	uint32_t next_endpoint;
-	GPtrArray *waves; ///< of job_wave *, oldest first
+	GPtrArray *waves;   ///< of job_wave *, oldest first
+	GPtrArray *ordered; ///< names of machines ordered about lately, oldest first
 };
 
 struct jobs *jobs_new(void);
--- a/src/sesamewood/manager/emit.c
+++ b/src/sesamewood/manager/emit.c
@@ -5,6 +5,7 @@
 /// A fence is the leader's term and, below it, how often the endpoint started again under its id
 /// since: a late order to an earlier life is refused once the later one has seen a call.
 #define LIVES_BITS 12
+#define HOLDER_MARGIN_MS 500 /* added to the time that two holders of machine orders keep apart */
 #define LIVES_MAX ((1U << LIVES_BITS) - 1)
 
 static struct effect *add_effect(struct manager *m, enum effect_type type)
@@ -36,6 +37,30 @@
 	e->u.reply.reply = reply;
 }
 
+#define RECENT_ORDER_MS 5000 /* over the time that two holders keep apart */
+
+void emit_machine_order(struct manager *m, clock_ms_t now, struct order *order, uint64_t wave)
+{
+	job_command c = {.type = JOB_COMMAND_MACHINE_ORDER};
+
+	while (m->ordered_at->len &&
+	       now - g_array_index(m->ordered_at, clock_ms_t, 0) > RECENT_ORDER_MS)
+		g_array_remove_index(m->ordered_at, 0);
+	c.job_command_u.machine_order = (job_machine_order){
+		.machine = order->machine,
+		.keep = m->ordered_at->len,
+	};
+	g_array_append_val(m->ordered_at, now);
+	emit_command(m, &c);
+	emit_order(m, now, order, NULL, order->machine, wave);
+}
+
+bool machine_is_guarded(const struct manager *m, const char *machine, clock_ms_t now)
+{
+	return now < m->since + m->settings.holder_lease_ms + HOLDER_MARGIN_MS &&
+	       g_hash_table_contains(m->guarded, machine);
+}
+
 void emit_order(struct manager *m, clock_ms_t now, struct order *order, struct endpoint *e,
 		const char *machine, uint64_t wave)
 {
--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -52,6 +52,10 @@
 	m->arriving = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->due_machines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	m->on_machine = g_hash_table_new(g_str_hash, g_str_equal);
+	m->guarded = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	for (guint i = 0; i < m->jobs->ordered->len; i++)
+		g_hash_table_add(m->guarded, g_strdup(m->jobs->ordered->pdata[i]));
+	m->ordered_at = g_array_new(FALSE, FALSE, sizeof(clock_ms_t));
 	m->active = g_ptr_array_new();
 	runs_inherit(m, now);
 	log_info("leadership taken", "TERM", log_number(term), "JOBS",
@@ -70,6 +74,8 @@
 	g_hash_table_unref(m->ratios);
 	g_hash_table_unref(m->upkeeps);
 	g_hash_table_unref(m->machines);
+	g_hash_table_unref(m->guarded);
+	g_array_unref(m->ordered_at);
 	g_hash_table_unref(m->due_machines);
 	g_hash_table_unref(m->on_machine);
 	g_hash_table_unref(m->arriving);
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -35,6 +35,8 @@
 	bool listing;	      ///< a machine list is on its way
 	clock_ms_t list_at;
 	clock_ms_t pools_at;	///< next look at the pools
+	GHashTable *guarded;	///< names of machines that the leader before ordered about lately
+	GArray *ordered_at;	///< clock_ms_t of own latest machine orders, oldest first
 	GHashTable *on_machine; ///< struct endpoint by machine, made anew before each use
 	GHashTable *upkeeps;	///< struct upkeep by machine; owned
 };
@@ -63,4 +65,11 @@
 void emit_order(struct manager *m, clock_ms_t now, struct order *order, struct endpoint *e,
 		const char *machine, uint64_t wave);
 
+/// Notes in the log that a machine is ordered about, then sends the order.
+void emit_machine_order(struct manager *m, clock_ms_t now, struct order *order, uint64_t wave);
+
+/// Tells whether the leader before may have ordered something of a machine so lately that this one
+/// has to wait.
+bool machine_is_guarded(const struct manager *m, const char *machine, clock_ms_t now);
+
 #endif
--- a/src/sesamewood/rpc/sesamewood.x
+++ b/src/sesamewood/rpc/sesamewood.x
@@ -325,6 +325,13 @@
 	sw_name ids<SW_LIST_MAX>;
 };
 
+/* A leader is about to order something of a machine. Kept so that its successor knows which
+ * machines were ordered about lately. */
+struct job_machine_order {
+	string machine<256>;
+	unsigned int keep;         /* so many of the latest earlier orders are still recent */
+};
+
 enum job_command_type {
 	JOB_COMMAND_CONFIG = 0,
 	JOB_COMMAND_ACCEPT = 1,
@@ -334,7 +341,8 @@
 	JOB_COMMAND_END = 5,
 	JOB_COMMAND_WAVE = 6,
 	JOB_COMMAND_WAVE_SETTLE = 7,
-	JOB_COMMAND_FORGET = 8
+	JOB_COMMAND_FORGET = 8,
+	JOB_COMMAND_MACHINE_ORDER = 9
 };
 
 union job_command switch (job_command_type type) {
@@ -356,6 +364,8 @@
 	job_wave_settle settle;
 case JOB_COMMAND_FORGET:
 	job_forget forget;
+case JOB_COMMAND_MACHINE_ORDER:
+	job_machine_order machine_order;
 };
 
 /* State of the job state machine, as stored in a snapshot. */
@@ -365,6 +375,7 @@
 	job_endpoint endpoints<SW_LIST_MAX>;
 	job_image jobs<1048576>;
 	job_wave waves<SW_LIST_MAX>;
+	sw_name ordered_machines<SW_LIST_MAX>;
 };
 
 union sw_command switch (sw_command_type type) {
--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -12,10 +12,10 @@
 #define LIST_PERIOD_MS 10000 /* moves are noted as they are made; the list finds the others */
 #define LIST_RETRY_MS 1000
 #define ORDER_TIMEOUT_MS 1500
-#define HOLDER_MARGIN_MS 500 /* added to the time that two holders keep apart */
-#define RETRY_MS 400	     /* of a move without an answer */
-#define BUSY_MS 1500	     /* a machine that is not up is asked again after this */
-#define ARRIVAL_MS 2500	     /* from a move's answer to the endpoint's first report, at most */
+#define SETTLE_MS 2000	/* every endpoint has reported to a new leader by then */
+#define RETRY_MS 400	/* of a move without an answer */
+#define BUSY_MS 1500	/* a machine that is not up is asked again after this */
+#define ARRIVAL_MS 2500 /* from a move's answer to the endpoint's first report, at most */
 /// Machines that come take this long until work starts there: the move, and the first report.
 #define LEAD_MS 1700
 /// What waits by then should start within so long: about the slack of a short job.
@@ -156,7 +156,8 @@
 		struct machine *x = value;
 		struct pool *p = pool_of(pools, x->pool);
 
-		if (p && (g_hash_table_contains(endpoints, x->name) || now < x->arrives_by))
+		if (p && (g_hash_table_contains(endpoints, x->name) || now < x->arrives_by ||
+			  (x->is_up && now - m->since < SETTLE_MS)))
 			p->load.have++;
 	}
 }
@@ -268,7 +269,7 @@
 	}
 	if (e)
 		e->ending = true;
-	emit_order(m, now, o, NULL, x->name, 0);
+	emit_machine_order(m, now, o, 0);
 }
 
 /// Tells whether a machine may be moved: it runs nothing, and no order for it is open.
@@ -303,7 +304,7 @@
 		clock_ms_t since = x->idle_since;
 
 		if (!from || from == to || !x->is_up || !is_free(x, e, now) ||
-		    waves_is_down(m, x->name, now) ||
+		    waves_is_down(m, x->name, now) || machine_is_guarded(m, x->name, now) ||
 		    (x->not_for && g_str_equal(x->not_for, to->config->name)))
 			continue;
 		if (from->config->standby)
@@ -360,7 +361,8 @@
 		struct pool *from = pool_of(pools, x->pool);
 
 		if (!e || !from || from->config->standby || !x->idle_since ||
-		    now - x->idle_since < IDLE_MS || !is_free(x, e, now) || surplus_of(from) <= 0 ||
+		    now - x->idle_since < IDLE_MS || machine_is_guarded(m, x->name, now) ||
+		    !is_free(x, e, now) || surplus_of(from) <= 0 ||
 		    (x->not_for && g_str_equal(x->not_for, standby)))
 			continue;
 		send_move(m, now, x, standby, e);
@@ -409,8 +411,7 @@
 		return;
 	decay_arrivals(m, MIN(now - m->pools_at + POOLS_PERIOD_MS, ARRIVAL_WINDOW_MS));
 	m->pools_at = now + POOLS_PERIOD_MS;
-	if (now < m->since + m->settings.holder_lease_ms + HOLDER_MARGIN_MS ||
-	    !m->jobs->config.config_version)
+	if (!m->jobs->config.config_version)
 		return;
 	if (!m->listing && now >= m->list_at)
 		list_machines(m, now, "");
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -10,10 +10,10 @@
 #define RETRY_MS 400	      /* of an order that was refused or had no answer */
 #define ORDER_TIMEOUT_MS 1500 /* the machine service may be slow */
 #define DRAIN_WAIT_MS 2500    /* short work is given so long to end first */
-#define HOLDER_MARGIN_MS 500  /* added to the time that two holders keep apart */
 #define REPORT_DELAY_MS 300   /* a report may have been on its way for so long */
 #define SAY_PERIOD_MS 3000
-#define BACK_MARGIN_MS 300 /* from the end of an upkeep to the certainty that it is over */
+#define HOLDER_MARGIN_MS 500 /* added to the time that two holders of machine orders keep apart */
+#define BACK_MARGIN_MS 300   /* from the end of an upkeep to the certainty that it is over */
 
 /// An upkeep that was ordered.
 struct upkeep {
@@ -222,7 +222,7 @@
 	 * nothing of the life that is there now. */
 	u->born_wall_ms = first && e ? e->born_wall_ms : u->born_wall_ms;
 	emit_command(m, &c);
-	emit_order(m, now, o, NULL, machine, wave->number);
+	emit_machine_order(m, now, o, wave->number);
 }
 
 /// Tells whether a machine may go down now.
@@ -322,7 +322,7 @@
 		struct endpoint *e = endpoint_on(m, w->machine);
 
 		if (w->settled || u->in_flight || now < u->next_at ||
-		    pools_is_moving(m, w->machine, now))
+		    pools_is_moving(m, w->machine, now) || machine_is_guarded(m, w->machine, now))
 			continue;
 		if (w->ordered) /* it may have begun already: ask until there is an answer */
 			cordon(e, now);
