--- a/src/sesamewood/manager/manager.h
+++ b/src/sesamewood/manager/manager.h
@@ -13,19 +13,15 @@
 
 /// Bounds and periods. Those that a platform states come with its settings.
 struct manager_settings {
-	char *holder;		   ///< names this replica in machine orders
-	char *control_address;	   ///< where endpoints reach this replica
-	uint32_t announce_ms;	   ///< period of announcements
-	uint32_t lease_max_ms;	   ///< endpoints shorten longer leases
-	uint32_t stop_ms;	   ///< a stop takes at most this
-	uint32_t keep_s;	   ///< an ended job stays known for so long
-	uint32_t early_ms;	   ///< an occurrence may start so much before its time
-	uint32_t far_factor;	   ///< a task away from its data takes so many times as long
-	uint32_t holder_lease_ms;  ///< two holders of machine orders keep this far apart
-	uint32_t notice_ms;	   ///< a lasting task back at work for less still counts as away
-	uint32_t move_ms;	   ///< a machine's move takes so long
-	uint32_t upkeep_ms;	   ///< a machine's upkeep takes so long
-	uint32_t machine_orders_s; ///< machine orders allowed a second
+	char *holder;		  ///< names this replica in machine orders
+	uint32_t announce_ms;	  ///< period of announcements
+	uint32_t lease_max_ms;	  ///< endpoints shorten longer leases
+	uint32_t keep_s;	  ///< an ended job stays known for so long
+	uint32_t far_factor;	  ///< a task away from its data takes so many times as long
+	uint32_t holder_lease_ms; ///< two holders of machine orders keep this far apart
+	uint32_t notice_ms;	  ///< a lasting task back at work for less still counts as away
+	uint32_t move_ms;	  ///< a machine's move takes so long
+	uint32_t upkeep_ms;	  ///< a machine's upkeep takes so long
 };
 
 struct manager;
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -93,6 +93,7 @@
 
 static void release(struct manager *m, struct run *r, job_end_cause cause, const char *checkpoint)
 {
+	bool was_open = !job_is_over(r->job);
 	job_command c = {
 		.type = JOB_COMMAND_END,
 		.job_command_u.end =
@@ -107,6 +108,12 @@
 	log_debug("attempt over", "TASK", r->name, "ATTEMPT", log_number(r->attempt), "ENDPOINT",
 		  r->endpoint->id, "CAUSE", log_number(cause));
 	emit_command(m, &c);
+	if (cause == JOB_END_FAILED)
+		log_info("attempt failed", "TASK", r->name, "ATTEMPT", log_number(r->attempt),
+			 "ENDPOINT", r->endpoint->id);
+	if (job_is_over(r->job) && was_open)
+		log_info("job over", "JOB", r->ref.job, "PHASE", log_number(r->job->image.phase),
+			 "ATTEMPTS", log_number(r->job->started));
 	drop_run(m, r);
 }
 
--- a/src/sesamewood/sched/schedule.c
+++ b/src/sesamewood/sched/schedule.c
@@ -11,7 +11,6 @@
 #define RATIO_FULL 100	     /* percent: the statement is true */
 #define RATIO_WEIGHT 8	     /* an eighth of each new observation; runs differ by about a third */
 #define RATIO_MAX 2000	     /* percent */
-#define FAR_WAIT_PERCENT 200 /* of the estimate: waiting longer for near data costs more */
 #define ADVICE_ASKED_MAX 30  /* the objective counts one call on 30 endpoints */
 #define ADVICE_MARGIN_MS 300 /* a start needs so long to arrive */
 #define ADVICE_TIMEOUT_MS 2000
@@ -494,8 +493,9 @@
 		.occurrence = w->occurrence,
 		.step_number = w->step,
 		.needs_ticket = w->advised,
+		/* Waiting longer for near data costs more than running far from it. */
 		.far_is_allowed = wall - due_wall(w->job, w->occurrence) >
-				  (int64_t)step->estimate_ms * FAR_WAIT_PERCENT / 100,
+				  (int64_t)step->estimate_ms * (m->settings.far_factor - 1),
 	};
 
 	if (w->advised && !set_tickets(m, now, w, candidates))
--- a/tests/model/fleet_model.cc
+++ b/tests/model/fleet_model.cc
@@ -113,18 +113,14 @@
 	struct manager_settings s = {};
 
 	s.holder = const_cast<char *>("model");
-	s.control_address = const_cast<char *>("10.9.9.9:1");
 	s.announce_ms = kAnnounceMs;
 	s.lease_max_ms = kLeaseMaxMs;
-	s.stop_ms = 400;
 	s.keep_s = 120;
-	s.early_ms = 250;
 	s.far_factor = 3;
 	s.holder_lease_ms = 3000;
 	s.notice_ms = kNoticeMs;
 	s.move_ms = kMoveMs;
 	s.upkeep_ms = kUpkeepMs;
-	s.machine_orders_s = 64;
 	manager = manager_new(&s, committed, ++term, now, now);
 }
 
--- a/tests/unit/unit_waves.c
+++ b/tests/unit/unit_waves.c
@@ -14,7 +14,6 @@
 {
 	const struct manager_settings settings = {
 		.holder = "test",
-		.control_address = "10.0.0.1:1",
 		.announce_ms = 1500,
 		.lease_max_ms = 6000,
 		.keep_s = 120,
