perf(sched): tasks leave the endpoint that failed them; a bad record gets one task at a time

Change: a task avoids the endpoint where it failed last; failures of different jobs set an endpoint aside, then on trial, at most a third of a pool.

--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -11,6 +11,7 @@
 #define ROUND_GAP_MS 8	 /* a commit takes as long; starts of one round share it */
 #define FORGET_PERIOD_MS 5000
 #define FORGET_BATCH_MAX 500
+#define FAILED_TASKS_MAX 4096 /* where tasks failed is only a hint; about 0.4 MB */
 
 static void pending_free(void *p)
 {
@@ -56,6 +57,7 @@
 	for (guint i = 0; i < m->jobs->ordered->len; i++)
 		g_hash_table_add(m->guarded, g_strdup(m->jobs->ordered->pdata[i]));
 	m->ordered_at = g_array_new(FALSE, FALSE, sizeof(clock_ms_t));
+	m->failed_at = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->active = g_ptr_array_new();
 	runs_inherit(m, now);
 	log_info("leadership taken", "TERM", log_number(term), "JOBS",
@@ -74,6 +76,7 @@
 	g_hash_table_unref(m->ratios);
 	g_hash_table_unref(m->upkeeps);
 	g_hash_table_unref(m->machines);
+	g_hash_table_unref(m->failed_at);
 	g_hash_table_unref(m->guarded);
 	g_array_unref(m->ordered_at);
 	g_hash_table_unref(m->due_machines);
@@ -131,6 +134,8 @@
 	if (now < m->forget_at)
 		return;
 	m->forget_at = now + FORGET_PERIOD_MS;
+	if (g_hash_table_size(m->failed_at) > FAILED_TASKS_MAX)
+		g_hash_table_remove_all(m->failed_at);
 	g_hash_table_iter_init(&iter, m->jobs->by_id);
 	while (n < FORGET_BATCH_MAX && g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct job *job = value;
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -35,6 +35,7 @@
 	bool listing;	      ///< a machine list is on its way
 	clock_ms_t list_at;
 	clock_ms_t pools_at;	///< next look at the pools
+	GHashTable *failed_at;	///< id of the endpoint where a task failed last, by task name
 	GHashTable *guarded;	///< names of machines that the leader before ordered about lately
 	GArray *ordered_at;	///< clock_ms_t of own latest machine orders, oldest first
 	GHashTable *on_machine; ///< struct endpoint by machine, made anew before each use
--- a/src/sesamewood/runs/endpoint.c
+++ b/src/sesamewood/runs/endpoint.c
@@ -35,6 +35,7 @@
 	g_free(e->machine);
 	g_ptr_array_unref(e->labels);
 	g_ptr_array_unref(e->runs);
+	g_free(e->failed_job);
 	g_free(e);
 }
 
--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -90,6 +90,7 @@
 	uint64_t acked;	      ///< number up to which ends were acknowledged
 	uint32_t misses;      ///< calls in a row without an answer
 	clock_ms_t avoid_until;
+	char *failed_job;     ///< of the latest counted failure, or NULL
 	uint32_t failures;    ///< tasks of different jobs that failed here since one was done
 	GPtrArray *runs;      ///< of struct run, borrowed; change by endpoint_add_run() and its kin
 	struct room used;     ///< by the runs
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -556,13 +556,15 @@
 
 		ref.job = id;
 		health_note_done(e);
+		g_hash_table_remove(m->failed_at, r->name);
 		schedule_note_duration(m, now, r);
 		release(m, r, JOB_END_DONE, row->checkpoint);
 		drop_done_members(m, &ref, members);
 		return;
 	}
 	case RUN_FAILED:
-		health_note_failure(e, now, r->persistent);
+		health_note_failure(e, now, r->ref.job, r->persistent);
+		g_hash_table_replace(m->failed_at, g_strdup(r->name), g_strdup(e->id));
 		release(m, r, JOB_END_FAILED, row->checkpoint);
 		return;
 	case RUN_ENDED_OUTSIDE:
@@ -718,7 +720,7 @@
 		log_info("attempt stands still", "TASK", r->name, "ENDPOINT", r->endpoint->id,
 			 "PERCENT", log_number(r->percent));
 		r->stop_wanted = true;
-		health_note_failure(r->endpoint, now, false);
+		health_note_failure(r->endpoint, now, r->name, false);
 	}
 	if (r->stop_wanted && !r->stopped_at && !r->stop_in_flight && now >= r->stop_at) {
 		r->stop_in_flight = true;
--- a/src/sesamewood/sched/health.c
+++ b/src/sesamewood/sched/health.c
@@ -9,14 +9,17 @@
 void health_note_done(struct endpoint *e)
 {
 	e->failures = 0;
+	g_clear_pointer(&e->failed_job, g_free);
 }
 
-void health_note_failure(struct endpoint *e, clock_ms_t now, bool lasting)
+void health_note_failure(struct endpoint *e, clock_ms_t now, const char *job, bool lasting)
 {
 	uint32_t doublings;
 
-	if (lasting)
+	if (lasting || g_strcmp0(e->failed_job, job) == 0)
 		return;
+	g_free(e->failed_job);
+	e->failed_job = g_strdup(job);
 	e->failures++;
 	if (e->failures < FAILURES_LEAST)
 		return;
@@ -40,6 +43,11 @@
 	       now - e->heard_at < silent_ms;
 }
 
+bool health_is_on_trial(const struct endpoint *e)
+{
+	return e->failures >= FAILURES_LEAST;
+}
+
 bool health_is_set_aside(const struct endpoint *e, clock_ms_t now)
 {
 	return now < e->avoid_until;
--- a/src/sesamewood/sched/health.h
+++ b/src/sesamewood/sched/health.h
@@ -8,8 +8,10 @@
 #include "runs/endpoint.h"
 
 void health_note_done(struct endpoint *e);
+/// @param job     whose attempt failed; one job's failures in a row count once, since they may be
+///                the job's own fault
 /// @param lasting the task fails now and then by contract
-void health_note_failure(struct endpoint *e, clock_ms_t now, bool lasting);
+void health_note_failure(struct endpoint *e, clock_ms_t now, const char *job, bool lasting);
 /// A start was refused for now.
 void health_note_refusal(struct endpoint *e, clock_ms_t now);
 /// A start had no answer.
@@ -23,4 +25,7 @@
 /// Tells whether an eligible endpoint is set aside for a while by its record.
 bool health_is_set_aside(const struct endpoint *e, clock_ms_t now);
 
+/// Tells whether an endpoint with a bad record is on trial: it gets one task at a time.
+bool health_is_on_trial(const struct endpoint *e);
+
 #endif
--- a/src/sesamewood/sched/place.c
+++ b/src/sesamewood/sched/place.c
@@ -46,6 +46,8 @@
 
 	if (*step->data_rack && !endpoint_has_label(e, step->data_rack))
 		n += 1000000000;
+	if (q->failed_at && g_str_equal(q->failed_at, e->id))
+		n += 500000000;
 	if (c->set_aside)
 		n += 100000000;
 	/* A machine that ends must not take more of a step with it than its budget allows. */
--- a/src/sesamewood/sched/place.h
+++ b/src/sesamewood/sched/place.h
@@ -28,8 +28,9 @@
 	uint32_t occurrence;
 	uint32_t step_number;
 	bool needs_ticket;
-	const char *rack;    ///< only endpoints with this label; NULL: any
-	bool far_is_allowed; ///< the step may run away from its data's rack
+	const char *failed_at; ///< endpoint where the task failed last, or NULL
+	const char *rack;      ///< only endpoints with this label; NULL: any
+	bool far_is_allowed;   ///< the step may run away from its data's rack
 };
 
 /// @return index of the best candidate, or -1 when the task fits nowhere now
--- a/src/sesamewood/sched/schedule.c
+++ b/src/sesamewood/sched/schedule.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #define SILENT_ANNOUNCEMENTS 3
+#define ASIDE_SHARE 3	     /* at most a third of a pool is left out for its record */
 #define RATIO_FULL 100	     /* percent: the statement is true */
 #define RATIO_WEIGHT 8	     /* an eighth of each new observation; runs differ by about a third */
 #define RATIO_MAX 2000	     /* percent */
@@ -367,6 +368,8 @@
 {
 	clock_ms_t silent_ms = SILENT_ANNOUNCEMENTS * (clock_ms_t)m->settings.announce_ms;
 	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct place_candidate));
+	unsigned int total = 0;
+	unsigned int aside = 0;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -378,8 +381,13 @@
 		if (!health_is_eligible(e, now, silent_ms) || e->cordoned || e->ending ||
 		    !g_str_equal(e->pool, pool))
 			continue;
+		total++;
+		if (health_is_set_aside(e, now) ||
+		    (health_is_on_trial(e) && e->runs->len > e->lasting)) {
+			c.set_aside = true;
+			aside++;
+		}
 		c.room = endpoint_free_room(e);
-		c.set_aside = health_is_set_aside(e, now);
 		c.due = g_hash_table_contains(m->due_machines, e->machine);
 		c.runs = e->runs->len;
 		c.serving = e->serving;
@@ -387,6 +395,10 @@
 		c.lasting = e->lasting;
 		g_array_append_val(out, c);
 	}
+	/* Where many fail it is rather the tasks' fault: then all are used. */
+	for (guint i = out->len; i > 0 && aside * ASIDE_SHARE <= total; i--)
+		if (g_array_index(out, struct place_candidate, i - 1).set_aside)
+			g_array_remove_index_fast(out, i - 1);
 	return out;
 }
 
@@ -399,18 +411,24 @@
 }
 
 static void place_singles(struct manager *m, clock_ms_t now, const struct waiting *w,
-			  const struct place_request *q, GArray *candidates)
+			  struct place_request *q, GArray *candidates)
 {
 	job_step_state *s =
 		&w->job->image.occurrences.occurrences_val[w->occurrence].steps.steps_val[w->step];
 
 	for (u_int i = 0; i < s->tasks.tasks_len; i++) {
+		g_autofree char *name = NULL;
 		int at;
 		struct place_candidate *c;
 
 		if (s->tasks.tasks_val[i].phase != JOB_TASK_WAITING)
 			continue;
+		if (s->tasks.tasks_val[i].failures) {
+			name = g_strdup_printf("%s.%u.%u.%u", q->job, w->occurrence, w->step, i);
+			q->failed_at = g_hash_table_lookup(m->failed_at, name);
+		}
 		at = place_choose(candidates, q);
+		q->failed_at = NULL;
 		if (at < 0)
 			return;
 		c = &g_array_index(candidates, struct place_candidate, at);
