perf(waves): no more machines are kept free than a wave needs

Change: a machine that its budget holds back takes work again; as many are kept free as the time left asks for.

--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -294,6 +294,17 @@
 	return best;
 }
 
+/// @return machines to keep free of new work, so that the wave is in time and no more is idle
+static unsigned int wanted_free(const struct manager *m, const job_wave *wave, unsigned int open,
+				clock_ms_t wall)
+{
+	clock_ms_t left = MAX(wave->due_wall_ms - wall, 1);
+	clock_ms_t each = m->settings.upkeep_ms + DRAIN_WAIT_MS;
+
+	return (unsigned int)CLAMP((open * each + left - 1) / left + 1, 1,
+				   (clock_ms_t)MAX(wave->cap, 1));
+}
+
 static void tick_wave(struct manager *m, clock_ms_t now, clock_ms_t wall, const job_wave *wave)
 {
 	unsigned int down = 0;
@@ -324,6 +335,9 @@
 		if (w->settled || u->in_flight || now < u->next_at ||
 		    pools_is_moving(m, w->machine, now) || machine_is_guarded(m, w->machine, now))
 			continue;
+		if (e && e->cordoned && !w->ordered && !is_crowded(m, e) &&
+		    waves_hindrance(m, e, now))
+			e->cordoned = false; /* kept for nothing while a budget forbids it */
 		if (w->ordered) /* it may have begun already: ask until there is an answer */
 			cordon(e, now);
 		if (e && e->cordoned)
@@ -341,7 +355,7 @@
 		down++;
 		kept -= kept > 0;
 	}
-	while (kept < wave->cap) {
+	while (kept < wanted_free(m, wave, open, wall)) {
 		const char *machine = next_to_cordon(m, wave, now);
 
 		if (!machine)
