perf(waves): a lasting task that is back at work no longer counts as away

The rule counts a task as away while it is not at work; noticeMs bounds how long others may be out unseen. Change: 200 ms at work, seen in looks, are enough. The model counts start-up as away, too: a stricter check. New test /jobs/wave_over_one_step_is_in_time fails with the former wait.

--- a/src/sesamewood/manager/manager.h
+++ b/src/sesamewood/manager/manager.h
@@ -19,7 +19,6 @@
 	uint32_t keep_s;	  ///< an ended job stays known for so long
 	uint32_t far_factor;	  ///< a task away from its data takes so many times as long
 	uint32_t holder_lease_ms; ///< two holders of machine orders keep this far apart
-	uint32_t notice_ms;	  ///< a lasting task back at work for less still counts as away
 	uint32_t move_ms;	  ///< a machine's move takes so long
 	uint32_t upkeep_ms;	  ///< a machine's upkeep takes so long
 };
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -12,8 +12,9 @@
 #define DRAIN_WAIT_MS 2500    /* short work is given so long to end first */
 #define REPORT_DELAY_MS 300   /* a report may have been on its way for so long */
 #define SAY_PERIOD_MS 3000
-#define HOLDER_MARGIN_MS 500 /* added to the time that two holders of machine orders keep apart */
-#define BACK_MARGIN_MS 300   /* from the end of an upkeep to the certainty that it is over */
+#define HOLDER_MARGIN_MS 500  /* added to the time that two holders of machine orders keep apart */
+#define AT_WORK_MARGIN_MS 200 /* a task that fails as soon as it is at work is seen by then */
+#define BACK_MARGIN_MS 300    /* from the end of an upkeep to the certainty that it is over */
 
 /// An upkeep that was ordered.
 struct upkeep {
@@ -93,7 +94,7 @@
 	const struct run *r = g_hash_table_lookup(m->runs, name);
 
 	return t->phase == JOB_TASK_ASSIGNED && r && r->state == RUN_CONFIRMED && r->at_work_at &&
-	       now - r->at_work_at >= (clock_ms_t)m->settings.notice_ms && !r->stop_wanted &&
+	       now - r->at_work_at >= AT_WORK_MARGIN_MS && !r->stop_wanted &&
 	       !r->endpoint->misses && !r->endpoint->ending;
 }
 
--- a/tests/property/property_jobs.cc
+++ b/tests/property/property_jobs.cc
@@ -146,6 +146,34 @@
 		running += e->cut ? 0 : static_cast<unsigned int>(e->running.size());
 	RC_ASSERT(running == 4U);
 }
+/// A wave takes all machines that hold one step's lasting tasks, one task may be away at once:
+/// each waits for the task before to be back at work, and for no longer.
+void wave_over_one_step_is_in_time(uint32_t seed)
+{
+	constexpr clock_ms_t wave_ms = 20000; /* the model orders waves with this time */
+	model::Fleet fleet(seed, 1, 8);
+	model::JobPlan plan;
+	job_step step = {};
+
+	plan.id = "job0";
+	plan.pool = "pool0";
+	step.count = 7;
+	step.cpu_milli = 1000;
+	step.mem_mb = 1000;
+	step.persistent = true;
+	step.max_unavailable = 1;
+	step.max_per_endpoint = 1;
+	plan.steps = {step};
+	try {
+		fleet.submit(plan);
+		fleet.advance(10000);
+		fleet.wave({0, 1, 2, 3, 4, 5, 6}, 3);
+		fleet.advance(wave_ms);
+	} catch (const model::Broken &broken) {
+		RC_FAIL(broken.what());
+	}
+	RC_ASSERT(fleet.wave_is_complete());
+}
 } // namespace
 
 int main()
@@ -155,6 +183,8 @@
 	property.check("keeps_its_promises", [] { keeps_its_promises(*actions(120), false); });
 	property.check("lost_endpoint_is_replaced",
 		       [] { lost_endpoint_is_replaced(*rc::gen::inRange<uint32_t>(0, 1000)); });
+	property.check("wave_over_one_step_is_in_time",
+		       [] { wave_over_one_step_is_in_time(*rc::gen::inRange<uint32_t>(0, 1000)); });
 	property.check("late_order_to_an_unmet_life",
 		       [] { keeps_its_promises(*actions(120), true); });
 	std::printf("# reached: %lu actions, %lu jobs, %lu starts, %lu done, %lu leaders deposed, "
