fix(rpc): calls that never left an entry are refused as not run, at once in a long outage

Change: the RPC client tells calls that were not sent; the relay answers 'not run' when no try was sent. Once nobody has led for as long as callers wait (3 s), calls are refused at once, with Retry-After by the length of the outage. Test: /rpc/hanging_connection_is_not_sent and its neighbours.

--- a/src/sesamewood/manager/entry_shell.c
+++ b/src/sesamewood/manager/entry_shell.c
@@ -19,7 +19,9 @@
 #define RELAY_MS 1100	     /* callers wait 3 s; one more entry can be tried in time */
 #define STOP_LEAST_MS 3200   /* the balancer checks each second and needs two misses */
 #define STOP_MARGIN_MS 700   /* before the kill */
-#define RETRY_AFTER_S 1
+#define OUTAGE_MS 3000	     /* as long as callers wait: what is refused then could not be served */
+#define RETRY_AFTER_MS 2000  /* an outage is expected to last about as long as it has */
+#define RETRY_AFTER_MAX_S 3
 #define EXIT_LISTEN 4
 #define CONNECTIONS_MAX 2000
 
@@ -46,12 +48,30 @@
 	       clock_monotonic() - relay_answered_at(sh->relay) < READY_WINDOW_MS;
 }
 
+/// @return for how long no leader has answered, ms
+static clock_ms_t outage_ms(const struct shell *sh)
+{
+	return clock_monotonic() - relay_answered_at(sh->relay);
+}
+
+static void refuse(struct http_request *req)
+{
+	struct shell *sh = http_data(req);
+	g_autofree char *after = g_strdup_printf(
+		"%d", (int)CLAMP(outage_ms(sh) / RETRY_AFTER_MS, 1, RETRY_AFTER_MAX_S));
+	const struct http_header with_after[] = {{"Retry-After", after}, {NULL, NULL}};
+
+	metrics_add(sh->refused, 1);
+	log_info("call refused: no leader", "PATH", http_target(req), "RETRY_AFTER_S", after);
+	http_reply(req, HTTP_UNAVAILABLE, with_after, NULL, 0);
+}
+
 static void on_relayed(void *ctx, enum relay_outcome outcome, const sw_relay_reply *reply)
 {
 	struct http_request *req = ctx;
 	struct shell *sh = http_data(req);
-	g_autofree char *after = g_strdup_printf(
-		"%u", outcome == RELAY_ANSWERED ? reply->retry_after_s : RETRY_AFTER_S);
+	g_autofree char *after =
+		g_strdup_printf("%u", outcome == RELAY_ANSWERED ? reply->retry_after_s : 0);
 	const struct http_header with_after[] = {{"Retry-After", after}, {NULL, NULL}};
 	const struct http_header json[] = {{"Content-Type", "application/json"}, {NULL, NULL}};
 
@@ -65,9 +85,7 @@
 			   reply->body.sw_blob_val, reply->body.sw_blob_len);
 		break;
 	case RELAY_NOT_DONE:
-		metrics_add(sh->refused, 1);
-		log_info("call refused: no leader", "PATH", http_target(req));
-		http_reply(req, HTTP_UNAVAILABLE, with_after, NULL, 0);
+		refuse(req);
 		break;
 	case RELAY_UNKNOWN:
 		metrics_add(sh->unsure, 1);
@@ -95,6 +113,10 @@
 		return;
 	}
 	http_set_data(req, sh);
+	if (relay_answered_at(sh->relay) && outage_ms(sh) > OUTAGE_MS) {
+		refuse(req);
+		return;
+	}
 	relay_call(sh->relay, &args, RELAY_MS, on_relayed, req);
 }
 
--- a/src/sesamewood/manager/relay.c
+++ b/src/sesamewood/manager/relay.c
@@ -158,7 +158,7 @@
 	if (result != RPC_ANSWERED) {
 		if (r->leader == c->node)
 			r->leader = 0;
-		c->unsure = true;
+		c->unsure |= result != RPC_NOT_SENT;
 		ev_timer_again(r->loop, &c->retry);
 		return;
 	}
--- a/src/sesamewood/rpc/rpc_client.c
+++ b/src/sesamewood/rpc/rpc_client.c
@@ -17,7 +17,7 @@
 	char *address;
 	struct rpc_stream *stream;
 	GHashTable *calls; ///< of struct call, by xid
-	GPtrArray *outbox; ///< encoded calls that wait for a connection
+	GPtrArray *outbox; ///< struct unsent: calls that wait for a connection
 	ev_timer reconnect;
 	uint32_t next_xid;
 };
@@ -28,9 +28,36 @@
 	const struct rpc_proc *proc;
 	rpc_reply_fn fn;
 	void *ctx;
+	bool in_stream;	   ///< its record was given to the connection
+	guint64 starts_at; ///< place of its record among the bytes of the connection
 	ev_timer timer;
 };
 
+/// An encoded call that waits for a connection.
+struct unsent {
+	uint32_t xid;
+	GByteArray *record;
+};
+
+static void unsent_free(void *p)
+{
+	struct unsent *u = p;
+
+	g_byte_array_unref(u->record);
+	g_free(u);
+}
+
+static void send_record(struct rpc_client *c, uint32_t xid, const GByteArray *record)
+{
+	struct call *call = g_hash_table_lookup(c->calls, GUINT_TO_POINTER(xid));
+
+	if (call) {
+		call->in_stream = true;
+		call->starts_at = rpc_stream_queued(c->stream);
+	}
+	rpc_stream_send(c->stream, record->data, record->len);
+}
+
 static void complete(struct call *call, enum rpc_result result, const void *reply)
 {
 	g_hash_table_remove(call->client->calls, GUINT_TO_POINTER(call->xid));
@@ -40,10 +67,17 @@
 	g_free(call);
 }
 
+/// @return what is known of a call whose connection has ended
+static enum rpc_result result_of(const struct call *call, guint64 flushed)
+{
+	return call->in_stream && flushed > call->starts_at ? RPC_NO_REPLY : RPC_NOT_SENT;
+}
+
 static void disconnect(struct rpc_client *c)
 {
 	g_autoptr(GList) calls = g_hash_table_get_values(c->calls);
 	struct rpc_stream *s = g_steal_pointer(&c->stream);
+	guint64 flushed = s ? rpc_stream_flushed(s) : 0;
 
 	if (s)
 		rpc_stream_close(s);
@@ -53,7 +87,7 @@
 		ev_timer_start(c->loop, &c->reconnect);
 	}
 	for (GList *l = calls; l; l = l->next)
-		complete(l->data, RPC_NO_REPLY, NULL);
+		complete(l->data, result_of(l->data, flushed), NULL);
 }
 
 static void on_closed(void *ctx)
@@ -127,9 +161,9 @@
 	}
 	c->stream = rpc_stream_new(c->loop, fd, &stream_ops, c);
 	for (guint i = 0; i < c->outbox->len; i++) {
-		GByteArray *record = c->outbox->pdata[i];
+		const struct unsent *u = c->outbox->pdata[i];
 
-		rpc_stream_send(c->stream, record->data, record->len);
+		send_record(c, u->xid, u->record);
 	}
 	g_ptr_array_set_size(c->outbox, 0);
 }
@@ -158,7 +192,7 @@
 	c->loop = loop;
 	c->address = g_strdup(address);
 	c->calls = g_hash_table_new(NULL, NULL);
-	c->outbox = g_ptr_array_new_with_free_func((GDestroyNotify)g_byte_array_unref);
+	c->outbox = g_ptr_array_new_with_free_func(unsent_free);
 	c->next_xid = g_random_int();
 	ev_timer_init(&c->reconnect, on_reconnect, 0., 0.);
 	c->reconnect.data = c;
@@ -236,10 +270,13 @@
 	if (!c->stream && !ev_is_active(&c->reconnect))
 		connect_now(c);
 	if (c->stream) {
-		rpc_stream_send(c->stream, record->data, record->len);
+		send_record(c, call->xid, record);
 		g_byte_array_unref(record);
 	} else if (c->outbox->len < OUTBOX_CALLS_MAX) {
-		g_ptr_array_add(c->outbox, record);
+		struct unsent *u = g_new0(struct unsent, 1);
+
+		*u = (struct unsent){.xid = call->xid, .record = record};
+		g_ptr_array_add(c->outbox, u);
 	} else {
 		g_byte_array_unref(record);
 	}
--- a/src/sesamewood/rpc/rpc_client.h
+++ b/src/sesamewood/rpc/rpc_client.h
@@ -12,6 +12,7 @@
 enum rpc_result {
 	RPC_ANSWERED,
 	RPC_NO_REPLY, ///< no reply; the call may have been executed
+	RPC_NOT_SENT, ///< no byte of it left this process: it was not executed
 };
 
 struct rpc_client;
--- a/src/sesamewood/rpc/rpc_stream.c
+++ b/src/sesamewood/rpc/rpc_stream.c
@@ -23,6 +23,8 @@
 	GByteArray *record; ///< fragments of the record being received
 	GByteArray *out;
 	gsize out_sent;
+	guint64 queued;	 ///< bytes of all records so far
+	guint64 flushed; ///< of them taken by the socket
 	const struct rpc_stream_ops *ops;
 	void *ctx;
 	unsigned int depth; ///< handlers on the stack
@@ -137,6 +139,7 @@
 		if (n < 0)
 			break;
 		s->out_sent += n;
+		s->flushed += n;
 	}
 	if (s->out_sent == s->out->len) {
 		g_byte_array_set_size(s->out, 0);
@@ -200,9 +203,20 @@
 
 	g_byte_array_append(s->out, (const guint8 *)&mark, MARK_BYTES);
 	g_byte_array_append(s->out, data, len);
+	s->queued += MARK_BYTES + len;
 	ev_io_start(s->loop, &s->writer);
 }
 
+guint64 rpc_stream_queued(const struct rpc_stream *s)
+{
+	return s->queued;
+}
+
+guint64 rpc_stream_flushed(const struct rpc_stream *s)
+{
+	return s->flushed;
+}
+
 bool rpc_parse_address(const char *text, struct sockaddr_in *out)
 {
 	g_autofree char *host = NULL;
--- a/src/sesamewood/rpc/rpc_stream.h
+++ b/src/sesamewood/rpc/rpc_stream.h
@@ -26,6 +26,12 @@
 /// Queues one record.
 void rpc_stream_send(struct rpc_stream *s, const guint8 *data, gsize len);
 
+/// @return bytes of all records queued so far
+guint64 rpc_stream_queued(const struct rpc_stream *s);
+
+/// @return of the bytes queued, those that the socket took: the peer may have them
+guint64 rpc_stream_flushed(const struct rpc_stream *s);
+
 /// Closes the socket; on_closed is not called. Safe inside handlers.
 void rpc_stream_close(struct rpc_stream *s);
 
--- /dev/null
+++ b/tests/unit/unit_rpc.c
@@ -0,0 +1,103 @@
+/// @file
+/// What the RPC client says of calls without a reply: a caller may be told "not run" only when no
+/// byte of its call can have reached a peer.
+
+#include "rpc/rpc_client.h"
+#include "rpc/generated/sesamewood.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define CALL_MS 150
+#define FILLERS 4 /* more connections than a listener with the least backlog takes */
+
+struct seen {
+	struct ev_loop *loop;
+	enum rpc_result result;
+};
+
+static void on_reply(void *ctx, enum rpc_result result, const void *reply)
+{
+	struct seen *seen = ctx;
+
+	(void)reply;
+	seen->result = result;
+	ev_break(seen->loop, EVBREAK_ALL);
+}
+
+/// @return a listener on a free port of the loopback address; it accepts nothing by itself
+static int listener(int backlog, struct sockaddr_in *address)
+{
+	socklen_t len = sizeof(*address);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	*address = (struct sockaddr_in){.sin_family = AF_INET,
+					.sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	g_assert_cmpint(bind(fd, (struct sockaddr *)address, len), ==, 0);
+	g_assert_cmpint(getsockname(fd, (struct sockaddr *)address, &len), ==, 0);
+	if (backlog >= 0)
+		g_assert_cmpint(listen(fd, backlog), ==, 0);
+	return fd;
+}
+
+static enum rpc_result call(const struct sockaddr_in *address)
+{
+	g_autofree char *text = g_strdup_printf("127.0.0.1:%u", ntohs(address->sin_port));
+	struct seen seen = {.loop = ev_loop_new(EVFLAG_AUTO)};
+	struct rpc_client *c = rpc_client_new(seen.loop, text);
+	sw_relay_args args = {
+		.method = (char *)"POST", .host = (char *)"h", .target = (char *)"/q/j"};
+
+	rpc_client_call(c, SW_PROC_RELAY, &args, CALL_MS, on_reply, &seen);
+	ev_run(seen.loop, 0);
+	rpc_client_free(c);
+	ev_loop_destroy(seen.loop);
+	return seen.result;
+}
+
+static void test_refused_connection_is_not_sent(void)
+{
+	struct sockaddr_in address;
+	int fd = listener(-1, &address);
+
+	g_assert_cmpint(call(&address), ==, RPC_NOT_SENT);
+	close(fd);
+}
+
+/// A peer without power does not answer: the connection hangs until the call's time is over.
+static void test_hanging_connection_is_not_sent(void)
+{
+	struct sockaddr_in address;
+	int fd = listener(0, &address);
+	int fillers[FILLERS];
+
+	for (int i = 0; i < FILLERS; i++) {
+		fillers[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+		if (connect(fillers[i], (struct sockaddr *)&address, sizeof(address)) < 0)
+			continue;
+	}
+	g_assert_cmpint(call(&address), ==, RPC_NOT_SENT);
+	for (int i = 0; i < FILLERS; i++)
+		close(fillers[i]);
+	close(fd);
+}
+
+static void test_silent_peer_may_have_run_it(void)
+{
+	struct sockaddr_in address;
+	int fd = listener(16, &address);
+
+	g_assert_cmpint(call(&address), ==, RPC_NO_REPLY);
+	close(fd);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/rpc/refused_connection_is_not_sent", test_refused_connection_is_not_sent);
+	g_test_add_func("/rpc/hanging_connection_is_not_sent", test_hanging_connection_is_not_sent);
+	g_test_add_func("/rpc/silent_peer_may_have_run_it", test_silent_peer_may_have_run_it);
+	return g_test_run();
+}
