perf(waves): count tasks at work once a look, choose machines once

Change: tasks at work are counted by step once a look and again after each order or stop; machines to keep free are chosen in one pass; the reason for waiting is worked out only when it is said.

--- a/bench/bench_manager.cc
+++ b/bench/bench_manager.cc
@@ -1,7 +1,8 @@
 /// @file
 /// Processor time of the job manager per task, over the number of endpoints, at a steady load of
 /// short tasks and at a surge of three times the room. The model's own time is part of the figures;
-/// `--profile` runs one size for long.
+/// `--profile` and `--profile-wave` run one size
+/// for long.
 
 #include "fleet_model.h"
 
@@ -56,10 +57,46 @@
 		static_cast<unsigned long>(fleet.starts), static_cast<unsigned long>(fleet.orders),
 		static_cast<unsigned long>(fleet.commands));
 }
+/// A maintenance wave over half of the endpoints, all of which hold lasting tasks.
+void measure_wave(unsigned int per_pool)
+{
+	constexpr unsigned int wave_s = 20; /* the model orders waves with this time */
+	model::Fleet fleet(1, 5, per_pool);
+	std::vector<unsigned int> machines;
+	double before;
+
+	for (unsigned int i = 0; i < 5 * per_pool / 8; i++) {
+		model::JobPlan plan;
+		job_step step = {};
+
+		plan.id = "lasting" + std::to_string(i);
+		plan.pool = "pool" + std::to_string(i % 5);
+		step.count = 24;
+		step.cpu_milli = 500;
+		step.mem_mb = 1000;
+		step.persistent = true;
+		step.max_unavailable = 1;
+		plan.steps = {step};
+		fleet.submit(plan);
+	}
+	fleet.advance(10000);
+	for (unsigned int i = 0; i < 5 * per_pool / 2; i++)
+		machines.push_back(i);
+	before = cpu_s();
+	fleet.wave(machines, 5 * per_pool / 5);
+	fleet.advance(wave_s * 1000);
+	std::printf("%u endpoints, wave over half: %.1f ms a second, %s\n", 5 * per_pool,
+		    (cpu_s() - before) * 1e3 / wave_s,
+		    fleet.wave_is_complete() ? "in time" : "late");
+}
 } // namespace
 
 int main(int argc, char **argv)
 {
+	if (argc > 1 && std::strcmp(argv[1], "--profile-wave") == 0) {
+		measure_wave(200);
+		return 0;
+	}
 	if (argc > 1 && std::strcmp(argv[1], "--profile") == 0) {
 		measure(70, 20, CALM_PERCENT);
 		return 0;
@@ -68,5 +105,7 @@
 	measure(20, 20, CALM_PERCENT);
 	measure(70, 10, CALM_PERCENT);
 	measure(70, 10, SURGE_PERCENT);
+	measure_wave(10);
+	measure_wave(70);
 	return 0;
 }
--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -52,6 +52,7 @@
 	m->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pools_machine_free);
 	m->arriving = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->due_machines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	m->at_work = g_hash_table_new(NULL, NULL);
 	m->on_machine = g_hash_table_new(g_str_hash, g_str_equal);
 	m->guarded = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	for (guint i = 0; i < m->jobs->ordered->len; i++)
@@ -81,6 +82,7 @@
 	g_array_unref(m->ordered_at);
 	g_hash_table_unref(m->due_machines);
 	g_hash_table_unref(m->on_machine);
+	g_hash_table_unref(m->at_work);
 	g_hash_table_unref(m->arriving);
 	g_ptr_array_unref(m->active);
 	jobs_free(m->jobs);
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -40,6 +40,8 @@
 	GArray *ordered_at;	///< clock_ms_t of own latest machine orders, oldest first
 	GHashTable *on_machine; ///< struct endpoint by machine, made anew before each use
 	GHashTable *upkeeps;	///< struct upkeep by machine; owned
+	GHashTable *at_work;	///< count of lasting tasks at work by job_step_state
+	bool at_work_known;	///< at_work holds for this look at the waves
 };
 
 /// What an order in flight was for.
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -86,35 +86,66 @@
 
 /* Availability. */
 
-static bool is_at_work(const struct manager *m, const job_task_ref *ref, const job_task *t,
-		       clock_ms_t now)
+static bool is_at_work(const struct run *r, clock_ms_t now)
 {
-	g_autofree char *name =
-		g_strdup_printf("%s.%u.%u.%u", ref->job, ref->occurrence, ref->step, ref->index);
-	const struct run *r = g_hash_table_lookup(m->runs, name);
-
-	return t->phase == JOB_TASK_ASSIGNED && r && r->state == RUN_CONFIRMED && r->at_work_at &&
+	return r->state == RUN_CONFIRMED && r->at_work_at &&
 	       now - r->at_work_at >= AT_WORK_MARGIN_MS && !r->stop_wanted &&
 	       !r->endpoint->misses && !r->endpoint->ending;
 }
 
+static job_step_state *step_of(const struct run *r)
+{
+	return &r->job->image.occurrences.occurrences_val[r->ref.occurrence]
+			.steps.steps_val[r->ref.step];
+}
+
+/// Counts the lasting tasks at work, by step.
+static void count_at_work(struct manager *m, clock_ms_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_remove_all(m->at_work);
+	g_hash_table_iter_init(&iter, m->runs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct run *r = value;
+		gpointer step;
+		guint n;
+
+		if (!r->persistent || !is_at_work(r, now))
+			continue;
+		step = step_of(r);
+		n = GPOINTER_TO_UINT(g_hash_table_lookup(m->at_work, step));
+		g_hash_table_insert(m->at_work, step, GUINT_TO_POINTER(n + 1));
+	}
+	m->at_work_known = true;
+}
+
+static bool same_step(const struct run *a, const struct run *b)
+{
+	return a->job == b->job && a->ref.step == b->ref.step &&
+	       a->ref.occurrence == b->ref.occurrence;
+}
+
 /// Counts the tasks of an attempt's step that are away, but for those at an endpoint and for the
 /// attempt itself.
 ///
 /// @param e those at this endpoint are not counted; NULL: all are
-static u_int count_away(const struct manager *m, const struct run *of, const struct endpoint *e,
+static u_int count_away(struct manager *m, const struct run *of, const struct endpoint *e,
 			clock_ms_t now)
 {
-	const struct job *job = jobs_find(m->jobs, of->ref.job);
-	job_task_ref ref = of->ref;
-	u_int away = 0;
-	u_int count = job->image.spec.steps.steps_val[ref.step].count;
+	const job_step_state *step = step_of(of);
+	u_int away;
 
-	for (ref.index = 0; ref.index < count; ref.index++) {
-		const job_task *t = jobs_task(m->jobs, &ref);
-		bool here = e && t->phase == JOB_TASK_ASSIGNED && t->endpoint == e->number;
+	if (!m->at_work_known)
+		count_at_work(m, now);
+	away = step->tasks.tasks_len - GPOINTER_TO_UINT(g_hash_table_lookup(m->at_work, step));
+	if (!e)
+		return away - !is_at_work(of, now);
+	for (guint i = 0; i < e->runs->len; i++) {
+		const struct run *r = e->runs->pdata[i];
 
-		away += !here && ref.index != of->ref.index && !is_at_work(m, &ref, t, now);
+		away -= same_step(r, of) && !is_at_work(r, now);
 	}
 	return away;
 }
@@ -126,27 +157,24 @@
 	for (guint i = 0; i < e->runs->len; i++) {
 		const struct run *r = e->runs->pdata[i];
 
-		n += r->ref.step == of->ref.step && r->ref.occurrence == of->ref.occurrence &&
-		     g_str_equal(r->ref.job, of->ref.job);
+		n += same_step(r, of);
 	}
 	return n;
 }
 
 /// @return tasks of an attempt's step that may be away at once, or 0 when it has no budget
-static u_int budget_of(const struct manager *m, const struct run *r)
+static u_int budget_of(const struct run *r)
 {
-	const struct job *job = jobs_find(m->jobs, r->ref.job);
-
-	if (!job || job_is_over(job))
-		return 0;
-	return job->image.spec.steps.steps_val[r->ref.step].max_unavailable;
+	return job_is_over(r->job)
+		       ? 0
+		       : r->job->image.spec.steps.steps_val[r->ref.step].max_unavailable;
 }
 
-const struct run *waves_hindrance(const struct manager *m, const struct endpoint *e, clock_ms_t now)
+const struct run *waves_hindrance(struct manager *m, const struct endpoint *e, clock_ms_t now)
 {
 	for (guint i = 0; i < e->runs->len; i++) {
 		const struct run *r = e->runs->pdata[i];
-		u_int budget = budget_of(m, r);
+		u_int budget = budget_of(r);
 
 		if (budget && count_away(m, r, e, now) + count_here(e, r) > budget)
 			return r;
@@ -155,11 +183,11 @@
 }
 
 /// Tells whether a machine holds more of some step than may end at once.
-static bool is_crowded(const struct manager *m, const struct endpoint *e)
+static bool is_crowded(const struct endpoint *e)
 {
 	for (guint i = 0; i < e->runs->len; i++) {
 		const struct run *r = e->runs->pdata[i];
-		u_int budget = budget_of(m, r);
+		u_int budget = budget_of(r);
 
 		if (budget && count_here(e, r) > budget)
 			return true;
@@ -217,6 +245,7 @@
 		 log_number(e ? e->runs->len : 0));
 	if (e)
 		e->ending = true;
+	m->at_work_known = false;
 	u->in_flight = true;
 	u->sent_at = now;
 	/* A repeated order is agreed to as well when an earlier one was executed: it then says
@@ -227,8 +256,7 @@
 }
 
 /// Tells whether a machine may go down now.
-static bool is_ready(const struct manager *m, const struct endpoint *e, clock_ms_t now,
-		     bool pressed)
+static bool is_ready(struct manager *m, const struct endpoint *e, clock_ms_t now, bool pressed)
 {
 	if (!e)
 		return true;
@@ -238,13 +266,14 @@
 }
 
 /// Tells from time to time what keeps a machine from its upkeep.
-static void say_why_waiting(const struct manager *m, struct upkeep *u, const char *machine,
+static void say_why_waiting(struct manager *m, struct upkeep *u, const char *machine,
 			    const struct endpoint *e, clock_ms_t now)
 {
-	const struct run *r = e ? waves_hindrance(m, e, now) : NULL;
+	const struct run *r;
 
 	if (!e || now < u->said_at)
 		return;
+	r = waves_hindrance(m, e, now);
 	u->said_at = now + SAY_PERIOD_MS;
 	log_info("upkeep waits", "MACHINE", machine, "KEPT_FREE", e->cordoned ? "true" : "false",
 		 "RUNS", log_number(e->runs->len), "SHORT", log_number(short_runs(e)), "BUDGET_OF",
@@ -253,16 +282,18 @@
 
 /// Frees a machine that holds more tasks of a step than its budget lets end at once: they are
 /// stopped one by one, and start elsewhere.
-static void evacuate(const struct manager *m, struct endpoint *e, clock_ms_t now)
+static void evacuate(struct manager *m, struct endpoint *e, clock_ms_t now)
 {
 	for (guint i = 0; i < e->runs->len; i++) {
 		struct run *r = e->runs->pdata[i];
-		u_int budget = budget_of(m, r);
+		u_int budget = budget_of(r);
 
 		if (!budget || r->stop_wanted || count_here(e, r) <= budget)
 			continue;
-		if (count_away(m, r, NULL, now) < budget)
-			r->stop_wanted = true;
+		if (count_away(m, r, NULL, now) >= budget)
+			continue;
+		r->stop_wanted = true;
+		m->at_work_known = false;
 	}
 }
 
@@ -274,25 +305,40 @@
 	e->cordoned_at = now;
 }
 
-/// Finds the machine with the least work that is not yet kept free and whose budgets allow it.
-static const char *next_to_cordon(struct manager *m, const job_wave *wave, clock_ms_t now)
+/// A machine that might be kept free for its upkeep.
+struct choice {
+	struct endpoint *endpoint;
+	unsigned int work;
+};
+
+static int compare_choices(gconstpointer a, gconstpointer b)
 {
-	const char *best = NULL;
-	unsigned int least = G_MAXUINT;
+	const struct choice *x = a;
+	const struct choice *y = b;
 
-	for (u_int i = 0; i < wave->machines.machines_len; i++) {
+	return (x->work > y->work) - (x->work < y->work);
+}
+
+/// Keeps up to @p n more machines free of new work: those with the least, where budgets allow it.
+static void cordon_next(struct manager *m, const job_wave *wave, unsigned int n, clock_ms_t now)
+{
+	g_autoptr(GArray) choices = g_array_new(FALSE, FALSE, sizeof(struct choice));
+
+	for (u_int i = 0; n && i < wave->machines.machines_len; i++) {
 		const job_wave_machine *w = &wave->machines.machines_val[i];
-		const struct endpoint *e = endpoint_on(m, w->machine);
-		unsigned int n = e ? 2 * e->runs->len + short_runs(e) : 0;
+		struct choice c = {.endpoint = endpoint_on(m, w->machine)};
+		const struct endpoint *e = c.endpoint;
 
-		if (w->settled || w->ordered || (e && e->cordoned) || n >= least ||
-		    (e && !is_crowded(m, e) && waves_hindrance(m, e, now)) ||
-		    pools_is_moving(m, w->machine, now))
+		if (w->settled || w->ordered || !e || e->cordoned ||
+		    pools_is_moving(m, w->machine, now) ||
+		    (!is_crowded(e) && waves_hindrance(m, e, now)))
 			continue;
-		best = w->machine;
-		least = n;
+		c.work = 2 * e->runs->len + short_runs(e);
+		g_array_append_val(choices, c);
 	}
-	return best;
+	g_array_sort(choices, compare_choices);
+	for (guint i = 0; i < choices->len && i < n; i++)
+		cordon(g_array_index(choices, struct choice, i).endpoint, now);
 }
 
 /// @return machines to keep free of new work, so that the wave is in time and no more is idle
@@ -311,6 +357,7 @@
 	unsigned int down = 0;
 	unsigned int kept = 0;
 	unsigned int open = 0;
+	unsigned int wanted;
 	bool pressed;
 
 	for (u_int i = 0; i < wave->machines.machines_len; i++) {
@@ -336,8 +383,7 @@
 		if (w->settled || u->in_flight || now < u->next_at ||
 		    pools_is_moving(m, w->machine, now) || machine_is_guarded(m, w->machine, now))
 			continue;
-		if (e && e->cordoned && !w->ordered && !is_crowded(m, e) &&
-		    waves_hindrance(m, e, now))
+		if (e && e->cordoned && !w->ordered && !is_crowded(e) && waves_hindrance(m, e, now))
 			e->cordoned = false; /* kept for nothing while a budget forbids it */
 		if (w->ordered) /* it may have begun already: ask until there is an answer */
 			cordon(e, now);
@@ -356,16 +402,9 @@
 		down++;
 		kept -= kept > 0;
 	}
-	while (kept < wanted_free(m, wave, open, wall)) {
-		const char *machine = next_to_cordon(m, wave, now);
-
-		if (!machine)
-			return;
-		if (!endpoint_on(m, machine))
-			return;
-		cordon(endpoint_on(m, machine), now);
-		kept++;
-	}
+	wanted = wanted_free(m, wave, open, wall);
+	if (kept < wanted)
+		cordon_next(m, wave, wanted - kept, now);
 }
 
 void waves_tick(struct manager *m, clock_ms_t now, clock_ms_t wall)
@@ -377,6 +416,7 @@
 	if (!g_hash_table_size(m->due_machines))
 		return;
 	index_machines(m);
+	m->at_work_known = false;
 	for (guint i = 0; i < m->jobs->waves->len; i++) {
 		const job_wave *wave = m->jobs->waves->pdata[i];
 
--- a/src/sesamewood/sched/waves.h
+++ b/src/sesamewood/sched/waves.h
@@ -27,7 +27,6 @@
 /// Looks for an availability budget that ending everything at an endpoint would break.
 ///
 /// @return an attempt there whose step would have too many tasks away, or NULL
-const struct run *waves_hindrance(const struct manager *m, const struct endpoint *e,
-				  clock_ms_t now);
+const struct run *waves_hindrance(struct manager *m, const struct endpoint *e, clock_ms_t now);
 
 #endif
