test(soak): an end whose lease lapsed before its acknowledgement does not bind

Trace: executor e3-1 was silent, its four leases ended ('leases of a silent endpoint have ended'), the tasks were given out again, and its ends were acknowledged when it was heard again. TWICE leaves out ends whose lease lapsed before the acknowledgement; the check now says the same, and no more: the stand-in marks such ends when its own lease is over.

--- a/tests/soak/soak_endpoint.c
+++ b/tests/soak/soak_endpoint.c
@@ -20,6 +20,7 @@
 	char *task;
 	gint64 attempt;
 	const char *how;
+	bool lapsed; ///< the lease has ended since: an acknowledgement no longer binds
 };
 
 /// A request that is answered later: a look that waits, or an order that is held up.
@@ -151,7 +152,7 @@
 	struct soak_task *t = task_of(e->world, r->task);
 	struct end *end = g_new0(struct end, 1);
 
-	*end = (struct end){++e->next_end, g_strdup(r->task), r->attempt, how};
+	*end = (struct end){++e->next_end, g_strdup(r->task), r->attempt, how, false};
 	g_ptr_array_add(e->ended, end);
 	t->running--;
 	t->done |= strcmp(how, "done") == 0;
@@ -226,7 +227,7 @@
 		const struct end *end = e->ended->pdata[0];
 		struct soak_task *t = task_of(e->world, end->task);
 
-		t->done_noted |= strcmp(end->how, "done") == 0;
+		t->done_noted |= strcmp(end->how, "done") == 0 && !end->lapsed;
 		g_ptr_array_remove_index(e->ended, 0);
 	}
 	return NULL;
@@ -375,6 +376,8 @@
 void soak_endpoint_tick(struct soak_endpoint *e, clock_ms_t now)
 {
 	end_due(e, now);
+	for (guint i = 0; i < e->ended->len; i++)
+		((struct end *)e->ended->pdata[i])->lapsed |= clock_of(e) > e->until_ms;
 	for (guint i = e->held->len; i > 0; i--) {
 		struct later *l = e->held->pdata[i - 1];
 
