--- a/src/sesamewood/jobs/jobs.c
+++ b/src/sesamewood/jobs/jobs.c
@@ -136,6 +136,15 @@
 	return job->image.phase >= JOB_COMPLETED;
 }
 
+int64_t job_due_wall(const struct job *job, uint32_t occurrence)
+{
+	const job_spec *spec = &job->image.spec;
+
+	if (!spec->occurrences)
+		return spec->accepted_wall_ms;
+	return spec->first_wall_ms + (int64_t)occurrence * spec->interval_ms;
+}
+
 static bool step_done(const job_step_state *s)
 {
 	for (u_int i = 0; i < s->tasks.tasks_len; i++)
--- a/src/sesamewood/jobs/jobs.h
+++ b/src/sesamewood/jobs/jobs.h
@@ -76,6 +76,9 @@
 /// Tells whether a job is over: completed, failed or cancelled.
 bool job_is_over(const struct job *job);
 
+/// @return when an occurrence is due: a job without occurrences, when it was accepted
+int64_t job_due_wall(const struct job *job, uint32_t occurrence);
+
 /// Tells whether all steps that a step comes after are done, in one occurrence.
 bool job_step_ready(const struct job *job, uint32_t occurrence, uint32_t step);
 
--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "manager/calls.h"
 #include "runs/runs.h"
+#include "sched/advice.h"
 #include "sched/pools.h"
 #include "sched/schedule.h"
 #include "sched/waves.h"
@@ -46,7 +47,7 @@
 	m->endpoints = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, endpoint_free);
 	m->runs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, run_free);
 	m->orders = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, pending_free);
-	m->advice = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, schedule_advice_free);
+	m->advice = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, advice_free);
 	m->ratios = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->upkeeps = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pools_machine_free);
@@ -111,7 +112,7 @@
 		runs_result(m, now, p, result);
 		break;
 	case ORDER_ADVISE:
-		schedule_advised(m, now, p, result);
+		advice_answered(m, now, p, result);
 		break;
 	case ORDER_MACHINE_UPKEEP:
 		waves_result(m, now, p, result);
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -3,7 +3,7 @@
 #include "base/log.h"
 #include "sched/health.h"
 #include "sched/pace.h"
-#include "sched/schedule.h"
+#include "sched/estimates.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -564,7 +564,7 @@
 		ref.job = id;
 		health_note_done(e);
 		g_hash_table_remove(m->failed_at, r->name);
-		schedule_note_duration(m, now, r);
+		estimates_note(m, now, r);
 		release(m, r, JOB_END_DONE, row->checkpoint);
 		drop_done_members(m, &ref, members);
 		return;
--- /dev/null
+++ b/src/sesamewood/sched/demand.c
@@ -0,0 +1,56 @@
+#include "sched/demand.h"
+
+#include "sched/estimates.h"
+
+static void add_demand(const struct manager *m, const struct job *job, uint32_t occurrence,
+		       uint32_t step, struct demand *d)
+{
+	const job_step *s = &job->image.spec.steps.steps_val[step];
+	const job_step_state *state =
+		&job->image.occurrences.occurrences_val[occurrence].steps.steps_val[step];
+	uint32_t most = s->count;
+	uint32_t waiting = 0;
+
+	for (u_int i = 0; i < state->tasks.tasks_len; i++)
+		waiting += state->tasks.tasks_val[i].phase == JOB_TASK_WAITING;
+	if (s->max_per_endpoint && (waiting || s->persistent))
+		most = s->max_per_endpoint;
+	if (s->max_unavailable)
+		most = MIN(most, s->max_unavailable);
+	if (most < s->count)
+		d->spread = MAX(d->spread, (s->count + most - 1) / most);
+	if (s->persistent && !s->fills)
+		d->lasting_cpu += (int64_t)waiting * s->cpu_milli;
+	d->work += waiting * estimates_task_work(m, job, step);
+}
+
+GHashTable *demand_by_pool(const struct manager *m, clock_ms_t wall)
+{
+	GHashTable *pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+
+	for (guint i = 0; i < m->active->len; i++) {
+		const struct job *job = m->active->pdata[i];
+		const job_queue *queue;
+		struct demand *d;
+		const char *pool;
+
+		if (job_is_over(job) || (job->unfinished == job->assigned &&
+					 !job->image.spec.steps.steps_val[0].persistent))
+			continue;
+		queue = jobs_queue(m->jobs, job->image.spec.queue);
+		pool = queue ? queue->pool : job->image.spec.pool;
+		d = g_hash_table_lookup(pools, pool);
+		if (!d) {
+			d = g_new0(struct demand, 1);
+			g_hash_table_insert(pools, (char *)pool, d);
+		}
+		for (u_int k = 0; k < job->image.occurrences.occurrences_len; k++) {
+			if (job->image.spec.occurrences && wall < job_due_wall(job, k))
+				break;
+			for (u_int s = 0; s < job->image.spec.steps.steps_len; s++)
+				if (job_step_ready(job, k, s))
+					add_demand(m, job, k, s, d);
+		}
+	}
+	return pools;
+}
--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -3,7 +3,8 @@
 #include "base/log.h"
 #include "runs/runs.h"
 #include "sched/health.h"
-#include "sched/schedule.h"
+#include "sched/demand.h"
+#include "sched/estimates.h"
 #include "sched/waves.h"
 
 #include <limits.h>
@@ -193,7 +194,7 @@
 			   clock_ms_t wall)
 {
 	GHashTable *pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
-	g_autoptr(GHashTable) demand = schedule_demand(m, wall);
+	g_autoptr(GHashTable) demand = demand_by_pool(m, wall);
 	GHashTableIter iter;
 	gpointer value;
 
@@ -211,7 +212,7 @@
 	g_hash_table_iter_init(&iter, pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct pool *p = value;
-		const struct schedule_demand *d = g_hash_table_lookup(demand, p->config->name);
+		const struct demand *d = g_hash_table_lookup(demand, p->config->name);
 
 		if (d) {
 			p->load.waiting = d->work;
@@ -233,7 +234,7 @@
 		rate = g_new0(double, 1);
 		g_hash_table_insert(m->arriving, g_strdup(spec->pool), rate);
 	}
-	*rate += (double)schedule_work(m, job) / ARRIVAL_WINDOW_MS;
+	*rate += (double)estimates_job_work(m, job) / ARRIVAL_WINDOW_MS;
 }
 
 static void decay_arrivals(struct manager *m, clock_ms_t elapsed_ms)
--- /dev/null
+++ b/src/sesamewood/sched/rooms.h
@@ -0,0 +1,28 @@
+#ifndef SESAMEWOOD_SCHED_ROOMS_H
+#define SESAMEWOOD_SCHED_ROOMS_H
+
+/// @file
+/// Room of the pools in one scheduling round. Answers surges that leave far more waiting than a
+/// pool holds: what finds no room is neither ordered nor offered to each endpoint.
+
+#include "manager/manager_internal.h"
+#include "sched/place.h"
+
+/// What a pool offers in a round.
+struct pool_room {
+	GArray *candidates; ///< of struct place_candidate
+	unsigned int total;
+	unsigned int aside; ///< of them set aside by their record
+	struct room most;   ///< no candidate has more of any kind
+};
+
+/// @return struct pool_room by pool; names borrow from the endpoints
+GHashTable *rooms_by_pool(struct manager *m, clock_ms_t now);
+
+/// Notes the most that any candidate has; called again when a task has found no place.
+void rooms_note_most(struct pool_room *r);
+
+/// Tells whether a task of a step may find a place: false is certain.
+bool rooms_may_fit(const struct pool_room *r, const job_step *step);
+
+#endif
