--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -4,6 +4,7 @@
 #include "manager/calls.h"
 #include "runs/runs.h"
 #include "sched/advice.h"
+#include "sched/machines.h"
 #include "sched/pools.h"
 #include "sched/schedule.h"
 #include "sched/waves.h"
@@ -50,7 +51,7 @@
 	m->advice = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, advice_free);
 	m->ratios = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->upkeeps = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	m->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pools_machine_free);
+	m->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machines_free);
 	m->arriving = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->due_machines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	m->at_work = g_hash_table_new(NULL, NULL);
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -25,7 +25,6 @@
 #define STALL_LASTING_MS 8000	 /* start-up of a lasting task */
 #define FORGET_ENDPOINT_MS 30000 /* silent for so long, and nothing runs there */
 #define ENDS_PAGE 500		 /* ends that a look lists at most */
-#define SILENT_ANNOUNCEMENTS 3
 
 /* Names of tasks. */
 
--- a/src/sesamewood/sched/health.h
+++ b/src/sesamewood/sched/health.h
@@ -7,6 +7,9 @@
 
 #include "runs/endpoint.h"
 
+/// Announcements in a row that may be missing; with fewer one lost on its way makes a gap.
+#define SILENT_ANNOUNCEMENTS 3
+
 void health_note_done(struct endpoint *e);
 /// @param job     whose attempt failed; one job's failures in a row count once, since they may be
 ///                the job's own fault
--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -5,7 +5,7 @@
 #include "sched/health.h"
 #include "sched/demand.h"
 #include "sched/estimates.h"
-#include "sched/waves.h"
+#include "sched/machines.h"
 
 #include <limits.h>
 
@@ -25,21 +25,8 @@
 #define LOAD_PERCENT 90	      /* of a machine; the rest is lost to tasks that do not fit */
 /// An idle machine is switched off after so long: it then cost as much as two moves.
 #define IDLE_MS 2200
-#define SILENT_ANNOUNCEMENTS 3
 #define SPREAD_MAX 16 /* machines asked for only because of a limit per endpoint */
 
-struct machine {
-	char *name;
-	char *pool;
-	bool is_up;
-	bool in_flight;
-	char *target;	       ///< of the move in flight or without an answer
-	char *not_for;	       ///< a pool that does not take it
-	clock_ms_t next_at;    ///< no order before then
-	clock_ms_t arrives_by; ///< on its way to its pool until then
-	clock_ms_t idle_since; ///< 0: it has work, or no endpoint
-};
-
 struct pool {
 	const job_pool *config;
 	struct pool_load load;
@@ -67,37 +54,6 @@
 
 /* Machines. */
 
-void pools_machine_free(void *p)
-{
-	struct machine *x = p;
-
-	g_free(x->name);
-	g_free(x->pool);
-	g_free(x->target);
-	g_free(x->not_for);
-	g_free(x);
-}
-
-bool pools_is_moving(const struct manager *m, const char *machine, clock_ms_t now)
-{
-	const struct machine *x = g_hash_table_lookup(m->machines, machine);
-
-	return x && (x->in_flight || x->target || now < x->arrives_by);
-}
-
-static struct machine *machine_of(struct manager *m, const char *name)
-{
-	struct machine *x = g_hash_table_lookup(m->machines, name);
-
-	if (x)
-		return x;
-	x = g_new0(struct machine, 1);
-	x->name = g_strdup(name);
-	x->pool = g_strdup("");
-	g_hash_table_insert(m->machines, x->name, x);
-	return x;
-}
-
 static void set_pool(struct machine *x, const char *pool)
 {
 	if (g_str_equal(x->pool, pool))
@@ -127,7 +83,7 @@
 
 		if (!*e->machine || !is_usable(m, e, now))
 			continue;
-		x = machine_of(m, e->machine);
+		x = machines_get(m, e->machine);
 		x->is_up = true;
 		x->arrives_by = 0;
 		set_pool(x, e->pool);
@@ -305,7 +261,7 @@
 		clock_ms_t since = x->idle_since;
 
 		if (!from || from == to || !x->is_up || !is_free(x, e, now) ||
-		    waves_is_down(m, x->name, now) || machine_is_guarded(m, x->name, now) ||
+		    machines_is_down(m, x->name, now) || machine_is_guarded(m, x->name, now) ||
 		    (x->not_for && g_str_equal(x->not_for, to->config->name)))
 			continue;
 		if (from->config->standby)
@@ -438,7 +394,7 @@
 	for (guint i = 0; i < result->machines->len; i++) {
 		const struct machine_row *row =
 			&g_array_index(result->machines, struct machine_row, i);
-		struct machine *x = machine_of(m, row->machine);
+		struct machine *x = machines_get(m, row->machine);
 
 		if (x->target || now < x->arrives_by)
 			continue;
@@ -510,5 +466,5 @@
 	if (p->type == ORDER_MACHINE_LIST)
 		finish_list(m, now, result);
 	else
-		finish_move(m, now, machine_of(m, p->machine), result);
+		finish_move(m, now, machines_get(m, p->machine), result);
 }
--- a/src/sesamewood/sched/pools.h
+++ b/src/sesamewood/sched/pools.h
@@ -29,11 +29,6 @@
 void pools_result(struct manager *m, clock_ms_t now, const struct pending *p,
 		  const struct order_result *result);
 
-/// Tells whether a machine is on its way to a pool, or may be.
-bool pools_is_moving(const struct manager *m, const char *machine, clock_ms_t now);
-
-void pools_machine_free(void *machine);
-
 /// Notes that a job was accepted.
 void pools_accepted(struct manager *m, const struct job *job);
 
--- a/src/sesamewood/sched/rooms.c
+++ b/src/sesamewood/sched/rooms.c
@@ -2,7 +2,6 @@
 
 #include "sched/health.h"
 
-#define SILENT_ANNOUNCEMENTS 3
 #define ASIDE_SHARE 3 /* at most a third of a pool is left out for its record */
 
 static void pool_room_free(void *p)
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -2,7 +2,7 @@
 
 #include "base/log.h"
 #include "runs/runs.h"
-#include "sched/pools.h"
+#include "sched/machines.h"
 
 #include <string.h>
 
@@ -14,30 +14,6 @@
 #define SAY_PERIOD_MS 3000
 #define HOLDER_MARGIN_MS 500  /* added to the time that two holders of machine orders keep apart */
 #define AT_WORK_MARGIN_MS 200 /* a task that fails as soon as it is at work is seen by then */
-#define BACK_MARGIN_MS 300    /* from the end of an upkeep to the certainty that it is over */
-
-/// An upkeep that was ordered.
-struct upkeep {
-	bool in_flight;
-	bool begun; ///< the machine service agreed
-	clock_ms_t begun_at;
-	clock_ms_t next_at;   ///< not ordered again before then
-	int64_t born_wall_ms; ///< life of the endpoint that was there
-	clock_ms_t said_at;   ///< reason for waiting not logged before then
-	clock_ms_t sent_at;   ///< latest order
-	bool back;	      ///< a later life has reported
-};
-
-static struct upkeep *upkeep_of(struct manager *m, const char *machine)
-{
-	struct upkeep *u = g_hash_table_lookup(m->upkeeps, machine);
-
-	if (u)
-		return u;
-	u = g_new0(struct upkeep, 1);
-	g_hash_table_insert(m->upkeeps, g_strdup(machine), u);
-	return u;
-}
 
 static void index_machines(struct manager *m)
 {
@@ -207,25 +183,10 @@
 	return n;
 }
 
-static bool is_down(const struct manager *m, const struct upkeep *u, clock_ms_t now)
-{
-	if (!u->begun)
-		return u->in_flight || u->next_at > 0;
-	return !u->back &&
-	       now - u->begun_at < 2 * (clock_ms_t)m->settings.upkeep_ms + BACK_MARGIN_MS;
-}
-
-bool waves_is_down(const struct manager *m, const char *machine, clock_ms_t now)
-{
-	const struct upkeep *u = g_hash_table_lookup(m->upkeeps, machine);
-
-	return u && is_down(m, u, now);
-}
-
 static void send_upkeep(struct manager *m, clock_ms_t now, const job_wave *wave,
 			const char *machine, bool first)
 {
-	struct upkeep *u = upkeep_of(m, machine);
+	struct upkeep *u = machines_upkeep(m, machine);
 	struct endpoint *e = endpoint_on(m, machine);
 	struct order *o = g_new0(struct order, 1);
 	job_command c = {
@@ -330,7 +291,7 @@
 		const struct endpoint *e = c.endpoint;
 
 		if (w->settled || w->ordered || !e || e->cordoned ||
-		    pools_is_moving(m, w->machine, now) ||
+		    machines_is_moving(m, w->machine, now) ||
 		    (!is_crowded(e) && waves_hindrance(m, e, now)))
 			continue;
 		c.work = 2 * e->runs->len + short_runs(e);
@@ -366,7 +327,7 @@
 		const struct endpoint *e = endpoint_on(m, w->machine);
 
 		open += !w->settled;
-		if ((u && is_down(m, u, now)) || (w->ordered && !w->settled))
+		if ((u && machines_upkeep_lasts(m, u, now)) || (w->ordered && !w->settled))
 			down++;
 		else if (!w->settled && e && e->cordoned)
 			kept++;
@@ -377,11 +338,12 @@
 		wave->due_wall_ms;
 	for (u_int i = 0; i < wave->machines.machines_len; i++) {
 		const job_wave_machine *w = &wave->machines.machines_val[i];
-		struct upkeep *u = upkeep_of(m, w->machine);
+		struct upkeep *u = machines_upkeep(m, w->machine);
 		struct endpoint *e = endpoint_on(m, w->machine);
 
 		if (w->settled || u->in_flight || now < u->next_at ||
-		    pools_is_moving(m, w->machine, now) || machine_is_guarded(m, w->machine, now))
+		    machines_is_moving(m, w->machine, now) ||
+		    machine_is_guarded(m, w->machine, now))
 			continue;
 		if (e && e->cordoned && !w->ordered && !is_crowded(e) && waves_hindrance(m, e, now))
 			e->cordoned = false; /* kept for nothing while a budget forbids it */
@@ -445,7 +407,7 @@
 void waves_result(struct manager *m, clock_ms_t now, const struct pending *p,
 		  const struct order_result *result)
 {
-	struct upkeep *u = upkeep_of(m, p->machine);
+	struct upkeep *u = machines_upkeep(m, p->machine);
 	struct endpoint *e;
 
 	index_machines(m);
--- a/src/sesamewood/sched/waves.h
+++ b/src/sesamewood/sched/waves.h
@@ -21,9 +21,6 @@
 /// @return whether a wave is complete
 bool waves_is_complete(const job_wave *wave);
 
-/// Tells whether a machine is down for its upkeep, or may be.
-bool waves_is_down(const struct manager *m, const char *machine, clock_ms_t now);
-
 /// Looks for an availability budget that ending everything at an endpoint would break.
 ///
 /// @return an attempt there whose step would have too many tasks away, or NULL
