--- a/tests/soak/test_soak.c
+++ b/tests/soak/test_soak.c
@@ -71,6 +71,7 @@
 	clock_ms_t heal_end;
 	unsigned int next_job;
 	unsigned int faults;
+	bool kill_at_ack; ///< all replicas are killed as soon as a job or a change is acknowledged
 	gint64 sent_version;
 	gint64 acked_version;
 	clock_ms_t acked_at;
@@ -192,9 +193,15 @@
 			  : "killed, disk lost");
 }
 
-static void kill_all_controls(struct soak *s, clock_ms_t now)
+/// Kills all control replicas right after an acknowledgement, when that was asked for.
+static void note_ack(struct soak *s)
 {
-	g_print("# all control replicas: killed\n");
+	clock_ms_t now = clock_monotonic();
+
+	if (!s->kill_at_ack || s->heal_end || !all_run(s, 0, CONTROLS))
+		return;
+	s->kill_at_ack = false;
+	g_print("# all control replicas: killed after an acknowledgement\n");
 	for (unsigned int i = 0; i < CONTROLS; i++) {
 		kill_process(&s->processes[i], SIGKILL);
 		s->processes[i].back_at = now + DOWN_LEAST_MS;
@@ -210,8 +217,8 @@
 	s->faults++;
 	if (what < 35 && all_run(s, 0, CONTROLS))
 		hit_process(s, &s->processes[g_rand_int_range(r, 0, CONTROLS)], now);
-	else if (what < 40 && all_run(s, 0, CONTROLS))
-		kill_all_controls(s, now);
+	else if (what < 45)
+		s->kill_at_ack = true;
 	else if (what < 50 && all_run(s, CONTROLS, CONTROLS + ENTRIES))
 		hit_process(s, &s->processes[CONTROLS + g_rand_int_range(r, 0, ENTRIES)], now);
 	else if (what < 65)
@@ -268,6 +275,8 @@
 
 	c->job->accepted |= r->status == 200;
 	c->job->asked_again = false;
+	if (r->status == 200)
+		note_ack(c->soak);
 }
 
 static char *job_path(const struct soak_job *job)
@@ -370,6 +379,7 @@
 		return;
 	c->soak->acked_version = c->version;
 	c->soak->acked_at = clock_monotonic();
+	note_ack(c->soak);
 }
 
 static void put_config(struct soak *s)
