--- a/src/sesamewood/manager/control_shell.c
+++ b/src/sesamewood/manager/control_shell.c
@@ -1,13 +1,14 @@
 #include "manager/control_shell.h"
 
 #include "base/codec.h"
-#include "base/http_calls.h"
 #include "base/http_server.h"
 #include "base/http_status.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "control/storage_thread.h"
 #include "manager/agents.h"
+#include "manager/callers.h"
+#include "manager/order_sender.h"
 #include "manager/relay.h"
 #include "rpc/rpc_client.h"
 #include "rpc/rpc_server.h"
@@ -26,7 +27,6 @@
 #define SNAPSHOT_RECORDS 8000 /* about 2 MB of log */
 #define RAFT_CALL_MS 500      /* a connection that is silent for so long is opened anew */
 #define RELAY_MS 900	      /* callers of control move on after a second */
-#define HOST_CONNECTIONS 4    /* a look that waits, and starts beside it */
 /// From so many endpoints on the other replicas send the orders. One replica's share of a core
 /// carries about 150 busy endpoints (docs/CAPACITY.md).
 #define AGENTS_FROM_ENDPOINTS 120
@@ -40,12 +40,6 @@
 #define STOP_LEAST_MS 1200 /* callers have found the next leader by then */
 #define STOP_MARGIN_MS 800
 
-/// Who waits for a reply.
-struct caller {
-	struct rpc_request *rpc;
-	struct http_request *http;
-};
-
 /// An effect that waits for the commands before it to be committed.
 struct held {
 	uint64_t index;
@@ -69,20 +63,17 @@
 	struct manager *manager; ///< while this replica leads
 	uint64_t manager_term;
 	GQueue held;
-	GHashTable *callers; ///< struct caller by token
-	uint64_t next_token;
+	struct callers *callers;
 	struct relay *relay;
 	struct http_server *http;
-	struct http_calls *calls;
+	struct order_sender *sender;
 	struct agents *agents;
 	ev_prepare before_wait;
 	ev_timer tick;
 	ev_signal terminate;
 	ev_signal hangup;
 	clock_ms_t stopping_at; ///< 0: not stopping
-	struct metric *orders;
 	struct metric *proposals;
-	struct metric *order_ms;
 	struct metric *commit_ms;
 	clock_ms_t said_slow_commit;
 	clock_ms_t said_slow_loop;
@@ -90,32 +81,6 @@
 
 /* Answers. */
 
-static void answer(struct caller *c, unsigned int status, uint32_t retry_after_s, const char *body,
-		   size_t len)
-{
-	if (c->rpc) {
-		sw_relay_reply r = {
-			.status = SW_OK,
-			.http_status = status,
-			.retry_after_s = retry_after_s,
-			.body = {.sw_blob_len = len, .sw_blob_val = (char *)body},
-		};
-
-		rpc_request_reply(c->rpc, &r);
-		return;
-	}
-	if (c->http) {
-		g_autofree char *after = g_strdup_printf("%u", retry_after_s);
-		const struct http_header headers[] = {
-			{len ? "Content-Type" : "Retry-After", len ? "application/json" : after},
-			{len && retry_after_s ? "Retry-After" : NULL, after},
-			{NULL, NULL},
-		};
-
-		http_reply(c->http, status, len || retry_after_s ? headers : NULL, body, len);
-	}
-}
-
 static void answer_not_leader(struct shell *sh, struct rpc_request *rpc)
 {
 	const sw_members *members = raft_members(sh->raft);
@@ -131,39 +96,9 @@
 	rpc_request_reply(rpc, &r);
 }
 
-static uint64_t add_caller(struct shell *sh, struct rpc_request *rpc, struct http_request *http)
-{
-	struct caller *c = g_new0(struct caller, 1);
-
-	*c = (struct caller){.rpc = rpc, .http = http};
-	sh->next_token++;
-	g_hash_table_insert(sh->callers, (gpointer)sh->next_token, c);
-	return sh->next_token;
-}
-
-static void send_reply(struct shell *sh, uint64_t token, const struct reply *reply)
-{
-	struct caller *c = g_hash_table_lookup(sh->callers, (gpointer)token);
-	g_autoptr(GString) body = g_string_new(NULL);
-	unsigned int status;
-
-	if (!c)
-		return;
-	status = sh->wire->encode_reply(sh->wire->ctx, reply, body);
-	answer(c, status, reply->retry_after_s, body->str, body->len);
-	g_hash_table_remove(sh->callers, (gpointer)token);
-}
-
 /* Orders. */
 
-struct sent_order {
-	struct shell *shell;
-	struct order *order;
-	uint64_t term;
-	uint32_t leader; ///< node that the order is sent for
-	clock_ms_t at;
-};
-
+/// Takes over the result.
 static void give_result(struct shell *sh, uint64_t term, struct order_result *result)
 {
 	if (sh->manager && sh->manager_term == term)
@@ -172,9 +107,10 @@
 }
 
 /// Takes over the result.
-static void deliver_result(struct shell *sh, uint32_t leader, uint64_t term,
-			   struct order_result *result)
+static void on_order_sent(void *ctx, uint32_t leader, uint64_t term, struct order_result *result)
 {
+	struct shell *sh = ctx;
+
 	if (leader == sh->node) {
 		give_result(sh, term, result);
 		return;
@@ -183,53 +119,6 @@
 	order_result_free(result);
 }
 
-static void on_order_done(void *ctx, const struct http_call_result *r)
-{
-	struct sent_order *s = ctx;
-	struct shell *sh = s->shell;
-	struct order_result *result;
-
-	if (r->status)
-		result = sh->wire->decode_result(sh->wire->ctx, s->order, r->status, r->body,
-						 r->len);
-	else
-		result = order_result_new(s->order->id, r->sent ? ORDER_NO_ANSWER : ORDER_NOT_SENT);
-	metrics_observe(sh->order_ms, clock_monotonic() - s->at);
-	deliver_result(sh, s->leader, s->term, result);
-	order_free(s->order);
-	g_free(s);
-}
-
-/// Sends an order from here; takes it over.
-static void send_here(struct shell *sh, struct order *order, uint32_t leader, uint64_t term)
-{
-	clock_ms_t now = clock_monotonic();
-	struct wire_request request = {0};
-	struct sent_order *s;
-	struct http_call call;
-
-	if (now > order->not_after || !sh->wire->encode_order(sh->wire->ctx, order, &request)) {
-		deliver_result(sh, leader, term, order_result_new(order->id, ORDER_NOT_SENT));
-		order_free(order);
-		return;
-	}
-	s = g_new0(struct sent_order, 1);
-	*s = (struct sent_order){
-		.shell = sh, .order = order, .term = term, .leader = leader, .at = now};
-	call = (struct http_call){
-		.address = request.address,
-		.path = request.path,
-		.get = request.get,
-		.headers = request.headers ? (const char *const *)request.headers->pdata : NULL,
-		.body = request.body ? request.body : "",
-		.len = request.body ? strlen(request.body) : 0,
-		.timeout_ms = order->timeout_ms,
-	};
-	metrics_add(sh->orders, 1);
-	http_calls_start(sh->calls, &call, on_order_done, s);
-	wire_request_clear(&request);
-}
-
 /// @return the replica that sends orders to an endpoint
 static uint32_t agent_of(const struct shell *sh, const struct order *order)
 {
@@ -256,7 +145,7 @@
 	uint32_t node = agent_of(sh, order);
 
 	if (node == sh->node)
-		send_here(sh, order, sh->node, sh->manager_term);
+		order_sender_send(sh->sender, order, sh->node, sh->manager_term);
 	else
 		agents_send(sh->agents, node, sh->manager_term, order, clock_monotonic());
 }
@@ -269,34 +158,17 @@
 	       raft_leads(sh->raft, clock_monotonic());
 }
 
-/// Tells a caller that its call may have had an effect, or may not.
-static void answer_unsure(struct caller *c)
-{
-	sw_relay_reply r = {.status = SW_BUSY};
-
-	if (c->rpc)
-		rpc_request_reply(c->rpc, &r);
-	else
-		answer(c, HTTP_GATEWAY_TIMEOUT, 0, NULL, 0);
-}
-
 /// Drops what was not committed. Its callers get no answer that says what became of it.
 static void lose_leadership(struct shell *sh)
 {
 	struct held *h;
-	GHashTableIter iter;
-	gpointer value;
 
 	log_info("leadership lost", "TERM", log_number(sh->manager_term));
 	while ((h = g_queue_pop_head(&sh->held))) {
 		effect_free(h->effect);
 		g_free(h);
 	}
-	g_hash_table_iter_init(&iter, sh->callers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		answer_unsure(value);
-		g_hash_table_iter_remove(&iter);
-	}
+	callers_give_up(sh->callers);
 	manager_free(sh->manager);
 	sh->manager = NULL;
 }
@@ -374,7 +246,7 @@
 		g_free(h);
 		any = true;
 		if (e->type == EFFECT_REPLY)
-			send_reply(sh, e->u.reply.token, &e->u.reply.reply);
+			callers_reply(sh->callers, e->u.reply.token, &e->u.reply.reply);
 		else
 			send_order(sh, g_steal_pointer(&e->u.order));
 		effect_free(e);
@@ -536,8 +408,8 @@
 	struct call call = {0};
 
 	sh->wire->decode_call(sh->wire->ctx, from, &call);
-	manager_call(sh->manager, clock_monotonic(), clock_wall(), add_caller(sh, rpc, http),
-		     &call);
+	manager_call(sh->manager, clock_monotonic(), clock_wall(),
+		     callers_add(sh->callers, rpc, http), &call);
 	call_clear(&call);
 }
 
@@ -547,14 +419,14 @@
 
 	switch (outcome) {
 	case RELAY_ANSWERED:
-		answer(&c, reply->http_status, reply->retry_after_s, reply->body.sw_blob_val,
-		       reply->body.sw_blob_len);
+		caller_answer(&c, reply->http_status, reply->retry_after_s, reply->body.sw_blob_val,
+			      reply->body.sw_blob_len);
 		break;
 	case RELAY_NOT_DONE:
-		answer(&c, HTTP_UNAVAILABLE, 1, NULL, 0);
+		caller_answer(&c, HTTP_UNAVAILABLE, 1, NULL, 0);
 		break;
 	case RELAY_UNKNOWN:
-		answer(&c, HTTP_GATEWAY_TIMEOUT, 0, NULL, 0);
+		caller_answer(&c, HTTP_GATEWAY_TIMEOUT, 0, NULL, 0);
 		break;
 	}
 }
@@ -601,8 +473,9 @@
 	clock_ms_t now = clock_monotonic();
 
 	for (u_int i = 0; i < batch->orders.orders_len; i++)
-		send_here(sh, agents_decode_order(&batch->orders.orders_val[i], now), batch->leader,
-			  batch->term);
+		order_sender_send(sh->sender,
+				  agents_decode_order(&batch->orders.orders_val[i], now),
+				  batch->leader, batch->term);
 }
 
 static void on_rpc(void *ctx, struct rpc_request *req, uint32_t proc, const void *value)
@@ -637,7 +510,7 @@
 	if (!*args->target) { /* somebody asks who leads */
 		struct caller c = {.rpc = req};
 
-		answer(&c, HTTP_OK, 0, NULL, 0);
+		caller_answer(&c, HTTP_OK, 0, NULL, 0);
 		return;
 	}
 	call = (struct wire_call){
@@ -783,15 +656,11 @@
 		.node = ntohl(inet_addr(settings->ip)),
 		.unsent = g_ptr_array_new_with_free_func(raft_effect_free),
 		.state = jobs_new(),
-		.callers = g_hash_table_new_full(NULL, NULL, NULL, g_free),
-		.orders = metrics_get(METRIC_COUNTER, "sesamewood_orders_total", "",
-				      "orders sent to endpoints and services"),
+		.callers = callers_new(wire),
 		.proposals = metrics_get(METRIC_COUNTER, "sesamewood_proposals_total", "",
 					 "commands proposed to the log"),
 		.commit_ms = metrics_get(METRIC_HISTOGRAM, "sesamewood_commit_ms", "",
 					 "time that replies and orders wait for a commit, ms"),
-		.order_ms = metrics_get(METRIC_HISTOGRAM, "sesamewood_order_ms", "",
-					"time to the answer of an order, ms"),
 	};
 	unsigned int n = 0;
 
@@ -802,7 +671,7 @@
 		n++;
 	relay_set_seeds(sh.relay, settings->seeds, n);
 	sh.agents = agents_new(client_of, on_agent_result, &sh);
-	sh.calls = http_calls_new(sh.loop, HOST_CONNECTIONS);
+	sh.sender = order_sender_new(sh.loop, wire, on_order_sent, &sh);
 	open_log(&sh);
 	listen_or_exit(&sh);
 	start_watchers(&sh);
--- /dev/null
+++ b/src/sesamewood/manager/order_sender.c
@@ -0,0 +1,87 @@
+#include "manager/order_sender.h"
+
+#include "base/http_calls.h"
+#include "base/metrics.h"
+
+#include <string.h>
+
+#define HOST_CONNECTIONS 4 /* a look that waits, and starts beside it */
+
+struct order_sender {
+	const struct wire *wire;
+	struct http_calls *calls;
+	order_sent_fn done;
+	void *ctx;
+	struct metric *orders;
+	struct metric *order_ms;
+};
+
+struct sent_order {
+	struct order_sender *sender;
+	struct order *order;
+	uint64_t term;
+	uint32_t leader;
+	clock_ms_t at;
+};
+
+struct order_sender *order_sender_new(struct ev_loop *loop, const struct wire *wire,
+				      order_sent_fn done, void *ctx)
+{
+	struct order_sender *s = g_new0(struct order_sender, 1);
+
+	*s = (struct order_sender){
+		.wire = wire,
+		.calls = http_calls_new(loop, HOST_CONNECTIONS),
+		.done = done,
+		.ctx = ctx,
+		.orders = metrics_get(METRIC_COUNTER, "sesamewood_orders_total", "",
+				      "orders sent to endpoints and services"),
+		.order_ms = metrics_get(METRIC_HISTOGRAM, "sesamewood_order_ms", "",
+					"time to the answer of an order, ms"),
+	};
+	return s;
+}
+
+static void on_done(void *ctx, const struct http_call_result *r)
+{
+	struct sent_order *o = ctx;
+	struct order_sender *s = o->sender;
+	struct order_result *result;
+
+	if (r->status)
+		result = s->wire->decode_result(s->wire->ctx, o->order, r->status, r->body, r->len);
+	else
+		result = order_result_new(o->order->id, r->sent ? ORDER_NO_ANSWER : ORDER_NOT_SENT);
+	metrics_observe(s->order_ms, clock_monotonic() - o->at);
+	s->done(s->ctx, o->leader, o->term, result);
+	order_free(o->order);
+	g_free(o);
+}
+
+void order_sender_send(struct order_sender *s, struct order *order, uint32_t leader, uint64_t term)
+{
+	clock_ms_t now = clock_monotonic();
+	struct wire_request request = {0};
+	struct sent_order *o;
+	struct http_call call;
+
+	if (now > order->not_after || !s->wire->encode_order(s->wire->ctx, order, &request)) {
+		s->done(s->ctx, leader, term, order_result_new(order->id, ORDER_NOT_SENT));
+		order_free(order);
+		return;
+	}
+	o = g_new0(struct sent_order, 1);
+	*o = (struct sent_order){s, order, term, leader, now};
+	call = (struct http_call){
+		.address = request.address,
+		.path = request.path,
+		.get = request.get,
+		.headers = request.headers ? (const char *const *)request.headers->pdata : NULL,
+		.body = request.body ? request.body : "",
+		.len = request.body ? strlen(request.body) : 0,
+		.timeout_ms = order->timeout_ms,
+	};
+	metrics_add(s->orders, 1);
+	http_calls_start(s->calls, &call, on_done, o);
+	wire_request_clear(&request);
+}
