--- a/src/sesamewood/manager/calls.c
+++ b/src/sesamewood/manager/calls.c
@@ -2,7 +2,7 @@
 
 #include "base/codec.h"
 #include "base/log.h"
-#include "runs/runs.h"
+#include "runs/lives.h"
 #include "sched/pools.h"
 #include "sched/schedule.h"
 #include "sched/waves.h"
@@ -197,11 +197,11 @@
 		break;
 	case CALL_ANNOUNCE:
 		waves_announced(m, now, &call->report);
-		runs_announced(m, now, &call->report);
+		lives_announced(m, now, &call->report);
 		reply = (struct reply){.content = REPLY_CONTROL_ADDRESS};
 		break;
 	case CALL_LEAVE:
-		runs_left(m, now, &call->report);
+		lives_left(m, now, &call->report);
 		reply = plain(REPLY_OK);
 		break;
 	case CALL_WAVE_PUT:
--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "manager/calls.h"
+#include "runs/lives.h"
 #include "runs/runs.h"
 #include "sched/advice.h"
 #include "sched/machines.h"
@@ -62,7 +63,7 @@
 	m->ordered_at = g_array_new(FALSE, FALSE, sizeof(clock_ms_t));
 	m->failed_at = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->active = g_ptr_array_new();
-	runs_inherit(m, now);
+	lives_inherit(m, now);
 	log_info("leadership taken", "TERM", log_number(term), "JOBS",
 		 log_number(g_hash_table_size(m->jobs->by_id)), "RUNS",
 		 log_number(g_hash_table_size(m->runs)));
--- /dev/null
+++ b/src/sesamewood/runs/attempts.c
@@ -0,0 +1,116 @@
+#include "runs/attempts.h"
+
+#include "base/log.h"
+#include "sched/pace.h"
+
+#include <string.h>
+
+#define OVER_WAIT_MS 120 /* an answer on its way takes 10 ms at most on sound links */
+
+char *attempts_task_name(const job_task_ref *ref)
+{
+	return g_strdup_printf("%s.%u.%u.%u", ref->job, ref->occurrence, ref->step, ref->index);
+}
+
+bool attempts_parse_task_name(const char *name, char *buffer, size_t size, job_task_ref *ref)
+{
+	const char *dot = strchr(name, '.');
+	unsigned int k;
+	unsigned int step;
+	unsigned int index;
+	int used = 0;
+
+	if (!dot || (size_t)(dot - name) >= size ||
+	    sscanf(dot, ".%u.%u.%u%n", &k, &step, &index, &used) != 3 || dot[used])
+		return false;
+	memcpy(buffer, name, dot - name);
+	buffer[dot - name] = 0;
+	*ref = (job_task_ref){.job = buffer, .occurrence = k, .step = step, .index = index};
+	return true;
+}
+
+struct run *attempts_add(struct manager *m, clock_ms_t now, struct endpoint *e,
+			 const struct job *job, const job_task_ref *ref, uint32_t attempt)
+{
+	const job_step *step = &job->image.spec.steps.steps_val[ref->step];
+	struct run *r = g_new0(struct run, 1);
+
+	*r = (struct run){
+		.name = attempts_task_name(ref),
+		.ref = *ref,
+		.attempt = attempt,
+		.endpoint = e,
+		.job = job,
+		.cpu_milli = step->cpu_milli,
+		.mem_mb = step->mem_mb,
+		.gpu = step->gpu,
+		.persistent = step->persistent,
+		.fills = step->fills,
+		.gang = step->gang,
+		.target_ms = step->target_ms,
+		.estimate_ms = step->estimate_ms,
+		.checkpoint = g_strdup(""),
+		.started_at = now,
+		.progress_at = now,
+		.pace = PACE_FULL,
+		.pace_wanted = PACE_FULL,
+	};
+	r->ref.job = g_strdup(ref->job);
+	g_hash_table_replace(m->runs, r->name, r);
+	endpoint_add_run(e, r);
+	return r;
+}
+
+void attempts_drop(struct manager *m, struct run *r)
+{
+	endpoint_remove_run(r->endpoint, r);
+	g_hash_table_remove(m->runs, r->name);
+}
+
+void attempts_release(struct manager *m, struct run *r, job_end_cause cause, const char *checkpoint)
+{
+	bool was_open = !job_is_over(r->job);
+	job_command c = {
+		.type = JOB_COMMAND_END,
+		.job_command_u.end =
+			{
+				.attempt = r->attempt,
+				.task = r->ref,
+				.cause = cause,
+				.checkpoint = (char *)checkpoint,
+			},
+	};
+
+	log_debug("attempt over", "TASK", r->name, "ATTEMPT", log_number(r->attempt), "ENDPOINT",
+		  r->endpoint->id, "CAUSE", log_number(cause));
+	emit_command(m, &c);
+	if (cause == JOB_END_FAILED)
+		log_info("attempt failed", "TASK", r->name, "ATTEMPT", log_number(r->attempt),
+			 "ENDPOINT", r->endpoint->id);
+	if (job_is_over(r->job) && was_open)
+		log_info("job over", "JOB", r->ref.job, "PHASE", log_number(r->job->image.phase),
+			 "ATTEMPTS", log_number(r->job->started));
+	attempts_drop(m, r);
+}
+
+void attempts_release_all(struct manager *m, struct endpoint *e)
+{
+	while (e->runs->len) {
+		struct run *r = e->runs->pdata[e->runs->len - 1];
+
+		attempts_release(m, r, JOB_END_RELEASED, r->checkpoint);
+	}
+}
+
+void attempts_endpoint_over(struct manager *m, clock_ms_t now, struct endpoint *e)
+{
+	/* The answer of a look that is on its way may list ends from before. */
+	if (!e->over_at)
+		e->over_at = now;
+	if (e->looking && now - e->over_at < OVER_WAIT_MS)
+		return;
+	log_info("endpoint is over", "ENDPOINT", e->id, "RUNS", log_number(e->runs->len));
+	attempts_release_all(m, e);
+	e->gone = true;
+	m->dirty = true;
+}
--- /dev/null
+++ b/src/sesamewood/runs/lives.c
@@ -0,0 +1,178 @@
+#include "runs/lives.h"
+
+#include "base/log.h"
+#include "runs/attempts.h"
+
+#define LATE_ORDER_MS 15000 /* an order is executed at most 12 s late */
+
+static struct endpoint *add_endpoint(struct manager *m, const char *id)
+{
+	struct endpoint *e = endpoint_new(id);
+
+	g_hash_table_replace(m->endpoints, e->id, e);
+	return e;
+}
+
+void lives_bound_earlier_lease(const struct manager *m, struct endpoint *e)
+{
+	if (e->clock_ms >= 0)
+		e->until_ms = MAX(e->until_ms, e->clock_ms + m->settings.lease_max_ms);
+}
+
+static void forget_life(struct endpoint *e)
+{
+	e->number = 0;
+	e->clock_ms = -1;
+	e->until_ms = 0;
+	e->fenced = false;
+	e->looking = false;
+	e->over_at = 0;
+	e->taken = 0;
+	e->sequence = 0;
+	e->draining = false;
+	e->left = false;
+	e->gone = false;
+	e->announced = false;
+	e->cordoned = false;
+	e->ending = false;
+	e->proves_from = 0;
+	e->failures = 0;
+	e->avoid_until = 0;
+	e->misses = 0;
+}
+
+void lives_reborn(struct manager *m, clock_ms_t now, struct endpoint *e, int64_t born_wall_ms)
+{
+	log_info("endpoint started again", "ENDPOINT", e->id, "RUNS", log_number(e->runs->len));
+	for (guint i = e->runs->len; i > 0; i--) {
+		struct run *r = e->runs->pdata[i - 1];
+
+		if (r->state == RUN_CONFIRMED) {
+			attempts_release(m, r, JOB_END_RELEASED, r->checkpoint);
+			continue;
+		}
+		if (r->state != RUN_INHERITED)
+			r->state = RUN_IN_DOUBT;
+		r->stop_in_flight = false;
+		r->stopped_at = 0;
+		r->stop_at = now;
+	}
+	forget_life(e);
+	e->born_wall_ms = born_wall_ms;
+	e->must_fence = true;
+	e->lives++;
+	m->dirty = true;
+}
+
+/// Ends the lives that had the address before.
+static void take_address(struct manager *m, clock_ms_t now, const struct endpoint *holder)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, m->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct endpoint *e = value;
+
+		if (e != holder && !e->gone && g_str_equal(e->address, holder->address) &&
+		    e->born_wall_ms < holder->born_wall_ms)
+			attempts_endpoint_over(m, now, e);
+	}
+}
+
+void lives_announced(struct manager *m, clock_ms_t now, const struct announcement *a)
+{
+	struct endpoint *e = g_hash_table_lookup(m->endpoints, a->id);
+	bool is_new = !e || !e->announced;
+
+	if (!e)
+		e = add_endpoint(m, a->id);
+	if (a->born_wall_ms < e->born_wall_ms)
+		return;
+	if (a->born_wall_ms > e->born_wall_ms) {
+		if (e->born_wall_ms)
+			lives_reborn(m, now, e, a->born_wall_ms);
+		e->born_wall_ms = a->born_wall_ms;
+		is_new = true;
+	}
+	if (e->gone || (!is_new && a->sequence <= e->sequence))
+		return;
+	if (e->draining != a->draining && a->draining)
+		log_info("endpoint drains", "ENDPOINT", e->id);
+	endpoint_update(e, a, now);
+	if (e->proves_from && now > e->proves_from) {
+		e->ending = false;
+		e->cordoned = false;
+		e->proves_from = 0;
+	}
+	if (!is_new)
+		return;
+	/* Its orders from earlier leaders may still be on their way. */
+	e->must_fence |= m->term > 1 && now - m->since < LATE_ORDER_MS;
+	lives_bound_earlier_lease(m, e);
+	take_address(m, now, e);
+	m->dirty = true;
+}
+
+void lives_left(struct manager *m, clock_ms_t now, const struct announcement *a)
+{
+	struct endpoint *e = g_hash_table_lookup(m->endpoints, a->id);
+
+	(void)now;
+	if (!e || e->left || (a->born_wall_ms && a->born_wall_ms != e->born_wall_ms))
+		return;
+	log_info("endpoint leaves", "ENDPOINT", e->id, "RUNS", log_number(e->runs->len));
+	e->left = true;
+	e->draining = true;
+	e->heard_at = now;
+}
+
+void lives_inherit(struct manager *m, clock_ms_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, m->jobs->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct job *job = value;
+
+		if (job->assigned || !job_is_over(job))
+			g_ptr_array_add(m->active, job);
+		for (u_int k = 0; job->assigned && k < job->image.occurrences.occurrences_len; k++)
+			for (u_int s = 0; s < job->image.spec.steps.steps_len; s++) {
+				const job_step_state *state =
+					&job->image.occurrences.occurrences_val[k]
+						 .steps.steps_val[s];
+
+				for (u_int i = 0; i < state->tasks.tasks_len; i++) {
+					const job_task *t = &state->tasks.tasks_val[i];
+					const struct job_life *life =
+						jobs_life(m->jobs, t->endpoint);
+					job_task_ref ref = {job->image.spec.id, k, s, i};
+					struct endpoint *e;
+					struct run *r;
+
+					if (t->phase != JOB_TASK_ASSIGNED || !life)
+						continue;
+					e = g_hash_table_lookup(m->endpoints, life->endpoint.id);
+					if (!e || e->born_wall_ms < life->endpoint.born_wall_ms) {
+						if (!e)
+							e = add_endpoint(m, life->endpoint.id);
+						g_free(e->address);
+						g_free(e->pool);
+						g_free(e->machine);
+						e->address = g_strdup(life->endpoint.address);
+						e->pool = g_strdup(life->endpoint.pool);
+						e->machine = g_strdup(life->endpoint.machine);
+						e->born_wall_ms = life->endpoint.born_wall_ms;
+						e->number = t->endpoint;
+						e->heard_at = now;
+					}
+					r = attempts_add(m, now, e, job, &ref, t->attempt);
+					r->state = RUN_INHERITED;
+					g_free(r->checkpoint);
+					r->checkpoint = g_strdup(t->checkpoint);
+				}
+			}
+	}
+}
--- a/src/sesamewood/runs/runs.h
+++ b/src/sesamewood/runs/runs.h
@@ -11,21 +11,12 @@
 /// election and the first look of a new leader.
 #define RUN_LEASE_MS 4500
 
-/// Adds what an earlier leader left: endpoints and attempts of unknown state.
-void runs_inherit(struct manager *m, clock_ms_t now);
-
 /// Orders an attempt of a waiting task.
 ///
 /// @param ticket advice ticket, or ""
 void runs_start(struct manager *m, clock_ms_t now, struct endpoint *e, const struct job *job,
 		const job_task_ref *ref, uint32_t attempt, const char *ticket);
 
-/// Handles an endpoint's report.
-void runs_announced(struct manager *m, clock_ms_t now, const struct announcement *a);
-
-/// Handles an endpoint's last word.
-void runs_left(struct manager *m, clock_ms_t now, const struct announcement *a);
-
 /// Handles the result of a start, stop, look or pace order.
 void runs_result(struct manager *m, clock_ms_t now, const struct pending *p,
 		 const struct order_result *result);
@@ -33,7 +24,4 @@
 /// Sends looks, stops and pace orders that are due; releases what is certainly over.
 void runs_tick(struct manager *m, clock_ms_t now);
 
-/// Ends one life of an endpoint: nothing of it runs any more.
-void runs_endpoint_over(struct manager *m, clock_ms_t now, struct endpoint *e);
-
 #endif
--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -1,7 +1,7 @@
 #include "sched/pools.h"
 
 #include "base/log.h"
-#include "runs/runs.h"
+#include "runs/attempts.h"
 #include "sched/health.h"
 #include "sched/demand.h"
 #include "sched/estimates.h"
@@ -434,7 +434,7 @@
 		x->idle_since = 0;
 		x->arrives_by = now + m->settings.move_ms + ARRIVAL_MS;
 		if (e)
-			runs_endpoint_over(m, now, e);
+			attempts_endpoint_over(m, now, e);
 		break;
 	case ORDER_NO_ANSWER:
 	case ORDER_TRY_LATER:
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -1,7 +1,7 @@
 #include "sched/waves.h"
 
 #include "base/log.h"
-#include "runs/runs.h"
+#include "runs/attempts.h"
 #include "sched/machines.h"
 
 #include <string.h>
@@ -146,7 +146,10 @@
 		       : r->job->image.spec.steps.steps_val[r->ref.step].max_unavailable;
 }
 
-const struct run *waves_hindrance(struct manager *m, const struct endpoint *e, clock_ms_t now)
+/// Looks for an availability budget that ending everything at an endpoint would break.
+///
+/// @return an attempt there whose step would have too many tasks away, or NULL
+static const struct run *hindrance_of(struct manager *m, const struct endpoint *e, clock_ms_t now)
 {
 	for (guint i = 0; i < e->runs->len; i++) {
 		const struct run *r = e->runs->pdata[i];
@@ -221,7 +224,7 @@
 {
 	if (!e)
 		return true;
-	if (waves_hindrance(m, e, now))
+	if (hindrance_of(m, e, now))
 		return false;
 	return !short_runs(e) || pressed || now - e->cordoned_at > DRAIN_WAIT_MS;
 }
@@ -234,7 +237,7 @@
 
 	if (!e || now < u->said_at)
 		return;
-	r = waves_hindrance(m, e, now);
+	r = hindrance_of(m, e, now);
 	u->said_at = now + SAY_PERIOD_MS;
 	log_info("upkeep waits", "MACHINE", machine, "KEPT_FREE", e->cordoned ? "true" : "false",
 		 "RUNS", log_number(e->runs->len), "SHORT", log_number(short_runs(e)), "BUDGET_OF",
@@ -292,7 +295,7 @@
 
 		if (w->settled || w->ordered || !e || e->cordoned ||
 		    machines_is_moving(m, w->machine, now) ||
-		    (!is_crowded(e) && waves_hindrance(m, e, now)))
+		    (!is_crowded(e) && hindrance_of(m, e, now)))
 			continue;
 		c.work = 2 * e->runs->len + short_runs(e);
 		g_array_append_val(choices, c);
@@ -345,14 +348,14 @@
 		    machines_is_moving(m, w->machine, now) ||
 		    machine_is_guarded(m, w->machine, now))
 			continue;
-		if (e && e->cordoned && !w->ordered && !is_crowded(e) && waves_hindrance(m, e, now))
+		if (e && e->cordoned && !w->ordered && !is_crowded(e) && hindrance_of(m, e, now))
 			e->cordoned = false; /* kept for nothing while a budget forbids it */
 		if (w->ordered) /* it may have begun already: ask until there is an answer */
 			cordon(e, now);
 		if (e && e->cordoned)
 			evacuate(m, e, now);
 		if (w->ordered) {
-			if (!e || !waves_hindrance(m, e, now))
+			if (!e || !hindrance_of(m, e, now))
 				send_upkeep(m, now, wave, w->machine, false);
 			continue;
 		}
@@ -422,7 +425,7 @@
 		u->begun_at = now;
 		settle(m, p);
 		if (e && e->born_wall_ms == u->born_wall_ms)
-			runs_endpoint_over(m, now, e);
+			attempts_endpoint_over(m, now, e);
 		else if (e)
 			e->proves_from = now + REPORT_DELAY_MS;
 		break;
--- a/src/sesamewood/sched/waves.h
+++ b/src/sesamewood/sched/waves.h
@@ -21,9 +21,4 @@
 /// @return whether a wave is complete
 bool waves_is_complete(const job_wave *wave);
 
-/// Looks for an availability budget that ending everything at an endpoint would break.
-///
-/// @return an attempt there whose step would have too many tasks away, or NULL
-const struct run *waves_hindrance(struct manager *m, const struct endpoint *e, clock_ms_t now);
-
 #endif
