--- a/src/sesamewood/manager/entry_shell.c
+++ b/src/sesamewood/manager/entry_shell.c
@@ -20,8 +20,8 @@
 #define STOP_LEAST_MS 3200   /* the balancer checks each second and needs two misses */
 #define STOP_MARGIN_MS 700   /* before the kill */
 #define OUTAGE_MS 3000	     /* as long as callers wait: what is refused then could not be served */
-#define RETRY_AFTER_MS 2000  /* an outage is expected to last about as long as it has */
-#define RETRY_AFTER_MAX_S 3
+#define RETRY_AFTER_MAX_S 3  /* callers wait as long for one answer */
+#define MS_PER_S 1000
 #define EXIT_LISTEN 4
 #define CONNECTIONS_MAX 2000
 
@@ -57,8 +57,9 @@
 static void refuse(struct http_request *req)
 {
 	struct shell *sh = http_data(req);
-	g_autofree char *after = g_strdup_printf(
-		"%d", (int)CLAMP(outage_ms(sh) / RETRY_AFTER_MS, 1, RETRY_AFTER_MAX_S));
+	/* An outage is expected to last about as long as it has lasted. */
+	g_autofree char *after =
+		g_strdup_printf("%d", (int)CLAMP(outage_ms(sh) / MS_PER_S, 1, RETRY_AFTER_MAX_S));
 	const struct http_header with_after[] = {{"Retry-After", after}, {NULL, NULL}};
 
 	metrics_add(sh->refused, 1);
