--- a/bench/bench_manager.cc
+++ b/bench/bench_manager.cc
@@ -22,6 +22,7 @@
 
 constexpr unsigned int CALM_PERCENT = 60;
 constexpr unsigned int SURGE_PERCENT = 300;
+constexpr unsigned int LARGE_PERCENT = 25; /* of 1,100 endpoints: 2,750 tasks a second */
 
 void measure(unsigned int per_pool, unsigned int seconds, unsigned int load_percent)
 {
@@ -97,6 +98,10 @@
 		measure_wave(200);
 		return 0;
 	}
+	if (argc > 1 && std::strcmp(argv[1], "--profile-large") == 0) {
+		measure(220, 10, LARGE_PERCENT);
+		return 0;
+	}
 	if (argc > 1 && std::strcmp(argv[1], "--profile") == 0) {
 		measure(70, 20, CALM_PERCENT);
 		return 0;
--- a/src/sesamewood/base/log.c
+++ b/src/sesamewood/base/log.c
@@ -1,16 +1,18 @@
 #include "base/log.h"
 
 #include "base/clock.h"
+#include "base/work.h"
 
-#include <json-glib/json-glib.h>
-#include <stdbool.h>
 #include <poll.h>
+#include <stdbool.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 #define LOG_FIELDS_MAX 24
 #define NUMBER_BUFFERS 16
 #define NUMBER_SIZE 24
+#define BUFFER_BYTES 16384 /* some dozens of lines */
 
 static const char *log_program = "sesamewood";
 static const char *log_instance = "";
@@ -38,58 +40,104 @@
 	       !g_str_has_prefix(f->key, "GLIB_") && !g_str_equal(f->key, "PRIORITY");
 }
 
-/// Writes a whole line, or drops it when the reader does not keep up: logging never blocks.
-static void write_line(const char *text)
+/* Output. */
+
+static bool buffered;
+static GString *pending;
+static guint64 dropped;
+
+static bool is_writable(void)
 {
-	static guint64 dropped;
 	struct pollfd out = {.fd = STDOUT_FILENO, .events = POLLOUT};
-	g_autofree char *line =
-		dropped ? g_strdup_printf("{\"level\":\"warning\",\"message\":\"log "
-					  "lines dropped\",\"count\":%" G_GUINT64_FORMAT "}\n%s\n",
-					  dropped, text)
-			: g_strconcat(text, "\n", NULL);
-
-	if (poll(&out, 1, 0) != 1 || !(out.revents & POLLOUT) ||
-	    write(STDOUT_FILENO, line, strlen(line)) < 0)
-		dropped++;
-	else
+
+	return poll(&out, 1, 0) == 1 && (out.revents & POLLOUT);
+}
+
+static GMutex lock; /* the storage thread logs, too */
+
+static void flush_locked(void)
+{
+	if (!pending || !pending->len)
+		return;
+	if (dropped) {
+		g_autofree char *note =
+			g_strdup_printf("{\"level\":\"warning\",\"message\":\"log lines "
+					"dropped\",\"count\":%" G_GUINT64_FORMAT "}\n",
+					dropped);
+
+		g_string_prepend(pending, note);
+	}
+	if (is_writable() && write(STDOUT_FILENO, pending->str, pending->len) >= 0)
 		dropped = 0;
+	else
+		for (const char *p = pending->str; *p; p++)
+			dropped += *p == '\n';
+	g_string_truncate(pending, 0);
+}
+
+void log_flush(void)
+{
+	g_autoptr(GMutexLocker) locker = g_mutex_locker_new(&lock);
+
+	flush_locked();
+}
+
+void log_set_buffered(void)
+{
+	buffered = true;
+	atexit(log_flush);
+}
+
+/* Lines. */
+
+/// Appends a JSON string.
+static void append_quoted(GString *out, const char *text)
+{
+	g_autofree char *valid =
+		g_utf8_validate(text, -1, NULL) ? NULL : g_utf8_make_valid(text, -1);
+
+	g_string_append_c(out, '"');
+	for (const char *p = valid ? valid : text; *p; p++) {
+		if (*p == '"' || *p == '\\')
+			g_string_append_c(out, '\\');
+		if ((unsigned char)*p < ' ')
+			g_string_append_printf(out, "\\u%04x", *p);
+		else
+			g_string_append_c(out, *p);
+	}
+	g_string_append_c(out, '"');
+}
+
+static void append_field(GString *out, const char *key, const char *value)
+{
+	g_string_append(out, ",\"");
+	for (const char *p = key; *p; p++)
+		g_string_append_c(out, g_ascii_tolower(*p));
+	g_string_append(out, "\":");
+	append_quoted(out, value ? value : "");
 }
 
 static GLogWriterOutput write_json_line(GLogLevelFlags level, const GLogField *fields, gsize count,
 					gpointer unused)
 {
-	g_autoptr(JsonBuilder) b = json_builder_new();
-	g_autoptr(JsonGenerator) generator = json_generator_new();
-	g_autoptr(JsonNode) root = NULL;
-	g_autofree char *text = NULL;
+	g_autoptr(GMutexLocker) locker = g_mutex_locker_new(&lock);
 
 	(void)unused;
 	if ((level & G_LOG_LEVEL_MASK) > log_least)
 		return G_LOG_WRITER_HANDLED;
-	json_builder_begin_object(b);
-	json_builder_set_member_name(b, "time_ms");
-	json_builder_add_int_value(b, clock_wall());
-	json_builder_set_member_name(b, "level");
-	json_builder_add_string_value(b, level_name(level));
-	json_builder_set_member_name(b, "program");
-	json_builder_add_string_value(b, log_program);
-	json_builder_set_member_name(b, "instance");
-	json_builder_add_string_value(b, log_instance);
-	for (gsize i = 0; i < count; i++) {
-		g_autofree char *key = NULL;
-
-		if (!is_plain_field(&fields[i]))
-			continue;
-		key = g_ascii_strdown(fields[i].key, -1);
-		json_builder_set_member_name(b, key);
-		json_builder_add_string_value(b, fields[i].value);
-	}
-	json_builder_end_object(b);
-	root = json_builder_get_root(b);
-	json_generator_set_root(generator, root);
-	text = json_generator_to_data(generator, NULL);
-	write_line(text);
+	if (!pending)
+		pending = g_string_new(NULL);
+	g_string_append_printf(pending, "{\"time_ms\":%" PRId64, clock_wall());
+	append_field(pending, "level", level_name(level));
+	append_field(pending, "program", log_program);
+	append_field(pending, "instance", log_instance);
+	for (gsize i = 0; i < count; i++)
+		if (is_plain_field(&fields[i]))
+			append_field(pending, fields[i].key, fields[i].value);
+	g_string_append(pending, "}\n");
+	if (!buffered || pending->len > BUFFER_BYTES ||
+	    (level & G_LOG_LEVEL_MASK) <= G_LOG_LEVEL_CRITICAL)
+		flush_locked();
 	return G_LOG_WRITER_HANDLED;
 }
 
@@ -117,7 +165,11 @@
 	GLogField fields[LOG_FIELDS_MAX] = {{.key = "MESSAGE", .value = message, .length = -1}};
 	gsize n = 1;
 	va_list args;
+	enum work_kind before;
 
+	if ((level & G_LOG_LEVEL_MASK) > log_least)
+		return;
+	before = work_enter(WORK_LOGS);
 	va_start(args, message);
 	for (;;) {
 		const char *key = va_arg(args, const char *);
@@ -131,6 +183,7 @@
 	}
 	va_end(args);
 	g_log_structured_array(level, fields, n);
+	work_leave(before);
 }
 
 const char *log_number(guint64 value)
--- a/src/sesamewood/base/log.h
+++ b/src/sesamewood/base/log.h
@@ -13,6 +13,14 @@
 /// @param level    least severe level written: "error", "warning", "info" or "debug"
 void log_init(const char *program, const char *instance, const char *level);
 
+/// Holds lines back until log_flush(), which a program's loop calls before each wait. Errors are
+/// written at once.
+void log_set_buffered(void);
+
+/// Writes the lines held back, or drops and counts them when the reader does not keep up: logging
+/// never blocks.
+void log_flush(void);
+
 /// Writes one line. Pairs of field name and string value follow the message; NULL ends them.
 void log_write(GLogLevelFlags level, const char *message, ...) G_GNUC_NULL_TERMINATED;
 
--- a/src/sesamewood/manager/control_shell.c
+++ b/src/sesamewood/manager/control_shell.c
@@ -5,6 +5,7 @@
 #include "base/http_status.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "base/work.h"
 #include "control/storage_thread.h"
 #include "manager/agents.h"
 #include "manager/callers.h"
@@ -69,6 +70,7 @@
 	struct order_sender *sender;
 	struct agents *agents;
 	ev_prepare before_wait;
+	ev_check after_wait;
 	ev_timer tick;
 	ev_signal terminate;
 	ev_signal hangup;
@@ -77,6 +79,8 @@
 	struct metric *commit_ms;
 	clock_ms_t said_slow_commit;
 	clock_ms_t said_slow_loop;
+	clock_ms_t say_load_at;
+	uint64_t said_us[WORK_KINDS];
 };
 
 /* Answers. */
@@ -101,9 +105,12 @@
 /// Takes over the result.
 static void give_result(struct shell *sh, uint64_t term, struct order_result *result)
 {
+	enum work_kind before = work_enter(WORK_RESULTS);
+
 	if (sh->manager && sh->manager_term == term)
 		manager_result(sh->manager, clock_monotonic(), clock_wall(), result);
 	order_result_free(result);
+	work_leave(before);
 }
 
 /// Takes over the result.
@@ -361,18 +368,26 @@
 {
 	bool any = true;
 	clock_ms_t from = clock_monotonic();
+	enum work_kind before = work_enter(WORK_IO);
 
 	while (any) {
+		work_enter(WORK_APPLY);
 		apply_committed(sh);
 		check_leadership(sh);
+		work_enter(WORK_RELEASE);
 		any = release_held(sh);
+		work_enter(WORK_IO);
 		if (leads(sh))
 			manager_tick(sh->manager, clock_monotonic(), clock_wall());
+		work_enter(WORK_PROPOSE);
 		take_manager_effects(sh);
+		work_enter(WORK_REPLICATE);
 		raft_flush(sh->raft, clock_monotonic());
 		any |= take_raft_effects(sh);
 	}
+	work_enter(WORK_AGENTS);
 	agents_flush(sh->agents, sh->node);
+	work_leave(before);
 	note_slow(&sh->said_slow_loop, "one pass of the loop was slow", from, SLOW_LOOP_MS);
 }
 
@@ -381,6 +396,34 @@
 	(void)loop;
 	(void)revents;
 	flush(w->data);
+	log_flush();
+	work_enter(WORK_IDLE);
+}
+
+static void on_after_wait(struct ev_loop *loop, ev_check *w, int revents)
+{
+	(void)loop;
+	(void)w;
+	(void)revents;
+	work_enter(WORK_IO);
+}
+
+/// Tells what the last second was spent on.
+static void say_load(struct shell *sh)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+
+	for (enum work_kind kind = 0; kind < WORK_KINDS; kind++) {
+		uint64_t total_us = work_total_us(kind);
+
+		if (kind != WORK_IDLE && total_us > sh->said_us[kind])
+			g_string_append_printf(text, "%s%s=%" PRIu64, text->len ? " " : "",
+					       work_name(kind), total_us - sh->said_us[kind]);
+		sh->said_us[kind] = total_us;
+	}
+	log_info("load", "WORK_US", text->str, "HELD", log_number(sh->held.length), "ENDPOINTS",
+		 log_number(manager_endpoints(sh->manager)), "ORDERS",
+		 log_number(manager_orders(sh->manager)), "INDEX", log_number(sh->state_index));
 }
 
 static void on_tick(struct ev_loop *loop, ev_timer *w, int revents)
@@ -391,6 +434,10 @@
 	(void)revents;
 	raft_tick(sh->raft, now);
 	agents_tick(sh->agents, now);
+	if (sh->manager && now >= sh->say_load_at) {
+		sh->say_load_at = now + SLOW_PERIOD_MS;
+		say_load(sh);
+	}
 	if (!sh->stopping_at)
 		return;
 	if (now - sh->stopping_at > sh->settings.grace_ms - STOP_MARGIN_MS ||
@@ -406,11 +453,14 @@
 			struct http_request *http)
 {
 	struct call call = {0};
+	enum work_kind before = work_enter(WORK_DECODE);
 
 	sh->wire->decode_call(sh->wire->ctx, from, &call);
+	work_enter(call.type == CALL_ANNOUNCE ? WORK_REPORTS : WORK_CALLS);
 	manager_call(sh->manager, clock_monotonic(), clock_wall(),
 		     callers_add(sh->callers, rpc, http), &call);
 	call_clear(&call);
+	work_leave(before);
 }
 
 static void on_relayed(void *ctx, enum relay_outcome outcome, const sw_relay_reply *reply)
@@ -451,8 +501,10 @@
 	};
 
 	if (g_str_equal(call.target, "/metrics")) {
-		g_autofree char *text = metrics_text();
+		g_autofree char *text = NULL;
 
+		work_publish();
+		text = metrics_text();
 		http_reply(req, HTTP_OK, NULL, text, strlen(text));
 	} else if (leads(sh)) {
 		handle_here(sh, &call, NULL, req);
@@ -632,6 +684,8 @@
 static void start_watchers(struct shell *sh)
 {
 	ev_prepare_init(&sh->before_wait, on_before_wait);
+	ev_check_init(&sh->after_wait, on_after_wait);
+	ev_set_priority(&sh->after_wait, EV_MAXPRI);
 	ev_timer_init(&sh->tick, on_tick, TICK_S, TICK_S);
 	ev_signal_init(&sh->terminate, on_terminate, SIGTERM);
 	ev_signal_init(&sh->hangup, on_hangup, SIGHUP);
@@ -640,6 +694,7 @@
 	sh->terminate.data = sh;
 	sh->hangup.data = sh;
 	ev_prepare_start(sh->loop, &sh->before_wait);
+	ev_check_start(sh->loop, &sh->after_wait);
 	ev_timer_start(sh->loop, &sh->tick);
 	ev_signal_start(sh->loop, &sh->terminate);
 	ev_signal_start(sh->loop, &sh->hangup);
@@ -675,6 +730,7 @@
 	open_log(&sh);
 	listen_or_exit(&sh);
 	start_watchers(&sh);
+	log_set_buffered();
 	log_info("started", "ADDRESS", settings->listen, "DATA", settings->data, "BOOTSTRAP",
 		 settings->bootstrap ? "true" : "false");
 	ev_run(sh.loop, 0);
--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -1,6 +1,7 @@
 #include "manager/manager.h"
 
 #include "base/log.h"
+#include "base/work.h"
 #include "manager/calls.h"
 #include "runs/lives.h"
 #include "runs/runs.h"
@@ -162,17 +163,24 @@
 
 void manager_tick(struct manager *m, clock_ms_t now, clock_ms_t wall)
 {
+	enum work_kind before = work_enter(WORK_RUNS);
+
 	runs_tick(m, now);
+	work_enter(WORK_WAVES);
 	waves_tick(m, now, wall);
+	work_enter(WORK_POOLS);
 	pools_tick(m, now, wall);
+	work_leave(before);
 	forget(m, now, wall);
 	if (now < (m->dirty ? m->round_from : m->round_at))
 		return;
+	work_enter(WORK_ROUNDS);
 	m->dirty = false;
 	m->round_at = now + ROUND_MAX_MS;
 	m->round_from = now + ROUND_GAP_MS;
 	schedule_round(m, now, wall);
 	m->dirty = false;
+	work_leave(before);
 }
 
 GPtrArray *manager_take_effects(struct manager *m)
@@ -188,6 +196,11 @@
 	return g_hash_table_size(m->endpoints);
 }
 
+unsigned int manager_orders(const struct manager *m)
+{
+	return g_hash_table_size(m->orders);
+}
+
 bool manager_is_fenced_off(const struct manager *m)
 {
 	return m->fenced_off;
--- a/src/sesamewood/manager/manager.h
+++ b/src/sesamewood/manager/manager.h
@@ -52,6 +52,9 @@
 /// @return endpoints known
 unsigned int manager_endpoints(const struct manager *m);
 
+/// @return orders whose results have not come
+unsigned int manager_orders(const struct manager *m);
+
 /// Tells whether the manager has seen a higher fence than its own and must give way.
 bool manager_is_fenced_off(const struct manager *m);
 
--- a/src/sesamewood/rpc/rpc_server.c
+++ b/src/sesamewood/rpc/rpc_server.c
@@ -3,6 +3,8 @@
 #include "rpc/rpc_procs.h"
 #include "rpc/rpc_stream.h"
 
+#include "base/work.h"
+
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -80,13 +82,18 @@
 	const struct rpc_proc *proc = rpc_proc_find(msg->rm_call.cb_proc);
 	struct rpc_request *req;
 	g_autofree void *args = NULL;
+	enum work_kind before;
+	bool_t decoded;
 
 	if (!proc) {
 		send_reply(c, msg->rm_xid, PROC_UNAVAIL, NULL, NULL);
 		return;
 	}
 	args = g_malloc0(proc->args_size);
-	if (!proc->args(xdr, args)) {
+	before = work_enter(WORK_DECODE);
+	decoded = proc->args(xdr, args);
+	work_leave(before);
+	if (!decoded) {
 		codec_free(proc->args, args);
 		send_reply(c, msg->rm_xid, GARBAGE_ARGS, NULL, NULL);
 		return;
