perf(rpc): records are sent at the end of a pass, without waiting for writability

Change: streams with records send once at the end of the loop's pass; only what the socket does not take waits.

--- a/src/sesamewood/rpc/rpc_stream.c
+++ b/src/sesamewood/rpc/rpc_stream.c
@@ -31,6 +31,14 @@
 	bool closed;
 };
 
+/// Streams with records to send at the end of the loop's pass. One loop a process; those of
+/// another loop wait for their socket to be writable.
+static struct {
+	struct ev_loop *loop;
+	ev_prepare before_wait;
+	GPtrArray *streams;
+} outgoing;
+
 static void destroy(struct rpc_stream *s)
 {
 	g_byte_array_unref(s->in);
@@ -43,6 +51,8 @@
 {
 	if (!s->closed) {
 		s->closed = true;
+		if (s->loop == outgoing.loop)
+			g_ptr_array_remove_fast(outgoing.streams, s);
 		ev_io_stop(s->loop, &s->reader);
 		ev_io_stop(s->loop, &s->writer);
 		close(s->fd);
@@ -150,6 +160,30 @@
 	}
 }
 
+/// Sends what this pass of the loop has queued. An error shows when the socket is next polled.
+static void on_before_wait(struct ev_loop *loop, ev_prepare *w, int revents)
+{
+	(void)loop;
+	(void)w;
+	(void)revents;
+	while (outgoing.streams->len)
+		flush(g_ptr_array_remove_index_fast(outgoing.streams, outgoing.streams->len - 1));
+}
+
+static bool sends_before_wait(struct ev_loop *loop)
+{
+	if (!outgoing.loop) {
+		outgoing.loop = loop;
+		outgoing.streams = g_ptr_array_new();
+		ev_prepare_init(&outgoing.before_wait, on_before_wait);
+		/* After the program's own, which queue the records. */
+		ev_set_priority(&outgoing.before_wait, EV_MINPRI);
+		ev_prepare_start(loop, &outgoing.before_wait);
+		ev_unref(loop);
+	}
+	return outgoing.loop == loop;
+}
+
 static void on_writable(struct ev_loop *loop, ev_io *w, int revents)
 {
 	struct rpc_stream *s = w->data;
@@ -200,11 +234,17 @@
 void rpc_stream_send(struct rpc_stream *s, const guint8 *data, gsize len)
 {
 	guint32 mark = htonl((guint32)len | LAST_FRAGMENT);
+	bool is_first = !s->out->len;
 
 	g_byte_array_append(s->out, (const guint8 *)&mark, MARK_BYTES);
 	g_byte_array_append(s->out, data, len);
 	s->queued += MARK_BYTES + len;
-	ev_io_start(s->loop, &s->writer);
+	if (!is_first || ev_is_active(&s->writer))
+		return;
+	if (sends_before_wait(s->loop))
+		g_ptr_array_add(outgoing.streams, s);
+	else
+		ev_io_start(s->loop, &s->writer);
 }
 
 guint64 rpc_stream_queued(const struct rpc_stream *s)
