perf(sched): rooms are kept between rounds

Cause: each placement round (up to 125 a second) made the room of all 1,100 endpoints anew. Change: rooms stay; endpoints whose attempts changed or that are new are taken anew at the next round, all of them each 100 ms; a candidate is confirmed right before it is given work.

--- a/src/sesamewood/manager/emit.c
+++ b/src/sesamewood/manager/emit.c
@@ -37,6 +37,15 @@
 	e->u.reply.reply = reply;
 }
 
+void touch_endpoint(struct manager *m, struct endpoint *e)
+{
+	m->dirty = true;
+	if (e->touched)
+		return;
+	e->touched = true;
+	g_ptr_array_add(m->touched, e);
+}
+
 #define RECENT_ORDER_MS 5000 /* over the time that two holders keep apart */
 
 void emit_machine_order(struct manager *m, clock_ms_t now, struct order *order, uint64_t wave)
--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -62,6 +62,7 @@
 	m->guarded = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	for (guint i = 0; i < m->jobs->ordered->len; i++)
 		g_hash_table_add(m->guarded, g_strdup(m->jobs->ordered->pdata[i]));
+	m->touched = g_ptr_array_new();
 	m->ordered_at = g_array_new(FALSE, FALSE, sizeof(clock_ms_t));
 	m->failed_at = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->active = g_ptr_array_new();
@@ -76,6 +77,8 @@
 {
 	g_ptr_array_unref(m->effects);
 	g_hash_table_unref(m->runs);
+	g_clear_pointer(&m->rooms, g_hash_table_unref);
+	g_ptr_array_unref(m->touched);
 	g_hash_table_unref(m->endpoints);
 	g_hash_table_unref(m->departed);
 	g_hash_table_unref(m->orders);
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -23,6 +23,9 @@
 	GHashTable *advice;	  ///< struct advice by step name; owned
 	GHashTable *ratios;	  ///< struct ratio by queue, step and image; owned
 	GPtrArray *active;	  ///< of struct job, not over or with attempts out
+	GHashTable *rooms;	  ///< struct pool_room by pool, see sched/rooms.h; owned
+	clock_ms_t rooms_at;	  ///< they are made anew then
+	GPtrArray *touched;	  ///< endpoints whose room has changed since the last round
 	clock_ms_t round_from;	  ///< no placement round before then
 	clock_ms_t round_at;	  ///< a placement round is due then at the latest
 	clock_ms_t runs_at;	  ///< next pass over the endpoints
@@ -70,6 +73,9 @@
 void emit_order(struct manager *m, clock_ms_t now, struct order *order, struct endpoint *e,
 		const char *machine, uint64_t wave);
 
+/// Notes that an endpoint's room changed: the next placement round takes it anew.
+void touch_endpoint(struct manager *m, struct endpoint *e);
+
 /// Notes in the log that a machine is ordered about, then sends the order.
 void emit_machine_order(struct manager *m, clock_ms_t now, struct order *order, uint64_t wave);
 
--- a/src/sesamewood/runs/attempts.c
+++ b/src/sesamewood/runs/attempts.c
@@ -58,12 +58,14 @@
 	r->ref.job = g_strdup(ref->job);
 	g_hash_table_replace(m->runs, r->name, r);
 	endpoint_add_run(e, r);
+	touch_endpoint(m, e);
 	return r;
 }
 
 void attempts_drop(struct manager *m, struct run *r)
 {
 	endpoint_remove_run(r->endpoint, r);
+	touch_endpoint(m, r->endpoint);
 	g_hash_table_remove(m->runs, r->name);
 }
 
--- a/src/sesamewood/runs/endpoint.c
+++ b/src/sesamewood/runs/endpoint.c
@@ -20,6 +20,7 @@
 	e->labels = g_ptr_array_new_with_free_func(g_free);
 	e->clock_ms = -1;
 	e->runs = g_ptr_array_new();
+	e->room_index = -1;
 
 	return e;
 }
--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -103,6 +103,9 @@
 	unsigned int lasting; ///< runs that last
 	bool ending;	      ///< its machine was ordered to go down
 	clock_ms_t proves_from; ///< a report after this proves that it has not; 0: none does
+	bool touched;		///< its room has changed since the last placement round
+	int room_index;		///< among its pool's candidates, -1: it is none
+	struct pool_room *room; ///< of the pool where it is a candidate
 	bool cordoned;		///< kept free for a maintenance wave
 	clock_ms_t cordoned_at;
 };
--- a/src/sesamewood/runs/lives.c
+++ b/src/sesamewood/runs/lives.c
@@ -17,14 +17,16 @@
 {
 	struct endpoint *e = g_hash_table_lookup(m->endpoints, id);
 
-	if (e)
-		return e;
-	e = g_hash_table_lookup(m->departed, id);
-	if (!e)
-		return NULL;
-	g_hash_table_steal(m->departed, id);
+	return e ? e : g_hash_table_lookup(m->departed, id);
+}
+
+/// Takes an endpoint that had departed among those in use again.
+static void bring_back(struct manager *m, struct endpoint *e)
+{
+	if (!g_hash_table_steal(m->departed, e->id))
+		return;
 	g_hash_table_replace(m->endpoints, e->id, e);
-	return e;
+	m->rooms_at = 0;
 }
 
 void lives_forget(struct manager *m, clock_ms_t now)
@@ -83,6 +85,7 @@
 		r->stop_at = now;
 	}
 	forget_life(e);
+	bring_back(m, e);
 	e->born_wall_ms = born_wall_ms;
 	e->must_fence = true;
 	e->lives++;
@@ -137,7 +140,7 @@
 	e->must_fence |= m->term > 1 && now - m->since < LATE_ORDER_MS;
 	lives_bound_earlier_lease(m, e);
 	take_address(m, now, e);
-	m->dirty = true;
+	touch_endpoint(m, e);
 }
 
 void lives_left(struct manager *m, clock_ms_t now, const struct announcement *a)
--- a/src/sesamewood/runs/lives.h
+++ b/src/sesamewood/runs/lives.h
@@ -9,7 +9,7 @@
 /// Adds what an earlier leader left: endpoints and attempts of unknown state.
 void lives_inherit(struct manager *m, clock_ms_t now);
 
-/// @return the endpoint of that id, back among those in use if it had departed, or NULL
+/// @return the endpoint of that id, also when it has departed, or NULL
 struct endpoint *lives_find(struct manager *m, const char *id);
 
 /// Forgets departed endpoints that have been silent for long.
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -509,6 +509,7 @@
 			g_hash_table_iter_steal(&iter);
 			g_hash_table_replace(m->departed, e->id, e);
 		} else if (now - e->heard_at > FORGET_ENDPOINT_MS) {
+			g_ptr_array_remove_fast(m->touched, e);
 			g_hash_table_iter_remove(&iter);
 		}
 	}
--- a/src/sesamewood/sched/rooms.c
+++ b/src/sesamewood/sched/rooms.c
@@ -3,12 +3,15 @@
 #include "sched/health.h"
 
 #define ASIDE_SHARE 3 /* at most a third of a pool is left out for its record */
+/// What no event tells (silence, the end of a time set aside) is seen so soon.
+#define REBUILD_MS 100
 
 static void pool_room_free(void *p)
 {
 	struct pool_room *r = p;
 
 	g_array_unref(r->candidates);
+	g_free(r->pool);
 	g_free(r);
 }
 
@@ -64,6 +67,8 @@
 	return true;
 }
 
+/* Candidates. */
+
 static struct pool_room *room_of(GHashTable *rooms, const char *pool)
 {
 	struct pool_room *r = g_hash_table_lookup(rooms, pool);
@@ -71,52 +76,144 @@
 	if (r)
 		return r;
 	r = g_new0(struct pool_room, 1);
+	r->pool = g_strdup(pool);
 	r->candidates = g_array_new(FALSE, TRUE, sizeof(struct place_candidate));
-	g_hash_table_insert(rooms, (char *)pool, r);
+	g_hash_table_insert(rooms, r->pool, r);
 	return r;
 }
 
-static void add_candidate(struct manager *m, GHashTable *rooms, struct endpoint *e, clock_ms_t now)
+static bool is_offered(const struct manager *m, const struct endpoint *e, clock_ms_t now)
 {
 	clock_ms_t silent_ms = SILENT_ANNOUNCEMENTS * (clock_ms_t)m->settings.announce_ms;
-	struct place_candidate c = {.endpoint = e};
+
+	return health_is_eligible(e, now, silent_ms) && !e->cordoned && !e->ending;
+}
+
+static struct place_candidate candidate_of(const struct manager *m, struct endpoint *e,
+					   clock_ms_t now)
+{
+	return (struct place_candidate){
+		.endpoint = e,
+		.set_aside = health_is_set_aside(e, now) ||
+			     (health_is_on_trial(e) && e->runs->len > e->lasting),
+		.room = endpoint_free_room(e),
+		.due = g_hash_table_size(m->due_machines) &&
+		       g_hash_table_contains(m->due_machines, e->machine),
+		.runs = e->runs->len,
+		.serving = e->serving,
+		.filling = e->filling,
+		.lasting = e->lasting,
+	};
+}
+
+static struct place_candidate *candidate_at(const struct pool_room *r, guint i)
+{
+	return &g_array_index(r->candidates, struct place_candidate, i);
+}
+
+static void remove_candidate(struct pool_room *r, guint i)
+{
+	candidate_at(r, i)->endpoint->room_index = -1;
+	g_array_remove_index_fast(r->candidates, i);
+	if (i < r->candidates->len)
+		candidate_at(r, i)->endpoint->room_index = (int)i;
+}
+
+static void add_candidate(struct pool_room *r, const struct place_candidate *c)
+{
+	c->endpoint->room = r;
+	c->endpoint->room_index = (int)r->candidates->len;
+	g_array_append_val(r->candidates, *c);
+}
+
+bool rooms_confirm(const struct manager *m, struct place_candidate *c, clock_ms_t now)
+{
+	if (is_offered(m, c->endpoint, now))
+		return true;
+	c->room = (struct room){-1, -1, -1};
+	return false;
+}
+
+/* Upkeep of the rooms. */
+
+static void refresh(struct manager *m, struct endpoint *e, clock_ms_t now)
+{
+	bool offered = is_offered(m, e, now);
 	struct pool_room *r;
+	struct place_candidate c;
 
-	if (!health_is_eligible(e, now, silent_ms) || e->cordoned || e->ending)
+	if (e->room_index >= 0 && (!offered || !g_str_equal(e->room->pool, e->pool)))
+		remove_candidate(e->room, (guint)e->room_index);
+	if (!offered)
 		return;
-	r = room_of(rooms, e->pool);
-	r->total++;
-	c.set_aside =
-		health_is_set_aside(e, now) || (health_is_on_trial(e) && e->runs->len > e->lasting);
-	r->aside += c.set_aside;
-	c.room = endpoint_free_room(e);
-	c.due = g_hash_table_size(m->due_machines) &&
-		g_hash_table_contains(m->due_machines, e->machine);
-	c.runs = e->runs->len;
-	c.serving = e->serving;
-	c.filling = e->filling;
-	c.lasting = e->lasting;
-	g_array_append_val(r->candidates, c);
+	c = candidate_of(m, e, now);
+	r = e->room_index >= 0 ? e->room : room_of(m->rooms, e->pool);
+	if (e->room_index >= 0)
+		*candidate_at(r, (guint)e->room_index) = c;
+	else if (!c.set_aside)
+		add_candidate(r, &c);
 }
 
-GHashTable *rooms_by_pool(struct manager *m, clock_ms_t now)
+/// Leaves out those set aside. Where many fail it is rather the tasks' fault: then all are used.
+static void leave_out_set_aside(struct pool_room *r)
+{
+	for (guint i = r->candidates->len; i > 0 && r->aside * ASIDE_SHARE <= r->total; i--)
+		if (candidate_at(r, i - 1)->set_aside)
+			remove_candidate(r, i - 1);
+}
+
+static void rebuild(struct manager *m, clock_ms_t now)
 {
-	GHashTable *rooms = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_room_free);
 	GHashTableIter iter;
 	gpointer value;
 
+	g_clear_pointer(&m->rooms, g_hash_table_unref);
+	m->rooms = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_room_free);
 	g_hash_table_iter_init(&iter, m->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct endpoint *e = value;
+		struct place_candidate c;
+		struct pool_room *r;
+
+		e->touched = false;
+		e->room_index = -1;
+		if (!is_offered(m, e, now))
+			continue;
+		r = room_of(m->rooms, e->pool);
+		c = candidate_of(m, e, now);
+		r->total++;
+		r->aside += c.set_aside;
+		add_candidate(r, &c);
+	}
+	g_hash_table_iter_init(&iter, m->rooms);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		add_candidate(m, rooms, value, now);
-	g_hash_table_iter_init(&iter, rooms);
+		leave_out_set_aside(value);
+}
+
+GHashTable *rooms_by_pool(struct manager *m, clock_ms_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!m->rooms || now >= m->rooms_at) {
+		/* Endpoints that were forgotten since are not read. */
+		g_ptr_array_set_size(m->touched, 0);
+		m->rooms_at = now + REBUILD_MS;
+		rebuild(m, now);
+	}
+	for (guint i = 0; i < m->touched->len; i++) {
+		struct endpoint *e = m->touched->pdata[i];
+
+		e->touched = false;
+		refresh(m, e, now);
+	}
+	g_ptr_array_set_size(m->touched, 0);
+	g_hash_table_iter_init(&iter, m->rooms);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct pool_room *r = value;
 
-		/* Where many fail it is rather the tasks' fault: then all are used. */
-		for (guint i = r->candidates->len; i > 0 && r->aside * ASIDE_SHARE <= r->total; i--)
-			if (g_array_index(r->candidates, struct place_candidate, i - 1).set_aside)
-				g_array_remove_index_fast(r->candidates, i - 1);
+		r->n_lacks = 0;
 		rooms_note_most(r);
 	}
-	return rooms;
+	return m->rooms;
 }
--- a/src/sesamewood/sched/rooms.h
+++ b/src/sesamewood/sched/rooms.h
@@ -12,6 +12,7 @@
 
 /// What a pool offers in a round.
 struct pool_room {
+	char *pool;
 	GArray *candidates; ///< of struct place_candidate
 	unsigned int total;
 	unsigned int aside;		    ///< of them set aside by their record
@@ -20,9 +21,15 @@
 	unsigned int n_lacks;
 };
 
-/// @return struct pool_room by pool; names borrow from the endpoints
+/// Brings the rooms up to date for a round: endpoints that were touched at once, all of them from
+/// time to time.
+///
+/// @return struct pool_room by pool, owned by the manager
 GHashTable *rooms_by_pool(struct manager *m, clock_ms_t now);
 
+/// Tells whether a candidate still takes work. If not, it is offered no more.
+bool rooms_confirm(const struct manager *m, struct place_candidate *c, clock_ms_t now);
+
 /// Notes the most that any candidate has; called again when a task has found no place.
 void rooms_note_most(struct pool_room *r);
 
--- a/src/sesamewood/sched/schedule.c
+++ b/src/sesamewood/sched/schedule.c
@@ -120,7 +120,21 @@
 {
 	job_task_ref ref = {w->job->image.spec.id, w->occurrence, w->step, index};
 
-	runs_start(m, now, c->endpoint, w->job, &ref, attempt, c->ticket ? c->ticket : "");
+	runs_start(m, now, c->endpoint, w->job, &ref, attempt,
+		   w->advised && c->ticket ? c->ticket : "");
+}
+
+/// @return index of the best candidate that takes work now, or -1
+static int choose(const struct manager *m, clock_ms_t now, GArray *candidates,
+		  const struct place_request *q)
+{
+	int at;
+
+	do
+		at = place_choose(candidates, q);
+	while (at >= 0 &&
+	       !rooms_confirm(m, &g_array_index(candidates, struct place_candidate, at), now));
+	return at;
 }
 
 /// @return whether all waiting tasks of the step found a place
@@ -141,7 +155,7 @@
 			name = g_strdup_printf("%s.%u.%u.%u", q->job, w->occurrence, w->step, i);
 			q->failed_at = g_hash_table_lookup(m->failed_at, name);
 		}
-		at = place_choose(candidates, q);
+		at = choose(m, now, candidates, q);
 		q->failed_at = NULL;
 		if (at < 0)
 			return false;
@@ -155,14 +169,15 @@
 /// Finds places for all tasks of a step at once.
 ///
 /// @return whether all have one; the candidates are then changed
-static bool choose_all(GArray *candidates, const struct place_request *q, u_int count, int *places)
+static bool choose_all(const struct manager *m, clock_ms_t now, GArray *candidates,
+		       const struct place_request *q, u_int count, int *places)
 {
 	g_autoptr(GArray) before = g_array_copy(candidates);
 
 	for (u_int i = 0; i < count; i++) {
 		struct place_candidate *c;
 
-		places[i] = place_choose(candidates, q);
+		places[i] = choose(m, now, candidates, q);
 		if (places[i] < 0) {
 			memcpy(candidates->data, before->data,
 			       before->len * sizeof(struct place_candidate));
@@ -178,7 +193,8 @@
 }
 
 /// Finds places on one rack.
-static bool choose_on_rack(GArray *candidates, struct place_request *q, u_int count, int *places)
+static bool choose_on_rack(const struct manager *m, clock_ms_t now, GArray *candidates,
+			   struct place_request *q, u_int count, int *places)
 {
 	for (guint i = 0; i < candidates->len; i++) {
 		const struct endpoint *e =
@@ -187,7 +203,7 @@
 		if (e->labels->len < 2)
 			continue;
 		q->rack = e->labels->pdata[e->labels->len - 1];
-		if (choose_all(candidates, q, count, places))
+		if (choose_all(m, now, candidates, q, count, places))
 			return true;
 	}
 	q->rack = NULL;
@@ -209,8 +225,8 @@
 		attempt = MAX(attempt, s->tasks.tasks_val[i].attempt);
 	}
 	if (!(q->step->rack_sensitive &&
-	      choose_on_rack(candidates, q, s->tasks.tasks_len, places)) &&
-	    !choose_all(candidates, q, s->tasks.tasks_len, places))
+	      choose_on_rack(m, now, candidates, q, s->tasks.tasks_len, places)) &&
+	    !choose_all(m, now, candidates, q, s->tasks.tasks_len, places))
 		return false;
 	for (u_int i = 0; i < s->tasks.tasks_len; i++)
 		start_one(m, now, w, i, attempt + 1,
@@ -260,7 +276,7 @@
 
 unsigned int schedule_round(struct manager *m, clock_ms_t now, clock_ms_t wall)
 {
-	g_autoptr(GHashTable) rooms = rooms_by_pool(m, now);
+	GHashTable *rooms = rooms_by_pool(m, now);
 	g_autoptr(GArray) waiting = gather(m, wall, rooms);
 	unsigned int offered = 0;
 
