--- a/bench/bench_manager.cc
+++ b/bench/bench_manager.cc
@@ -100,6 +100,7 @@
 	}
 	if (argc > 1 && std::strcmp(argv[1], "--profile-large") == 0) {
 		measure(220, 10, LARGE_PERCENT);
+		measure(220, 3, 130);
 		return 0;
 	}
 	if (argc > 1 && std::strcmp(argv[1], "--profile") == 0) {
