--- a/bench/bench_manager.cc
+++ b/bench/bench_manager.cc
@@ -58,6 +58,57 @@
 		static_cast<unsigned long>(fleet.starts), static_cast<unsigned long>(fleet.orders),
 		static_cast<unsigned long>(fleet.commands));
 }
+
+/// Jobs as they come at hundreds of machines: tasks of all sizes, steps that follow each other, and
+/// pools that surge in turn to four times their mean.
+void measure_turns(unsigned int per_pool, unsigned int seconds)
+{
+	constexpr unsigned int POOLS = 5, TURN_S = 4, SURGE = 4;
+	constexpr uint32_t CPU = 32000, MEM = 131072;
+	model::Fleet fleet(1, POOLS, per_pool);
+	std::mt19937 random(7);
+	unsigned int jobs = 0;
+	double before;
+
+	for (auto &e : fleet.endpoints) {
+		e->cpu = CPU;
+		e->mem = MEM;
+	}
+	fleet.advance(2000);
+	before = cpu_s();
+	for (unsigned int ms = 0; ms < seconds * 1000; ms += 10) {
+		for (unsigned int pool = 0; pool < POOLS; pool++) {
+			bool surges = ms / 1000 / TURN_S % POOLS == pool;
+			/* Tasks of 1 s and 4.5 cores, 8 to a step, 1.5 steps to a job. */
+			double mean = per_pool * (CPU / 4500.0) / 12 / 100 * 0.25;
+			std::poisson_distribution<unsigned int> due(surges ? mean * SURGE * 1.3
+									   : mean / 4);
+
+			for (unsigned int n = due(random); n; n--, jobs++) {
+				model::JobPlan plan;
+				job_step step = {};
+
+				plan.id = "job" + std::to_string(jobs);
+				plan.pool = "pool" + std::to_string(pool);
+				plan.task_ms = 600 + random() % 800;
+				for (unsigned int i = 0; i <= jobs % 2; i++) {
+					step.count = 4 + random() % 8;
+					step.cpu_milli = 1500 + random() % 6000;
+					step.mem_mb = 4000 + random() % 24000;
+					step.estimate_ms = 1000;
+					step.max_per_endpoint = random() % 7 ? 0 : 2;
+					plan.steps.push_back(step);
+				}
+				fleet.submit(plan);
+			}
+		}
+		fleet.advance(10);
+	}
+	std::printf("%u endpoints, surges in turn: %.1f us a task, %lu starts\n", POOLS * per_pool,
+		    (cpu_s() - before) * 1e6 / static_cast<double>(fleet.starts),
+		    static_cast<unsigned long>(fleet.starts));
+}
+
 /// A maintenance wave over half of the endpoints, all of which hold lasting tasks.
 void measure_wave(unsigned int per_pool)
 {
@@ -99,8 +150,7 @@
 		return 0;
 	}
 	if (argc > 1 && std::strcmp(argv[1], "--profile-large") == 0) {
-		measure(220, 10, LARGE_PERCENT);
-		measure(220, 3, 130);
+		measure_turns(220, 20);
 		return 0;
 	}
 	if (argc > 1 && std::strcmp(argv[1], "--profile") == 0) {
--- a/src/sesamewood/runs/endpoint.c
+++ b/src/sesamewood/runs/endpoint.c
@@ -61,6 +61,7 @@
 void endpoint_update(struct endpoint *e, const struct announcement *a, clock_ms_t now)
 {
 	replace(&e->address, a->address);
+	e->address_hash = g_str_hash(e->address);
 	replace(&e->pool, a->pool);
 	replace(&e->zone, a->zone);
 	if (*a->machine)
--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -61,6 +61,7 @@
 	char *id;
 	int64_t born_wall_ms;
 	char *address;
+	uint32_t address_hash; ///< spares comparing addresses that differ
 	char *pool;
 	char *zone;
 	char *machine;
--- a/src/sesamewood/runs/lives.c
+++ b/src/sesamewood/runs/lives.c
@@ -103,7 +103,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct endpoint *e = value;
 
-		if (e != holder && !e->gone && g_str_equal(e->address, holder->address) &&
+		if (e != holder && !e->gone && e->address_hash == holder->address_hash &&
+		    g_str_equal(e->address, holder->address) &&
 		    e->born_wall_ms < holder->born_wall_ms)
 			attempts_endpoint_over(m, now, e);
 	}
@@ -191,6 +192,7 @@
 						g_free(e->pool);
 						g_free(e->machine);
 						e->address = g_strdup(life->endpoint.address);
+						e->address_hash = g_str_hash(e->address);
 						e->pool = g_strdup(life->endpoint.pool);
 						e->machine = g_strdup(life->endpoint.machine);
 						e->born_wall_ms = life->endpoint.born_wall_ms;
--- a/src/sesamewood/sched/machines.c
+++ b/src/sesamewood/sched/machines.c
@@ -8,6 +8,7 @@
 
 	g_free(x->name);
 	g_free(x->pool);
+	g_free(x->ends);
 	g_free(x->target);
 	g_free(x->not_for);
 	g_free(x);
--- a/src/sesamewood/sched/machines.h
+++ b/src/sesamewood/sched/machines.h
@@ -12,6 +12,7 @@
 	char *pool;
 	bool is_up;
 	bool in_flight;
+	char *ends;	       ///< id of the endpoint that the move ends, or NULL
 	char *target;	       ///< of the move in flight or without an answer
 	char *not_for;	       ///< a pool that does not take it
 	clock_ms_t next_at;    ///< no order before then
--- a/src/sesamewood/sched/place.c
+++ b/src/sesamewood/sched/place.c
@@ -41,8 +41,7 @@
 {
 	const job_step *step = q->step;
 	const struct endpoint *e = c->endpoint;
-	int64_t left = e->cpu_milli ? c->room.cpu_milli * 1000 / e->cpu_milli : 0;
-	int64_t n = 0;
+	int64_t n = c->left;
 
 	if (*step->data_rack && !endpoint_has_label(e, step->data_rack))
 		n += 1000000000;
@@ -61,7 +60,7 @@
 		n += 100000 * (int64_t)c->filling + 10000 * (int64_t)c->serving;
 	if (!c->lasting)
 		n += 2000;
-	return n + left;
+	return n;
 }
 
 int place_choose(const GArray *candidates, const struct place_request *request)
@@ -85,12 +84,22 @@
 	return best;
 }
 
+void place_set_room(struct place_candidate *c, struct room room)
+{
+	uint32_t whole = c->endpoint->cpu_milli;
+
+	c->room = room;
+	c->left = whole ? room.cpu_milli * 1000 / whole : 0;
+}
+
 void place_take(struct place_candidate *c, const job_step *step)
 {
-	if (!step->fills)
-		c->room.cpu_milli -= step->cpu_milli;
-	c->room.mem_mb -= step->mem_mb;
-	c->room.gpu -= step->gpu;
+	place_set_room(c,
+		       (struct room){
+			       .cpu_milli = c->room.cpu_milli - (step->fills ? 0 : step->cpu_milli),
+			       .mem_mb = c->room.mem_mb - step->mem_mb,
+			       .gpu = c->room.gpu - step->gpu,
+		       });
 	c->runs++;
 	c->serving += step->target_ms != 0;
 	c->filling += step->fills;
--- a/src/sesamewood/sched/place.h
+++ b/src/sesamewood/sched/place.h
@@ -12,6 +12,7 @@
 struct place_candidate {
 	struct endpoint *endpoint;
 	struct room room;     ///< free, counting what was placed in this round
+	int64_t left;	      ///< share of its processor that is free, in thousandths
 	unsigned int runs;    ///< attempts there
 	unsigned int serving; ///< of them with a response time target
 	unsigned int filling; ///< of them that fill
@@ -36,6 +37,9 @@
 /// @return index of the best candidate, or -1 when the task fits nowhere now
 int place_choose(const GArray *candidates, const struct place_request *request);
 
+/// Notes a candidate's free room.
+void place_set_room(struct place_candidate *c, struct room room);
+
 /// Takes room for one task of a step.
 void place_take(struct place_candidate *c, const job_step *step);
 
--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "runs/attempts.h"
+#include "runs/lives.h"
 #include "sched/health.h"
 #include "sched/demand.h"
 #include "sched/estimates.h"
@@ -224,8 +225,11 @@
 		g_free(x->target);
 		x->target = g_strdup(pool);
 	}
-	if (e)
+	if (e) {
 		e->ending = true;
+		g_free(x->ends);
+		x->ends = g_strdup(e->id);
+	}
 	emit_machine_order(m, now, o, 0);
 }
 
@@ -435,25 +439,18 @@
 		list_machines(m, now, result->next_page);
 }
 
-static struct endpoint *endpoint_on(const struct manager *m, const char *machine)
+/// @return the endpoint that a move of a machine ends, while it is there
+static struct endpoint *endpoint_ended_by_move(struct manager *m, const struct machine *x)
 {
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, m->endpoints);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct endpoint *e = value;
+	struct endpoint *e = x->ends ? lives_find(m, x->ends) : NULL;
 
-		if (!e->gone && e->ending && g_str_equal(e->machine, machine))
-			return e;
-	}
-	return NULL;
+	return e && !e->gone && e->ending && g_str_equal(e->machine, x->name) ? e : NULL;
 }
 
 static void finish_move(struct manager *m, clock_ms_t now, struct machine *x,
 			const struct order_result *result)
 {
-	struct endpoint *e = endpoint_on(m, x->name);
+	struct endpoint *e = endpoint_ended_by_move(m, x);
 
 	x->in_flight = false;
 	log_info("move answered", "MACHINE", x->name, "TO", x->target, "STATUS",
@@ -482,6 +479,7 @@
 		break;
 	}
 	g_clear_pointer(&x->target, g_free);
+	g_clear_pointer(&x->ends, g_free);
 	if (result->status == ORDER_OK)
 		return;
 	x->next_at = now + BUSY_MS;
--- a/src/sesamewood/sched/rooms.c
+++ b/src/sesamewood/sched/rooms.c
@@ -92,11 +92,10 @@
 static struct place_candidate candidate_of(const struct manager *m, struct endpoint *e,
 					   clock_ms_t now)
 {
-	return (struct place_candidate){
+	struct place_candidate c = {
 		.endpoint = e,
 		.set_aside = health_is_set_aside(e, now) ||
 			     (health_is_on_trial(e) && e->runs->len > e->lasting),
-		.room = endpoint_free_room(e),
 		.due = g_hash_table_size(m->due_machines) &&
 		       g_hash_table_contains(m->due_machines, e->machine),
 		.runs = e->runs->len,
@@ -104,6 +103,9 @@
 		.filling = e->filling,
 		.lasting = e->lasting,
 	};
+
+	place_set_room(&c, endpoint_free_room(e));
+	return c;
 }
 
 static struct place_candidate *candidate_at(const struct pool_room *r, guint i)
--- a/src/sesamewood/sched/schedule.c
+++ b/src/sesamewood/sched/schedule.c
@@ -83,7 +83,7 @@
 	return last->room;
 }
 
-/// @return whether a ready task waits, or will without further notice
+/// @return whether a ready task may wait, or will without further notice
 static bool gather_job(const struct manager *m, struct job *job, clock_ms_t wall,
 		       struct room_of_queue *last, GArray *out)
 {
@@ -100,11 +100,13 @@
 		if (spec->occurrences && wall < job_due_wall(job, k))
 			break;
 		for (w.step = 0; w.step < spec->steps.steps_len; w.step++) {
+			if (!rooms_may_fit(room, &spec->steps.steps_val[w.step])) {
+				waits = true; /* perhaps: looked into once there is room */
+				continue;
+			}
 			if (!has_waiting_task(job, k, w.step) || !job_step_ready(job, k, w.step))
 				continue;
 			waits = true;
-			if (!rooms_may_fit(room, &spec->steps.steps_val[w.step]))
-				continue;
 			if (!keyed)
 				w.key = key_of(m, job, queue, k, wall);
 			keyed = true;
--- a/tests/unit/unit_sched.c
+++ b/tests/unit/unit_sched.c
@@ -106,7 +106,8 @@
 		e[i]->mem_mb = 4000;
 		g_ptr_array_add(e[i]->labels, g_strdup("kind"));
 		g_ptr_array_add(e[i]->labels, g_strdup(i == 2 ? "r2" : "r1"));
-		c = (struct place_candidate){.endpoint = e[i], .room = {4000, 4000, 0}};
+		c = (struct place_candidate){.endpoint = e[i]};
+		place_set_room(&c, (struct room){4000, 4000, 0});
 		g_array_append_val(list, c);
 	}
 	g_array_index(list, struct place_candidate, 1).room.cpu_milli = 1500;
