perf(manager): unchanged reports of endpoints end at the replica that hears them

What is new (a life, draining, room) is passed on and acknowledged only when the leader took it; a new leader gets whole reports. Endpoints stay at the replica that answered. Tests /scale/news_is_passed_on, /scale/sightings_keep_endpoints_in_use.

--- a/src/sesamewood/manager/callers.c
+++ b/src/sesamewood/manager/callers.c
@@ -44,6 +44,25 @@
 	}
 }
 
+void caller_answer_relayed(struct http_request *http, enum relay_outcome outcome,
+			   const sw_relay_reply *reply)
+{
+	const struct caller c = {.http = http};
+
+	switch (outcome) {
+	case RELAY_ANSWERED:
+		caller_answer(&c, reply->http_status, reply->retry_after_s, reply->body.sw_blob_val,
+			      reply->body.sw_blob_len);
+		break;
+	case RELAY_NOT_DONE:
+		caller_answer(&c, HTTP_UNAVAILABLE, 1, NULL, 0);
+		break;
+	case RELAY_UNKNOWN:
+		caller_answer(&c, HTTP_GATEWAY_TIMEOUT, 0, NULL, 0);
+		break;
+	}
+}
+
 uint64_t callers_add(struct callers *c, struct rpc_request *rpc, struct http_request *http)
 {
 	struct caller *caller = g_new0(struct caller, 1);
--- a/src/sesamewood/manager/callers.h
+++ b/src/sesamewood/manager/callers.h
@@ -6,6 +6,7 @@
 /// replica passed on by RPC.
 
 #include "base/http_server.h"
+#include "manager/relay.h"
 #include "manager/wire.h"
 #include "rpc/rpc_server.h"
 
@@ -19,6 +20,10 @@
 void caller_answer(const struct caller *c, unsigned int status, uint32_t retry_after_s,
 		   const char *body, size_t len);
 
+/// Answers a call that was passed on to the leader.
+void caller_answer_relayed(struct http_request *http, enum relay_outcome outcome,
+			   const sw_relay_reply *reply);
+
 struct callers;
 
 struct callers *callers_new(const struct wire *wire);
--- a/src/sesamewood/manager/calls.c
+++ b/src/sesamewood/manager/calls.c
@@ -196,7 +196,7 @@
 		reply = config_read(m);
 		break;
 	case CALL_ANNOUNCE:
-		waves_announced(m, now, &call->report);
+		waves_announced(m, now, call->report.machine, call->report.born_wall_ms);
 		lives_announced(m, now, &call->report);
 		reply = (struct reply){.content = REPLY_CONTROL_ADDRESS};
 		break;
--- a/src/sesamewood/manager/control_shell.c
+++ b/src/sesamewood/manager/control_shell.c
@@ -9,6 +9,7 @@
 #include "control/storage_thread.h"
 #include "manager/agents.h"
 #include "manager/callers.h"
+#include "manager/hearing.h"
 #include "manager/order_sender.h"
 #include "manager/relay.h"
 #include "rpc/rpc_client.h"
@@ -69,6 +70,7 @@
 	struct http_server *http;
 	struct order_sender *sender;
 	struct agents *agents;
+	struct hearing *hearing;
 	ev_prepare before_wait;
 	ev_check after_wait;
 	ev_timer tick;
@@ -83,6 +85,12 @@
 	uint64_t said_us[WORK_KINDS];
 };
 
+/// @return the replica that leads, 0: none is known, or it is this one
+static uint32_t other_leader(const struct shell *sh)
+{
+	return raft_leader(sh->raft) == sh->node ? 0 : raft_leader(sh->raft);
+}
+
 /* Answers. */
 
 static void answer_not_leader(struct shell *sh, struct rpc_request *rpc)
@@ -91,7 +99,7 @@
 	uint32_t nodes[RAFT_PEERS_MAX + 1];
 	sw_relay_reply r = {
 		.status = SW_NOT_LEADER,
-		.leader = raft_leader(sh->raft) == sh->node ? 0 : raft_leader(sh->raft),
+		.leader = other_leader(sh),
 		.members = {.members_val = nodes},
 	};
 
@@ -434,6 +442,7 @@
 	(void)revents;
 	raft_tick(sh->raft, now);
 	agents_tick(sh->agents, now);
+	hearing_tick(sh->hearing, now, raft_term(sh->raft), other_leader(sh));
 	if (sh->manager && now >= sh->say_load_at) {
 		sh->say_load_at = now + SLOW_PERIOD_MS;
 		say_load(sh);
@@ -465,20 +474,7 @@
 
 static void on_relayed(void *ctx, enum relay_outcome outcome, const sw_relay_reply *reply)
 {
-	struct caller c = {.http = ctx};
-
-	switch (outcome) {
-	case RELAY_ANSWERED:
-		caller_answer(&c, reply->http_status, reply->retry_after_s, reply->body.sw_blob_val,
-			      reply->body.sw_blob_len);
-		break;
-	case RELAY_NOT_DONE:
-		caller_answer(&c, HTTP_UNAVAILABLE, 1, NULL, 0);
-		break;
-	case RELAY_UNKNOWN:
-		caller_answer(&c, HTTP_GATEWAY_TIMEOUT, 0, NULL, 0);
-		break;
-	}
+	caller_answer_relayed(ctx, outcome, reply);
 }
 
 static void on_http_request(void *ctx, struct http_request *req)
@@ -512,9 +508,9 @@
 		   strlen(call.target) > 8192) {
 		http_reply(req, HTTP_BAD_REQUEST, NULL, NULL, 0);
 	} else {
-		relay_note_leader(sh->relay,
-				  raft_leader(sh->raft) == sh->node ? 0 : raft_leader(sh->raft));
-		relay_call(sh->relay, &args, RELAY_MS, on_relayed, req);
+		relay_note_leader(sh->relay, other_leader(sh));
+		if (!hearing_take(sh->hearing, raft_term(sh->raft), &call, &args, req))
+			relay_call(sh->relay, &args, RELAY_MS, on_relayed, req);
 	}
 }
 
@@ -530,6 +526,14 @@
 				  batch->leader, batch->term);
 }
 
+static void serve_sightings(struct shell *sh, struct rpc_request *req, const sw_sighting_args *args)
+{
+	enum work_kind before = work_enter(WORK_REPORTS);
+
+	hearing_serve(leads(sh) && args->term == sh->manager_term ? sh->manager : NULL, req, args);
+	work_leave(before);
+}
+
 static void on_rpc(void *ctx, struct rpc_request *req, uint32_t proc, const void *value)
 {
 	struct shell *sh = ctx;
@@ -551,6 +555,10 @@
 		agents_take_results(sh->agents, value);
 		return;
 	}
+	if (proc == SW_PROC_SIGHTINGS) {
+		serve_sightings(sh, req, value);
+		return;
+	}
 	if (proc != SW_PROC_RELAY) {
 		rpc_request_refuse(req);
 		return;
@@ -725,6 +733,7 @@
 	while (n < RAFT_SEEDS_MAX && settings->seeds[n])
 		n++;
 	relay_set_seeds(sh.relay, settings->seeds, n);
+	sh.hearing = hearing_new(wire, sh.relay);
 	sh.agents = agents_new(client_of, on_agent_result, &sh);
 	sh.sender = order_sender_new(sh.loop, wire, on_order_sent, &sh);
 	open_log(&sh);
--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -104,6 +104,15 @@
 	calls_handle(m, now, wall, token, call);
 }
 
+bool manager_sighted(struct manager *m, clock_ms_t now, const struct sighting *s)
+{
+	const struct endpoint *e = lives_find(m, s->id);
+
+	if (e)
+		waves_announced(m, now - s->age_ms, e->machine, s->born_wall_ms);
+	return lives_sighted(m, now, s);
+}
+
 void manager_result(struct manager *m, clock_ms_t now, clock_ms_t wall,
 		    const struct order_result *result)
 {
--- a/src/sesamewood/manager/manager.h
+++ b/src/sesamewood/manager/manager.h
@@ -37,6 +37,11 @@
 void manager_call(struct manager *m, clock_ms_t now, clock_ms_t wall, uint64_t token,
 		  struct call *call);
 
+/// Handles that an endpoint has reported at another replica.
+///
+/// @return false: a whole report of it is wanted
+bool manager_sighted(struct manager *m, clock_ms_t now, const struct sighting *s);
+
 /// Handles the result of an order.
 void manager_result(struct manager *m, clock_ms_t now, clock_ms_t wall,
 		    const struct order_result *result);
--- a/src/sesamewood/manager/manager_defs.h
+++ b/src/sesamewood/manager/manager_defs.h
@@ -43,6 +43,16 @@
 	int64_t clock_ms;  ///< its own steady clock; -1: not said
 };
 
+/// That an endpoint whose report the leader knows has reported the same again.
+struct sighting {
+	char *id;
+	int64_t born_wall_ms;
+	uint64_t sequence;
+	int64_t clock_ms;
+	uint32_t cold_ms;
+	uint32_t age_ms; ///< since then
+};
+
 /// A decoded call. Release with call_clear().
 struct call {
 	enum call_type type;
--- /dev/null
+++ b/src/sesamewood/manager/reports.c
@@ -0,0 +1,157 @@
+#include "manager/reports.h"
+
+/// Without the leader's answer to a list for so long, reports are passed on singly: they then reach
+/// it, or their senders another replica.
+#define CONTACT_MS 800
+#define FORGET_MS 30000
+#define FORGET_PERIOD_MS 5000
+
+struct heard {
+	char *id;
+	int64_t born_wall_ms;
+	uint32_t digest;      ///< of what rarely changes
+	uint64_t passed_term; ///< leader that knows this; 0: none
+	bool due;	      ///< heard since the last list
+	uint64_t sequence;
+	int64_t clock_ms;
+	uint32_t cold_ms;
+	clock_ms_t heard_at;
+};
+
+struct reports {
+	GHashTable *by_id; ///< struct heard; owned
+	uint64_t term;	   ///< leader that answered a list last
+	clock_ms_t contact_at;
+	clock_ms_t forget_at;
+};
+
+static void heard_free(void *p)
+{
+	struct heard *h = p;
+
+	g_free(h->id);
+	g_free(h);
+}
+
+struct reports *reports_new(void)
+{
+	struct reports *r = g_new0(struct reports, 1);
+
+	r->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, heard_free);
+	return r;
+}
+
+void reports_free(struct reports *r)
+{
+	g_hash_table_unref(r->by_id);
+	g_free(r);
+}
+
+/// Digest of everything but what each report has anew.
+static uint32_t digest_of(const struct announcement *a)
+{
+	uint32_t digest = g_str_hash(a->address);
+
+	digest = digest * 31 + g_str_hash(a->pool);
+	digest = digest * 31 + g_str_hash(a->zone);
+	digest = digest * 31 + g_str_hash(a->machine);
+	for (guint i = 0; i < a->labels->len; i++)
+		digest = digest * 31 + g_str_hash(a->labels->pdata[i]);
+	digest = digest * 31 + a->cpu_milli;
+	digest = digest * 31 + a->mem_mb;
+	digest = digest * 31 + a->gpu;
+	return digest * 31 + a->draining;
+}
+
+static bool has_contact(const struct reports *r, clock_ms_t now, uint64_t term)
+{
+	return r->term == term && now - r->contact_at < CONTACT_MS;
+}
+
+bool reports_hear(struct reports *r, clock_ms_t now, uint64_t term, const struct announcement *a)
+{
+	struct heard *h = g_hash_table_lookup(r->by_id, a->id);
+
+	if (!h || !has_contact(r, now, term) || h->passed_term != term ||
+	    h->born_wall_ms != a->born_wall_ms || h->digest != digest_of(a))
+		return false;
+	if (a->sequence <= h->sequence)
+		return true;
+	h->sequence = a->sequence;
+	h->clock_ms = a->clock_ms;
+	h->cold_ms = a->cold_ms;
+	h->heard_at = now;
+	h->due = true;
+	return true;
+}
+
+void reports_passed(struct reports *r, clock_ms_t now, uint64_t term, const struct announcement *a)
+{
+	struct heard *h = g_hash_table_lookup(r->by_id, a->id);
+
+	if (!h) {
+		h = g_new0(struct heard, 1);
+		h->id = g_strdup(a->id);
+		g_hash_table_insert(r->by_id, h->id, h);
+	}
+	h->born_wall_ms = a->born_wall_ms;
+	h->digest = digest_of(a);
+	h->passed_term = term;
+	h->sequence = a->sequence;
+	h->heard_at = now;
+	h->due = false;
+}
+
+static void forget(struct reports *r, clock_ms_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (now < r->forget_at)
+		return;
+	r->forget_at = now + FORGET_PERIOD_MS;
+	g_hash_table_iter_init(&iter, r->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (now - ((struct heard *)value)->heard_at > FORGET_MS)
+			g_hash_table_iter_remove(&iter);
+}
+
+GArray *reports_take(struct reports *r, clock_ms_t now)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct sighting));
+	GHashTableIter iter;
+	gpointer value;
+
+	forget(r, now);
+	g_hash_table_iter_init(&iter, r->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct heard *h = value;
+		struct sighting s = {
+			.id = h->id,
+			.born_wall_ms = h->born_wall_ms,
+			.sequence = h->sequence,
+			.clock_ms = h->clock_ms,
+			.cold_ms = h->cold_ms,
+			.age_ms = (uint32_t)(now - h->heard_at),
+		};
+
+		if (!h->due)
+			continue;
+		h->due = false;
+		g_array_append_val(out, s);
+	}
+	return out;
+}
+
+void reports_taken(struct reports *r, clock_ms_t now, uint64_t term, char *const *unknown,
+		   unsigned int n)
+{
+	r->term = term;
+	r->contact_at = now;
+	for (unsigned int i = 0; i < n; i++) {
+		struct heard *h = g_hash_table_lookup(r->by_id, unknown[i]);
+
+		if (h)
+			h->passed_term = 0;
+	}
+}
--- a/src/sesamewood/rpc/sesamewood.x
+++ b/src/sesamewood/rpc/sesamewood.x
@@ -699,6 +699,27 @@
 	sw_order_result results<4096>;
 };
 
+/* Endpoints that a replica has heard, for the leader. */
+
+struct sw_sighting {
+	string id<256>;
+	hyper born_wall_ms;
+	unsigned hyper sequence;
+	hyper clock_ms;
+	unsigned int cold_ms;
+	unsigned int age_ms;
+};
+
+struct sw_sighting_args {
+	unsigned hyper term;
+	sw_sighting sightings<SW_LIST_MAX>;
+};
+
+struct sw_sighting_reply {
+	sw_status status;
+	sw_name unknown<SW_LIST_MAX>; /* a whole report is wanted of these */
+};
+
 program SESAMEWOOD_PROGRAM {
 	version SESAMEWOOD_V1 {
 		void SW_PROC_NULL(void) = 0;
@@ -713,5 +734,6 @@
 		sw_relay_reply SW_PROC_RELAY(sw_relay_args) = 9;
 		void SW_PROC_ORDERS(sw_order_batch) = 10;
 		void SW_PROC_RESULTS(sw_result_batch) = 11;
+		sw_sighting_reply SW_PROC_SIGHTINGS(sw_sighting_args) = 12;
 	} = 1;
 } = 0x20005e5a;
--- a/src/sesamewood/runs/lives.c
+++ b/src/sesamewood/runs/lives.c
@@ -110,6 +110,34 @@
 	}
 }
 
+/// A report after an order to the machine proves that its endpoint has not ended.
+static void prove_alive(struct endpoint *e, clock_ms_t reported_at)
+{
+	if (!e->proves_from || reported_at <= e->proves_from)
+		return;
+	e->ending = false;
+	e->cordoned = false;
+	e->proves_from = 0;
+}
+
+bool lives_sighted(struct manager *m, clock_ms_t now, const struct sighting *s)
+{
+	struct endpoint *e = lives_find(m, s->id);
+	clock_ms_t at = now - s->age_ms;
+
+	if (!e || !e->announced || e->born_wall_ms != s->born_wall_ms)
+		return e && e->born_wall_ms > s->born_wall_ms;
+	if (e->gone || s->sequence <= e->sequence)
+		return true;
+	e->sequence = s->sequence;
+	e->heard_at = MAX(e->heard_at, at);
+	e->cold_until = at + s->cold_ms;
+	if (s->clock_ms >= 0)
+		endpoint_note_clock(e, s->clock_ms, at);
+	prove_alive(e, at);
+	return true;
+}
+
 void lives_announced(struct manager *m, clock_ms_t now, const struct announcement *a)
 {
 	struct endpoint *e = lives_find(m, a->id);
@@ -130,11 +158,7 @@
 	if (e->draining != a->draining && a->draining)
 		log_info("endpoint drains", "ENDPOINT", e->id);
 	endpoint_update(e, a, now);
-	if (e->proves_from && now > e->proves_from) {
-		e->ending = false;
-		e->cordoned = false;
-		e->proves_from = 0;
-	}
+	prove_alive(e, now);
 	if (!is_new)
 		return;
 	/* Its orders from earlier leaders may still be on their way. */
--- a/src/sesamewood/runs/lives.h
+++ b/src/sesamewood/runs/lives.h
@@ -18,6 +18,11 @@
 /// Handles an endpoint's report.
 void lives_announced(struct manager *m, clock_ms_t now, const struct announcement *a);
 
+/// Handles that an endpoint has reported at another replica what this leader knows.
+///
+/// @return false: it does not know, and wants the whole report
+bool lives_sighted(struct manager *m, clock_ms_t now, const struct sighting *s);
+
 /// Handles an endpoint's last word.
 void lives_left(struct manager *m, clock_ms_t now, const struct announcement *a);
 
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -445,12 +445,12 @@
 	}
 }
 
-void waves_announced(struct manager *m, clock_ms_t now, const struct announcement *a)
+void waves_announced(struct manager *m, clock_ms_t now, const char *machine, int64_t born_wall_ms)
 {
-	struct upkeep *u = g_hash_table_lookup(m->upkeeps, a->machine);
+	struct upkeep *u = g_hash_table_lookup(m->upkeeps, machine);
 
 	/* A life that reports sooner is one from before the upkeep. */
-	if (u && u->begun && a->born_wall_ms > u->born_wall_ms &&
+	if (u && u->begun && born_wall_ms > u->born_wall_ms &&
 	    now - u->sent_at >= (clock_ms_t)m->settings.upkeep_ms)
 		u->back = true;
 }
--- a/tests/unit/unit_scale.c
+++ b/tests/unit/unit_scale.c
@@ -2,6 +2,7 @@
 /// The job manager's work must grow with what is there now, and about in proportion to it: the load
 /// of more than a thousand endpoints whose machines move several times a minute.
 
+#include "manager/reports.h"
 #include "manager_fixture.h"
 #include "sched/schedule.h"
 
@@ -191,6 +192,93 @@
 	g_assert_cmpint(many, <=, few * TIMES * SLACK);
 }
 
+/* Reports heard elsewhere. */
+
+static struct announcement report_of(const char *id, int64_t born, uint64_t sequence)
+{
+	return (struct announcement){
+		.id = (char *)id,
+		.born_wall_ms = born,
+		.address = (char *)"10.0.0.1:80",
+		.pool = (char *)"p",
+		.zone = (char *)"z",
+		.machine = (char *)"m",
+		.labels = g_ptr_array_new(),
+		.cpu_milli = 1000,
+		.sequence = sequence,
+		.clock_ms = 5,
+	};
+}
+
+#define TERM 3
+
+/// Only what the leader knows is acknowledged by another replica, and only while they are in touch.
+static void test_news_is_passed_on(void)
+{
+	struct reports *r = reports_new();
+	struct announcement a = report_of("i", 1, 1);
+	clock_ms_t now = FIXTURE_START_MS;
+	g_autoptr(GArray) list = NULL;
+	char *unknown[] = {a.id};
+
+	reports_taken(r, now, TERM, NULL, 0);
+	g_assert_false(reports_hear(r, now, TERM, &a));
+	reports_passed(r, now, TERM, &a);
+	a.sequence = 2;
+	g_assert_true(reports_hear(r, now, TERM, &a));
+	list = reports_take(r, now + 30);
+	g_assert_cmpuint(list->len, ==, 1);
+	g_assert_cmpuint(g_array_index(list, struct sighting, 0).sequence, ==, 2);
+	g_assert_cmpuint(g_array_index(list, struct sighting, 0).age_ms, ==, 30);
+	g_clear_pointer(&list, g_array_unref);
+	list = reports_take(r, now + 30);
+	g_assert_cmpuint(list->len, ==, 0);
+	/* It drains. */
+	a.draining = true;
+	g_assert_false(reports_hear(r, now, TERM, &a));
+	a.draining = false;
+	/* It is a later life. */
+	a.born_wall_ms = 2;
+	g_assert_false(reports_hear(r, now, TERM, &a));
+	a.born_wall_ms = 1;
+	/* Another leader; no touch; the leader asks. */
+	g_assert_false(reports_hear(r, now, TERM + 1, &a));
+	g_assert_false(reports_hear(r, now + 2000, TERM, &a));
+	reports_taken(r, now, TERM, unknown, 1);
+	g_assert_false(reports_hear(r, now, TERM, &a));
+	reports_free(r);
+	g_ptr_array_unref(a.labels);
+}
+
+/// An endpoint that reports elsewhere stays in use; the leader asks for a report of one it does not
+/// know, and a sighting of an earlier life says nothing of the later one.
+static void test_sightings_keep_endpoints_in_use(void)
+{
+	clock_ms_t now = FIXTURE_START_MS;
+	struct manager *m = fixture_manager(now);
+	struct sighting s = {
+		.id = (char *)"i-1", .born_wall_ms = 1, .clock_ms = now, .sequence = 2};
+
+	fixture_put_config(m, now);
+	g_assert_false(manager_sighted(m, now, &s));
+	fixture_announce(m, now, "i-1", "m-1", 1);
+	for (int i = 0; i < 10; i++) {
+		now += 1500;
+		s.sequence++;
+		s.clock_ms = now;
+		g_assert_true(manager_sighted(m, now, &s));
+	}
+	fixture_submit(m, now, "j1", 1);
+	g_assert_cmpuint(schedule_round(m, now, now), ==, 1);
+	fixture_announce(m, now, "i-1", "m-1", 2);
+	now += 6000;
+	s.sequence++;
+	g_assert_true(manager_sighted(m, now, &s));
+	fixture_submit(m, now, "j2", 1);
+	g_assert_cmpuint(schedule_round(m, now, now), ==, 0);
+	manager_free(m);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -201,5 +289,8 @@
 			test_size_without_room_is_tried_once);
 	g_test_add_func("/scale/cost_of_moves_is_in_proportion",
 			test_cost_of_moves_is_in_proportion);
+	g_test_add_func("/scale/news_is_passed_on", test_news_is_passed_on);
+	g_test_add_func("/scale/sightings_keep_endpoints_in_use",
+			test_sightings_keep_endpoints_in_use);
 	return g_test_run();
 }
