fix(runs): a leader that is behind gives no endpoint up, and sends no order that has waited too long

Orders were sent up to 5 s after they were decided. Change: silence proves nothing while the replica has a commit or a pass of its loop older than 250 ms, nor for 2.5 s after; an order that waited past its time for its commit is not sent, and is known not to be.

--- a/src/sesamewood/manager/control_shell.c
+++ b/src/sesamewood/manager/control_shell.c
@@ -79,6 +79,7 @@
 	clock_ms_t stopping_at; ///< 0: not stopping
 	struct metric *proposals;
 	struct metric *commit_ms;
+	clock_ms_t last_pass_at; ///< end of the last pass of the loop
 	clock_ms_t said_slow_commit;
 	clock_ms_t said_slow_loop;
 	clock_ms_t say_load_at;
@@ -159,6 +160,11 @@
 {
 	uint32_t node = agent_of(sh, order);
 
+	if (order_is_stale(order, clock_monotonic())) {
+		give_result(sh, sh->manager_term, order_result_new(order->id, ORDER_NOT_SENT));
+		order_free(order);
+		return;
+	}
 	if (node == sh->node)
 		order_sender_send(sh->sender, order, sh->node, sh->manager_term);
 	else
@@ -371,6 +377,15 @@
 	send_batch(sh, effects);
 }
 
+/// @return age of the oldest commit that replies or orders wait for, or of the oldest input
+static clock_ms_t lag_ms(const struct shell *sh, clock_ms_t now)
+{
+	const struct held *h = g_queue_peek_head((GQueue *)&sh->held);
+	clock_ms_t pass_ms = sh->last_pass_at ? now - sh->last_pass_at : 0;
+
+	return MAX(h ? now - h->since : 0, pass_ms);
+}
+
 /// Runs until nothing is left to do without waiting.
 static void flush(struct shell *sh)
 {
@@ -378,6 +393,8 @@
 	clock_ms_t from = clock_monotonic();
 	enum work_kind before = work_enter(WORK_IO);
 
+	if (sh->manager)
+		manager_note_lag(sh->manager, from, lag_ms(sh, from));
 	while (any) {
 		work_enter(WORK_APPLY);
 		apply_committed(sh);
@@ -393,6 +410,7 @@
 		raft_flush(sh->raft, clock_monotonic());
 		any |= take_raft_effects(sh);
 	}
+	sh->last_pass_at = clock_monotonic();
 	work_enter(WORK_AGENTS);
 	agents_flush(sh->agents, sh->node);
 	work_leave(before);
--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -15,6 +15,7 @@
 #define ROUND_GAP_MS 8	 /* a commit takes as long; starts of one round share it */
 #define FORGET_PERIOD_MS 5000
 #define FORGET_BATCH_MAX 500
+#define LAG_MS 250	      /* some dozens of usual commits */
 #define FAILED_TASKS_MAX 4096 /* where tasks failed is only a hint; about 0.4 MB */
 
 static void pending_free(void *p)
@@ -46,6 +47,7 @@
 	m->jobs = copy_state(state);
 	m->term = term;
 	m->since = now;
+	m->lagged_at = now;
 	m->effects = g_ptr_array_new_with_free_func(effect_free);
 	m->endpoints = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, endpoint_free);
 	m->departed = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, endpoint_free);
@@ -176,6 +178,12 @@
 	emit_command(m, &c);
 }
 
+void manager_note_lag(struct manager *m, clock_ms_t now, clock_ms_t lag_ms)
+{
+	if (lag_ms > LAG_MS)
+		m->lagged_at = now;
+}
+
 void manager_tick(struct manager *m, clock_ms_t now, clock_ms_t wall)
 {
 	enum work_kind before = work_enter(WORK_RUNS);
--- a/src/sesamewood/manager/manager.h
+++ b/src/sesamewood/manager/manager.h
@@ -46,6 +46,10 @@
 void manager_result(struct manager *m, clock_ms_t now, clock_ms_t wall,
 		    const struct order_result *result);
 
+/// Notes how far the replica is behind: the age of the oldest input or commit that it has not dealt
+/// with. While it is, silence proves nothing: an answer may be waiting here.
+void manager_note_lag(struct manager *m, clock_ms_t now, clock_ms_t lag_ms);
+
 /// Advances timers and places waiting work. Call at least each MANAGER_TICK_MS, and after events.
 void manager_tick(struct manager *m, clock_ms_t now, clock_ms_t wall);
 
--- a/src/sesamewood/manager/manager_defs.c
+++ b/src/sesamewood/manager/manager_defs.c
@@ -125,6 +125,11 @@
 	g_free(e);
 }
 
+bool order_is_stale(const struct order *o, clock_ms_t now)
+{
+	return now > o->not_after;
+}
+
 bool order_had_no_effect(enum order_status status)
 {
 	switch (status) {
--- a/src/sesamewood/manager/manager_defs.h
+++ b/src/sesamewood/manager/manager_defs.h
@@ -230,6 +230,10 @@
 void call_clear(struct call *c);
 void announcement_clear(struct announcement *a);
 void order_free(struct order *o);
+
+/// Tells whether an order has waited for too long to be sent: what it permits may have lapsed.
+bool order_is_stale(const struct order *o, clock_ms_t now);
+
 struct order_result *order_result_new(uint64_t id, enum order_status status);
 void order_result_free(struct order_result *r);
 void effect_free(void *effect);
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -32,6 +32,7 @@
 	GHashTable *due_machines; ///< names of machines with upkeep before them
 	bool dirty;		  ///< something changed that may let work be placed
 	bool fenced_off;
+	clock_ms_t lagged_at; ///< when the replica was last known to be behind
 	clock_ms_t forget_at;
 	clock_ms_t waves_at;  ///< next look at the waves
 	GHashTable *machines; ///< struct machine by name; owned
--- a/src/sesamewood/manager/order_sender.c
+++ b/src/sesamewood/manager/order_sender.c
@@ -65,7 +65,7 @@
 	struct sent_order *o;
 	struct http_call call;
 
-	if (now > order->not_after || !s->wire->encode_order(s->wire->ctx, order, &request)) {
+	if (order_is_stale(order, now) || !s->wire->encode_order(s->wire->ctx, order, &request)) {
 		s->done(s->ctx, leader, term, order_result_new(order->id, ORDER_NOT_SENT));
 		order_free(order);
 		return;
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -19,6 +19,7 @@
 #define ORDER_SPAN_MS 1500 /* a start that could not be sent for so long is placed anew */
 #define RUNS_PERIOD_MS 10  /* under the gap between looks; each pass goes over all attempts */
 #define RETRY_MS 120
+#define CALM_MS 2500	  /* a look with its wait, and the next one */
 #define ATTEND_MS 100	  /* stops, stalls and paces that no event calls for are seen to so often */
 #define LEFT_DELAY_MS 300 /* from the last word to the end */
 #define STALL_MS 2500	  /* without progress while looks are answered */
@@ -458,9 +459,18 @@
 	return e->taken > e->acked && now >= e->look_at + LAST_ACK_DELAY_MS;
 }
 
+/// Tells whether this replica has dealt with all that came for long enough that an endpoint which
+/// answers would have been heard.
+static bool hears_well(const struct manager *m, clock_ms_t now)
+{
+	return now - m->lagged_at > CALM_MS;
+}
+
 /// Tells whether an endpoint is silent and whatever ran there has ended with its lease.
 static bool is_lost(const struct manager *m, const struct endpoint *e, clock_ms_t now)
 {
+	if (!hears_well(m, now))
+		return false;
 	if (!e->misses &&
 	    now - e->heard_at < SILENT_ANNOUNCEMENTS * (clock_ms_t)m->settings.announce_ms)
 		return false;
--- a/tests/model/fleet_model.cc
+++ b/tests/model/fleet_model.cc
@@ -12,6 +12,10 @@
 {
 namespace
 {
+constexpr clock_ms_t kReportWaitMs = 1000; ///< senders of reports wait so long
+constexpr clock_ms_t kAnswerMarginMs =
+	400;			      ///< the leader gives an order up so long after its timeout
+constexpr clock_ms_t kListedMs = 100; ///< a listed end counts as noted after so long
 constexpr clock_ms_t kAnnounceMs = 1500;
 constexpr clock_ms_t kLeaseMaxMs = 6000;
 constexpr clock_ms_t kDrainMs = 2000;
@@ -157,7 +161,7 @@
 
 void Fleet::commit()
 {
-	while (!log.empty() && log.front().first <= now) {
+	while (!log.empty() && log.front().first + commit_ms + lag_ms <= now) {
 		gsize len;
 		const void *data = g_bytes_get_data(log.front().second, &len);
 		sw_command c;
@@ -179,6 +183,9 @@
 
 	if (!manager)
 		return;
+	manager_note_lag(manager, now, lag_ms);
+	if (!held.empty())
+		manager_note_lag(manager, now, now - held.front().since);
 	manager_tick(manager, now, now);
 	effects = manager_take_effects(manager);
 	g_ptr_array_set_free_func(effects, nullptr);
@@ -186,12 +193,12 @@
 		auto *e = static_cast<struct effect *>(effects->pdata[i]);
 
 		if (e->type == EFFECT_PROPOSE) {
-			log.emplace_back(now + commit_ms, g_bytes_ref(e->u.command));
+			log.emplace_back(now, g_bytes_ref(e->u.command));
 			proposed++;
 			commands++;
 			effect_free(e);
 		} else {
-			held.push_back({proposed, e});
+			held.push_back({proposed, e, now});
 		}
 	}
 	g_ptr_array_unref(effects);
@@ -199,7 +206,11 @@
 		struct effect *e = held.front().effect;
 
 		held.pop_front();
-		if (e->type == EFFECT_ORDER) {
+		if (e->type == EFFECT_ORDER && order_is_stale(e->u.order, now)) {
+			auto r = result(*e->u.order, ORDER_NOT_SENT);
+
+			manager_result(manager, now, now, r.get());
+		} else if (e->type == EFFECT_ORDER) {
 			send(e->u.order);
 			e->u.order = nullptr;
 		} else {
@@ -351,7 +362,7 @@
 	struct call c = {};
 	struct announcement &a = c.report;
 
-	if (!e.up || e.cut || now < e.off_until || !manager)
+	if (!e.up || e.cut || now < e.off_until || !manager || lag_ms > kReportWaitMs)
 		return;
 	c.type = CALL_ANNOUNCE;
 	a.id = g_strdup(e.id.c_str());
@@ -430,6 +441,8 @@
 			throw Broken(std::string("runs twice: ") + o.task);
 	if (f.done_noted)
 		throw Broken(std::string("starts after its noted end: ") + o.task);
+	if (check_listed && f.listed_at && now - f.listed_at > kListedMs)
+		throw Broken(std::string("starts after its end was listed: ") + o.task);
 	f.last_start = now;
 	for (unsigned int i = 0; step && i < plan.steps[step - 1].count; i++)
 		if (!facts[plan.id + ".0." + std::to_string(step - 1) + "." + std::to_string(i)]
@@ -520,6 +533,8 @@
 		row.how = end.how;
 		row.checkpoint = g_strdup("");
 		g_array_append_val(r->ends, row);
+		if (end.how == RUN_DONE && !facts[end.task].listed_at)
+			facts[end.task].listed_at = now;
 	}
 	r->clock_ms = clock_of(e);
 	r->born_wall_ms = e.born;
@@ -713,8 +728,22 @@
 		flying.emplace(f.at, f);
 		return;
 	}
-	if (manager && f.term == term)
-		manager_result(manager, now, now, f.result.get());
+	unread.emplace_back(now, f);
+}
+
+/// The leader reads what came, as late as it is behind. By then it has given orders up.
+void Fleet::read_results()
+{
+	while (!unread.empty() && now - unread.front().first >= lag_ms) {
+		clock_ms_t waited = now - unread.front().first;
+		InFlight f = unread.front().second;
+
+		unread.pop_front();
+		if (waited > kAnswerMarginMs)
+			f.result = result(*f.order, ORDER_NO_ANSWER);
+		if (manager && f.term == term)
+			manager_result(manager, now, now, f.result.get());
+	}
 }
 
 void Fleet::answer_looks()
@@ -761,6 +790,7 @@
 			flying.erase(flying.begin());
 			execute(f);
 		}
+		read_results();
 		if (now % 500 == 0)
 			for (const auto &plan : std::map<std::string, JobPlan>(plans))
 				if (!acked.count(plan.first))
--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -119,6 +119,12 @@
 	std::set<std::string> acked, cancelled;
 	std::set<std::string> cancels; ///< sent, acknowledged or not
 	struct manager *manager = nullptr;
+	/// The leader is behind by so long: commits take longer, answers are read late, and reports
+	/// find other replicas, none of which reaches it.
+	clock_ms_t lag_ms = 0;
+	/// Also checks that no task starts again once a look has listed that it is done. Holds only
+	/// where answers reach a leader that stays.
+	bool check_listed = false;
 	clock_ms_t commit_ms = 8;
 	clock_ms_t answer_ms = 1;
 	std::function<void(const struct order *)> on_order; ///< benches look here
@@ -127,6 +133,7 @@
 	struct Held {
 		uint64_t index;
 		struct effect *effect;
+		clock_ms_t since;
 	};
 	struct InFlight {
 		clock_ms_t at;
@@ -144,8 +151,9 @@
 		Endpoint *endpoint;
 	};
 	struct TaskFacts {
-		bool done = false;	 ///< a run has ended so
-		bool done_noted = false; ///< and that was acknowledged
+		bool done = false;	  ///< a run has ended so
+		bool done_noted = false;  ///< and that was acknowledged
+		clock_ms_t listed_at = 0; ///< and a look listed it; 0: none has
 		clock_ms_t last_start = 0;
 		uint32_t failed_noted = 0;
 		bool ended_by_order = false; ///< lasting task: how its last run ended
@@ -172,10 +180,11 @@
 
 	std::mt19937_64 random;
 	struct jobs *committed;
-	std::deque<std::pair<clock_ms_t, GBytes *>> log; ///< proposed, with commit time
+	std::deque<std::pair<clock_ms_t, GBytes *>> log; ///< with the time when proposed
 	uint64_t proposed = 0, applied = 0;
 	std::deque<Held> held;
 	std::multimap<clock_ms_t, InFlight> flying;
+	std::deque<std::pair<clock_ms_t, InFlight>> unread; ///< results that wait at the leader
 	std::vector<WaitingLook> looks;
 	uint64_t term = 0;
 	uint64_t next_token = 0;
@@ -197,6 +206,7 @@
 	void send(struct order *order);
 	void fly(std::shared_ptr<struct order> order, clock_ms_t at, bool answers, bool late);
 	void execute(InFlight &f);
+	void read_results();
 	std::shared_ptr<struct order_result> perform(const struct order &o, bool late);
 	std::shared_ptr<struct order_result> start(Endpoint &e, const struct order &o, bool late);
 	std::shared_ptr<struct order_result> list(Endpoint &e, const struct order &o);
--- a/tests/property/property_jobs.cc
+++ b/tests/property/property_jobs.cc
@@ -174,6 +174,37 @@
 	}
 	RC_ASSERT(fleet.wave_is_complete());
 }
+
+/// The leader falls behind by seconds and recovers, and nothing else goes wrong: what a look has
+/// listed as done does not start again, and every job ends.
+void slow_leader_gives_nothing_up(uint32_t seed)
+{
+	constexpr unsigned int kJobs = 12;
+	model::Fleet fleet(seed, 2, 4);
+
+	fleet.check_listed = true;
+	try {
+		for (unsigned int i = 0; i < kJobs; i++) {
+			fleet.submit(plan_of(i, seed * 7919 + i * 8 * 13 + 1));
+			fleet.advance(1 + seed % 97);
+		}
+		fleet.lag_ms = 500 + seed % 5500;
+		fleet.advance(2000 + seed % 7000);
+		for (unsigned int i = kJobs; i < 2 * kJobs; i++)
+			fleet.submit(plan_of(i, seed * 104729 + i * 8 * 13 + 1));
+		fleet.advance(2000 + seed % 7000);
+		fleet.lag_ms = 0;
+		for (clock_ms_t t = 0; t < kHealMs && !fleet.settled(); t += 500) {
+			if (t > 20000)
+				for (unsigned int i = 0; i < 2 * kJobs; i++)
+					fleet.cancel("job" + std::to_string(i));
+			fleet.advance(500);
+		}
+	} catch (const model::Broken &broken) {
+		RC_FAIL(broken.what());
+	}
+	RC_ASSERT(fleet.settled());
+}
 } // namespace
 
 int main()
@@ -185,6 +216,9 @@
 		       [] { lost_endpoint_is_replaced(*rc::gen::inRange<uint32_t>(0, 1000)); });
 	property.check("wave_over_one_step_is_in_time",
 		       [] { wave_over_one_step_is_in_time(*rc::gen::inRange<uint32_t>(0, 1000)); });
+	property.check("slow_leader_gives_nothing_up", [] {
+		slow_leader_gives_nothing_up(*rc::gen::inRange<uint32_t>(0, 1000000));
+	});
 	property.check("late_order_to_an_unmet_life",
 		       [] { keeps_its_promises(*actions(120), true); });
 	std::printf("# reached: %lu actions, %lu jobs, %lu starts, %lu done, %lu leaders deposed, "
