feat(manager): a leader that is behind refuses callers, and serves its log first

A pass of the leader's loop took a second; each sent 512 records of the log, so that commits fell to 500 a second, replies waited 5 s, callers left and came again: 40,000 replies and orders waited. It never caught up. Change: records go to followers up to 1 MB a message; callers' connections are read after the replicas' and only in the first 25 ms of a pass; placement rounds take a fifth of the loop's time at most; while commits are over 500 ms behind, jobs that are not known are refused before they are decoded, with Retry-After by slots of 5 ms, first refused first back; an earlier try of a refused job that arrives within that second is refused, too. Known jobs, cancels, operators, reports and answers of endpoints are served. Test /scale/refused_callers_come_back_in_order.

--- a/src/sesamewood/control/raft.c
+++ b/src/sesamewood/control/raft.c
@@ -6,7 +6,8 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define BATCH_RECORDS_MAX 512
+#define BATCH_RECORDS_MAX 8000	      /* under SW_LIST_MAX */
+#define BATCH_BYTES_MAX (1024 * 1024) /* 10 ms of the slowest link between replicas */
 #define LEASE_PERCENT 90 ///< share of the least election timeout that a leader counts on
 #define RESEND_MS 1000
 #define LEARNER_LAG_MAX 64
@@ -167,10 +168,10 @@
 {
 	uint64_t last = raft_last_index(r);
 	uint64_t n = MIN(last + 1 - p->next, BATCH_RECORDS_MAX);
+	gsize bytes = 0;
 
 	m->records.records_val = calloc(n ? n : 1, sizeof(raft_record));
-	m->records.records_len = n;
-	for (uint64_t i = 0; i < n; i++) {
+	for (uint64_t i = 0; i < n && bytes < BATCH_BYTES_MAX; i++) {
 		const struct raft_log_record *from = raft_record_at(r, p->next + i);
 		raft_record *to = &m->records.records_val[i];
 		gsize len;
@@ -181,6 +182,8 @@
 		to->command.sw_blob_len = len;
 		to->command.sw_blob_val = malloc(len);
 		memcpy(to->command.sw_blob_val, data, len);
+		m->records.records_len++;
+		bytes += len;
 	}
 }
 
--- a/src/sesamewood/manager/control_shell.c
+++ b/src/sesamewood/manager/control_shell.c
@@ -11,9 +11,11 @@
 #include "manager/callers.h"
 #include "manager/hearing.h"
 #include "manager/order_sender.h"
+#include "manager/overload.h"
 #include "manager/relay.h"
 #include "rpc/rpc_client.h"
 #include "rpc/rpc_server.h"
+#include "rpc/rpc_stream.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -34,6 +36,10 @@
 #define AGENTS_FROM_ENDPOINTS 120
 #define AGENT_ALIVE_MS 350 /* three heartbeats and a half */
 #define TICK_S (MANAGER_TICK_MS / 1000.0)
+#define RETRY_READ_S 1 /* callers who ask for a state ask again anyway */
+#define PASS_MS 25     /* of a pass of the loop for callers, who can wait; the log can't */
+/// Placement rounds take at most this share of the loop's time; then they come less often.
+#define ROUNDS_SHARE_PERCENT 20
 #define SLOW_COMMIT_MS 300 /* ten times the usual */
 #define SLOW_LOOP_MS 150   /* callers notice, and a heartbeat is late */
 #define SLOW_PERIOD_MS 1000
@@ -78,7 +84,12 @@
 	ev_signal hangup;
 	clock_ms_t stopping_at; ///< 0: not stopping
 	struct metric *proposals;
+	struct metric *refusals;
 	struct metric *commit_ms;
+	struct overload *overload;
+	uint64_t rounds_us; ///< spent on placement rounds up to the last tick
+	clock_ms_t round_gap_ms;
+	clock_ms_t last_tick_at;
 	clock_ms_t last_pass_at; ///< end of the last pass of the loop
 	clock_ms_t said_slow_commit;
 	clock_ms_t said_slow_loop;
@@ -386,6 +397,33 @@
 	return MAX(h ? now - h->since : 0, pass_ms);
 }
 
+static void note_overload(struct shell *sh, clock_ms_t now)
+{
+	bool before = sh->overload->refuses;
+	clock_ms_t lag = lag_ms(sh, now);
+
+	if (overload_note(sh->overload, now, lag) == before)
+		return;
+	log_warning(before ? "callers are admitted again" : "callers are refused: too far behind",
+		    "LAG_MS", log_number((guint64)lag), "HELD", log_number(sh->held.length));
+}
+
+/// Spaces placement rounds by what they cost.
+static void pace_rounds(struct shell *sh, clock_ms_t now)
+{
+	uint64_t total_us = work_total_us(WORK_ROUNDS);
+	uint64_t share = (total_us - sh->rounds_us) / 10 / (uint64_t)MAX(now - sh->last_tick_at, 1);
+
+	if (share > ROUNDS_SHARE_PERCENT)
+		sh->round_gap_ms = MIN(sh->round_gap_ms * 2, MANAGER_ROUND_MOST_MS);
+	else if (share < ROUNDS_SHARE_PERCENT / 2)
+		sh->round_gap_ms = MAX(sh->round_gap_ms / 2, MANAGER_ROUND_GAP_MS);
+	sh->rounds_us = total_us;
+	sh->last_tick_at = now;
+	if (sh->manager)
+		manager_set_round_gap(sh->manager, sh->round_gap_ms);
+}
+
 /// Runs until nothing is left to do without waiting.
 static void flush(struct shell *sh)
 {
@@ -393,8 +431,10 @@
 	clock_ms_t from = clock_monotonic();
 	enum work_kind before = work_enter(WORK_IO);
 
-	if (sh->manager)
+	if (sh->manager) {
 		manager_note_lag(sh->manager, from, lag_ms(sh, from));
+		note_overload(sh, from);
+	}
 	while (any) {
 		work_enter(WORK_APPLY);
 		apply_committed(sh);
@@ -432,6 +472,7 @@
 	(void)w;
 	(void)revents;
 	work_enter(WORK_IO);
+	rpc_stream_begin_pass(clock_monotonic() + PASS_MS);
 }
 
 /// Tells what the last second was spent on.
@@ -460,6 +501,7 @@
 	(void)revents;
 	raft_tick(sh->raft, now);
 	agents_tick(sh->agents, now);
+	pace_rounds(sh, now);
 	hearing_tick(sh->hearing, now, raft_term(sh->raft), other_leader(sh));
 	if (sh->manager && now >= sh->say_load_at) {
 		sh->say_load_at = now + SLOW_PERIOD_MS;
@@ -544,6 +586,35 @@
 				  batch->leader, batch->term);
 }
 
+/// Refuses a caller while the leader is too far behind, before its call costs more. What it has
+/// accepted it says; cancels are few, and end work.
+///
+/// @return false: it is not refused
+static bool refuse_caller(struct shell *sh, const struct wire_call *call, struct rpc_request *req)
+{
+	const struct caller c = {.rpc = req};
+	clock_ms_t now = clock_monotonic();
+	bool submits = g_str_equal(call->method, "POST");
+	uint32_t after_s = RETRY_READ_S;
+	g_autofree char *host = g_strndup(call->host, strcspn(call->host, ":"));
+	const char *id;
+	bool known = manager_knows_job(sh->manager, host, call->target, &id);
+
+	if (submits && (known || !*id))
+		return false;
+	if (submits ? !sh->overload->refuses && !overload_was_refused(sh->overload, now, id)
+		    : !sh->overload->refuses || !g_str_equal(call->method, "GET"))
+		return false;
+	if (submits) {
+		after_s = overload_refuse(sh->overload, now, lag_ms(sh, now), id);
+		log_info("job refused: too far behind", "JOB", id, "RETRY_AFTER_S",
+			 log_number(after_s));
+	}
+	metrics_add(sh->refusals, 1);
+	caller_answer(&c, HTTP_UNAVAILABLE, after_s, NULL, 0);
+	return true;
+}
+
 static void serve_sightings(struct shell *sh, struct rpc_request *req, const sw_sighting_args *args)
 {
 	enum work_kind before = work_enter(WORK_REPORTS);
@@ -599,6 +670,11 @@
 		.body = args->body.sw_blob_val,
 		.len = args->body.sw_blob_len,
 	};
+	if (args->from_caller) {
+		rpc_request_yield(req);
+		if (refuse_caller(sh, &call, req))
+			return;
+	}
 	handle_here(sh, &call, req, NULL);
 }
 
@@ -740,6 +816,10 @@
 		.callers = callers_new(wire),
 		.proposals = metrics_get(METRIC_COUNTER, "sesamewood_proposals_total", "",
 					 "commands proposed to the log"),
+		.refusals = metrics_get(METRIC_COUNTER, "sesamewood_overload_refusals_total", "",
+					"callers refused because the leader was too far behind"),
+		.overload = overload_new(),
+		.round_gap_ms = MANAGER_ROUND_GAP_MS,
 		.commit_ms = metrics_get(METRIC_HISTOGRAM, "sesamewood_commit_ms", "",
 					 "time that replies and orders wait for a commit, ms"),
 	};
--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -12,7 +12,6 @@
 #include "sched/waves.h"
 
 #define ROUND_MAX_MS 200 /* a round is due at least so often: estimates and health change */
-#define ROUND_GAP_MS 8	 /* a commit takes as long; starts of one round share it */
 #define FORGET_PERIOD_MS 5000
 #define FORGET_BATCH_MAX 500
 #define LAG_MS 250	      /* some dozens of usual commits */
@@ -48,6 +47,7 @@
 	m->term = term;
 	m->since = now;
 	m->lagged_at = now;
+	m->round_gap_ms = MANAGER_ROUND_GAP_MS;
 	m->effects = g_ptr_array_new_with_free_func(effect_free);
 	m->endpoints = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, endpoint_free);
 	m->departed = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, endpoint_free);
@@ -184,6 +184,17 @@
 		m->lagged_at = now;
 }
 
+void manager_set_round_gap(struct manager *m, clock_ms_t gap_ms)
+{
+	m->round_gap_ms = gap_ms;
+}
+
+bool manager_knows_job(const struct manager *m, const char *host, const char *path, const char **id)
+{
+	*id = "";
+	return jobs_route(m->jobs, host, path, id) && jobs_find(m->jobs, *id);
+}
+
 void manager_tick(struct manager *m, clock_ms_t now, clock_ms_t wall)
 {
 	enum work_kind before = work_enter(WORK_RUNS);
@@ -200,7 +211,7 @@
 	work_enter(WORK_ROUNDS);
 	m->dirty = false;
 	m->round_at = now + ROUND_MAX_MS;
-	m->round_from = now + ROUND_GAP_MS;
+	m->round_from = now + m->round_gap_ms;
 	schedule_round(m, now, wall);
 	m->dirty = false;
 	work_leave(before);
--- a/src/sesamewood/manager/manager.h
+++ b/src/sesamewood/manager/manager.h
@@ -50,10 +50,20 @@
 /// with. While it is, silence proves nothing: an answer may be waiting here.
 void manager_note_lag(struct manager *m, clock_ms_t now, clock_ms_t lag_ms);
 
+/// Sets the least time between placement rounds.
+void manager_set_round_gap(struct manager *m, clock_ms_t gap_ms);
+
+/// @param[out] id of the job that a call of a caller is about, within @p path
+/// @return the job is known; false with an id of "": the call is about no job
+bool manager_knows_job(const struct manager *m, const char *host, const char *path,
+		       const char **id);
+
 /// Advances timers and places waiting work. Call at least each MANAGER_TICK_MS, and after events.
 void manager_tick(struct manager *m, clock_ms_t now, clock_ms_t wall);
 
-#define MANAGER_TICK_MS 20 ///< a fifth of the shortest bound that hangs on it (pace, 100 ms)
+#define MANAGER_ROUND_GAP_MS 8	  ///< a commit takes as long; starts of one round share it
+#define MANAGER_ROUND_MOST_MS 160 ///< below the time by which a round is due
+#define MANAGER_TICK_MS 20	  ///< a fifth of the shortest bound that hangs on it (pace, 100 ms)
 
 /// Takes the effects gathered since the last call, in order: array of struct effect.
 GPtrArray *manager_take_effects(struct manager *m);
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -15,17 +15,18 @@
 	clock_ms_t since;
 	GPtrArray *effects;
 	uint64_t next_order;
-	GHashTable *endpoints;	  ///< struct endpoint by id
-	GHashTable *departed;	  ///< those that are gone and run nothing, by id: kept a while
-				  ///< for reports and answers that come late, and never walked
-	GHashTable *runs;	  ///< struct run by task name; owned
-	GHashTable *orders;	  ///< struct pending by order id; owned
-	GHashTable *advice;	  ///< struct advice by step name; owned
-	GHashTable *ratios;	  ///< struct ratio by queue, step and image; owned
-	GPtrArray *active;	  ///< of struct job, not over or with attempts out
-	GHashTable *rooms;	  ///< struct pool_room by pool, see sched/rooms.h; owned
-	clock_ms_t rooms_at;	  ///< they are made anew then
-	GPtrArray *touched;	  ///< endpoints whose room has changed since the last round
+	GHashTable *endpoints; ///< struct endpoint by id
+	GHashTable *departed;  ///< those that are gone and run nothing, by id: kept a while
+			       ///< for reports and answers that come late, and never walked
+	GHashTable *runs;      ///< struct run by task name; owned
+	GHashTable *orders;    ///< struct pending by order id; owned
+	GHashTable *advice;    ///< struct advice by step name; owned
+	GHashTable *ratios;    ///< struct ratio by queue, step and image; owned
+	GPtrArray *active;     ///< of struct job, not over or with attempts out
+	GHashTable *rooms;     ///< struct pool_room by pool, see sched/rooms.h; owned
+	clock_ms_t rooms_at;   ///< they are made anew then
+	GPtrArray *touched;    ///< endpoints whose room has changed since the last round
+	clock_ms_t round_gap_ms;
 	clock_ms_t round_from;	  ///< no placement round before then
 	clock_ms_t round_at;	  ///< a placement round is due then at the latest
 	clock_ms_t runs_at;	  ///< next pass over the endpoints
--- /dev/null
+++ b/src/sesamewood/manager/overload.c
@@ -0,0 +1,58 @@
+#include "manager/overload.h"
+
+#define REFUSE_MS 500 /* half of what an entry waits for the leader */
+#define ADMIT_MS 150  /* a few commits */
+#define SLOT_MS 5     /* a leader that has caught up takes 200 jobs a second besides its work */
+#define RETRY_LEAST_S 1
+#define RETRY_MOST_S 6 /* callers try four times */
+#define MS_PER_S 1000
+#define SWEEP_MS 1000
+
+struct overload *overload_new(void)
+{
+	struct overload *o = g_new0(struct overload, 1);
+
+	o->refused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return o;
+}
+
+void overload_free(struct overload *o)
+{
+	g_hash_table_unref(o->refused);
+	g_free(o);
+}
+
+static gboolean is_past(gpointer key, gpointer until, gpointer now)
+{
+	(void)key;
+	return *(clock_ms_t *)until <= *(clock_ms_t *)now;
+}
+
+bool overload_note(struct overload *o, clock_ms_t now, clock_ms_t lag_ms)
+{
+	o->refuses = lag_ms > (o->refuses ? ADMIT_MS : REFUSE_MS);
+	if (now >= o->sweep_at) {
+		o->sweep_at = now + SWEEP_MS;
+		g_hash_table_foreach_remove(o->refused, is_past, &now);
+	}
+	return o->refuses;
+}
+
+uint32_t overload_refuse(struct overload *o, clock_ms_t now, clock_ms_t lag_ms, const char *job)
+{
+	clock_ms_t *until = g_new(clock_ms_t, 1);
+	clock_ms_t after_ms;
+
+	o->next_slot = MAX(o->next_slot, now + lag_ms) + SLOT_MS;
+	after_ms = CLAMP(o->next_slot - now, RETRY_LEAST_S * MS_PER_S, RETRY_MOST_S * MS_PER_S);
+	*until = now + RETRY_LEAST_S * MS_PER_S;
+	g_hash_table_replace(o->refused, g_strdup(job), until);
+	return (uint32_t)((after_ms + MS_PER_S - 1) / MS_PER_S);
+}
+
+bool overload_was_refused(const struct overload *o, clock_ms_t now, const char *job)
+{
+	const clock_ms_t *until = g_hash_table_lookup(o->refused, job);
+
+	return until && now < *until;
+}
--- a/src/sesamewood/rpc/rpc_stream.c
+++ b/src/sesamewood/rpc/rpc_stream.c
@@ -27,6 +27,7 @@
 	guint64 flushed; ///< of them taken by the socket
 	const struct rpc_stream_ops *ops;
 	void *ctx;
+	bool yields;
 	unsigned int depth; ///< handlers on the stack
 	bool closed;
 };
@@ -39,6 +40,26 @@
 	GPtrArray *streams;
 } outgoing;
 
+static clock_ms_t pass_until = CLOCK_NEVER;
+
+void rpc_stream_begin_pass(clock_ms_t until)
+{
+	pass_until = until;
+}
+
+void rpc_stream_yield(struct rpc_stream *s)
+{
+	bool active = ev_is_active(&s->reader);
+
+	if (s->yields)
+		return;
+	s->yields = true;
+	ev_io_stop(s->loop, &s->reader);
+	ev_set_priority(&s->reader, -1);
+	if (active)
+		ev_io_start(s->loop, &s->reader);
+}
+
 static void destroy(struct rpc_stream *s)
 {
 	g_byte_array_unref(s->in);
@@ -125,6 +146,8 @@
 
 	(void)loop;
 	(void)revents;
+	if (s->yields && clock_monotonic() > pass_until)
+		return; /* the next pass finds it readable again */
 	s->depth++;
 	g_byte_array_set_size(s->in, old + READ_CHUNK_BYTES);
 	n = recv(s->fd, s->in->data + old, READ_CHUNK_BYTES, 0);
--- a/src/sesamewood/rpc/rpc_stream.h
+++ b/src/sesamewood/rpc/rpc_stream.h
@@ -4,6 +4,8 @@
 /// @file
 /// Record marking (RFC 5531, section 11) over a non-blocking TCP connection.
 
+#include "base/clock.h"
+
 #include <ev.h>
 #include <glib.h>
 #include <netinet/in.h>
@@ -26,6 +28,13 @@
 /// Queues one record.
 void rpc_stream_send(struct rpc_stream *s, const guint8 *data, gsize len);
 
+/// Lets other streams go first: it is read after them, and not at all in a pass of the loop that
+/// has taken its time.
+void rpc_stream_yield(struct rpc_stream *s);
+
+/// Tells until when streams that yield are read in this pass of the loop.
+void rpc_stream_begin_pass(clock_ms_t until);
+
 /// @return bytes of all records queued so far
 guint64 rpc_stream_queued(const struct rpc_stream *s);
 
--- a/tests/unit/unit_scale.c
+++ b/tests/unit/unit_scale.c
@@ -2,6 +2,7 @@
 /// The job manager's work must grow with what is there now, and about in proportion to it: the load
 /// of more than a thousand endpoints whose machines move several times a minute.
 
+#include "manager/overload.h"
 #include "manager/reports.h"
 #include "manager_fixture.h"
 #include "sched/schedule.h"
@@ -279,6 +280,35 @@
 	manager_free(m);
 }
 
+/* Overload. */
+
+/// Those refused first come back first, no more of them at once than can be served, and none that
+/// was told "not run" runs by an earlier try that arrives late.
+static void test_refused_callers_come_back_in_order(void)
+{
+	struct overload *o = overload_new();
+	clock_ms_t now = FIXTURE_START_MS;
+	uint32_t last = 0;
+
+	g_assert_false(overload_note(o, now, 400));
+	g_assert_true(overload_note(o, now, 600));
+	g_assert_true(overload_note(o, now, 400)); /* until it has caught up */
+	for (int i = 0; i < 800; i++) {
+		g_autofree char *id = g_strdup_printf("j%d", i);
+		uint32_t after_s = overload_refuse(o, now, 600, id);
+
+		g_assert_cmpuint(after_s, >=, MAX(last, 1));
+		g_assert_cmpuint(after_s, <=, 6);
+		last = after_s;
+	}
+	g_assert_cmpuint(last, >=, 4); /* 800 jobs at 200 a second */
+	g_assert_true(overload_was_refused(o, now + 500, "j0"));
+	g_assert_false(overload_was_refused(o, now + 1000, "j0")); /* its caller is back */
+	g_assert_false(overload_note(o, now + 2000, 100));
+	g_assert_false(overload_was_refused(o, now + 2000, "j799"));
+	overload_free(o);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -292,5 +322,7 @@
 	g_test_add_func("/scale/news_is_passed_on", test_news_is_passed_on);
 	g_test_add_func("/scale/sightings_keep_endpoints_in_use",
 			test_sightings_keep_endpoints_in_use);
+	g_test_add_func("/scale/refused_callers_come_back_in_order",
+			test_refused_callers_come_back_in_order);
 	return g_test_run();
 }
