feat(sched): room is kept for a lasting task that fits nowhere

Change: where a lasting task fits nowhere, the machine where it will fit soonest is kept from other work for the round, at most a sixteenth of a pool. Test /scale/room_is_kept_for_a_lasting_task: fails without it (3 small tasks are placed). What binds: a machine has five lasting tasks of different steps, and must find a moment when none of these has too many away.

--- a/src/sesamewood/sched/place.c
+++ b/src/sesamewood/sched/place.c
@@ -15,14 +15,17 @@
 	return n;
 }
 
-static bool fits(const struct place_candidate *c, const struct place_request *q)
+static bool has_room(const struct room *room, const job_step *step)
+{
+	return (step->fills || room->cpu_milli >= step->cpu_milli) &&
+	       room->mem_mb >= step->mem_mb && room->gpu >= step->gpu;
+}
+
+/// Tells whether an endpoint may take a task of a step, as far as room is not concerned.
+static bool is_allowed(const struct place_candidate *c, const struct place_request *q)
 {
 	const job_step *step = q->step;
 
-	if (!step->fills && c->room.cpu_milli < step->cpu_milli)
-		return false;
-	if (c->room.mem_mb < step->mem_mb || c->room.gpu < step->gpu)
-		return false;
 	if (*step->label && !endpoint_has_label(c->endpoint, step->label))
 		return false;
 	if (q->needs_ticket && !c->ticket)
@@ -36,6 +39,11 @@
 	       count_of_step(c->endpoint, q) + c->taken < step->max_per_endpoint;
 }
 
+static bool fits(const struct place_candidate *c, const struct place_request *q)
+{
+	return has_room(&c->room, q->step) && is_allowed(c, q);
+}
+
 /// Cost of a place; the least wins. Each term outweighs all that follow it.
 static int64_t cost(const struct place_candidate *c, const struct place_request *q)
 {
@@ -84,6 +92,51 @@
 	return best;
 }
 
+/// @return room of an endpoint once what ends by itself has ended
+static struct room room_later(const struct place_candidate *c)
+{
+	struct room room = c->room;
+
+	for (guint i = 0; i < c->endpoint->runs->len; i++) {
+		const struct run *r = c->endpoint->runs->pdata[i];
+
+		if (r->persistent)
+			continue;
+		room.cpu_milli += r->fills ? 0 : r->cpu_milli;
+		room.mem_mb += r->mem_mb;
+		room.gpu += r->gpu;
+	}
+	return room;
+}
+
+int place_reserve(const GArray *candidates, const struct place_request *request)
+{
+	int64_t best_lack = INT64_MAX;
+	int best = -1;
+
+	for (guint i = 0; i < candidates->len; i++) {
+		const struct place_candidate *c =
+			&g_array_index(candidates, struct place_candidate, i);
+		struct room later;
+		int64_t lack;
+
+		if (c->room.mem_mb < 0 || !is_allowed(c, request))
+			continue;
+		later = room_later(c);
+		if (!has_room(&later, request->step))
+			continue;
+		lack = MAX(request->step->mem_mb - c->room.mem_mb, 0) * 1000 /
+			       MAX(c->endpoint->mem_mb, 1) +
+		       MAX(request->step->cpu_milli - c->room.cpu_milli, 0) * 1000 /
+			       MAX(c->endpoint->cpu_milli, 1);
+		if (lack >= best_lack)
+			continue;
+		best_lack = lack;
+		best = (int)i;
+	}
+	return best;
+}
+
 void place_set_room(struct place_candidate *c, struct room room)
 {
 	uint32_t whole = c->endpoint->cpu_milli;
--- a/src/sesamewood/sched/place.h
+++ b/src/sesamewood/sched/place.h
@@ -37,6 +37,13 @@
 /// @return index of the best candidate, or -1 when the task fits nowhere now
 int place_choose(const GArray *candidates, const struct place_request *request);
 
+/// Finds a place for a lasting task that fits nowhere now: where it will fit once what ends by
+/// itself has ended, and soonest. Answers small tasks that take each piece of room as it becomes
+/// free, so that a large one would wait for as long as they come.
+///
+/// @return index of the candidate, or -1 when it will fit nowhere
+int place_reserve(const GArray *candidates, const struct place_request *request);
+
 /// Notes a candidate's free room.
 void place_set_room(struct place_candidate *c, struct room room);
 
--- a/src/sesamewood/sched/rooms.c
+++ b/src/sesamewood/sched/rooms.c
@@ -128,11 +128,23 @@
 	g_array_append_val(r->candidates, *c);
 }
 
+/// Offers a candidate no more.
+static void withhold(struct place_candidate *c)
+{
+	c->room = (struct room){-1, -1, -1};
+}
+
+void rooms_reserve(struct pool_room *r, struct place_candidate *c)
+{
+	r->reserved++;
+	withhold(c);
+}
+
 bool rooms_confirm(const struct manager *m, struct place_candidate *c, clock_ms_t now)
 {
 	if (is_offered(m, c->endpoint, now))
 		return true;
-	c->room = (struct room){-1, -1, -1};
+	withhold(c);
 	return false;
 }
 
@@ -215,6 +227,7 @@
 		struct pool_room *r = value;
 
 		r->n_lacks = 0;
+		r->reserved = 0;
 		rooms_note_most(r);
 	}
 }
--- a/src/sesamewood/sched/rooms.h
+++ b/src/sesamewood/sched/rooms.h
@@ -19,6 +19,7 @@
 	struct room most;		    ///< no candidate has more of any kind
 	struct room lacks[ROOMS_LACKS_MAX]; ///< sizes that no candidate had room for
 	unsigned int n_lacks;
+	unsigned int reserved; ///< candidates kept for lasting tasks in this round
 };
 
 /// Brings the rooms, struct pool_room by pool, up to date for a round: endpoints that were touched
@@ -35,6 +36,9 @@
 /// that nothing larger is tried again.
 void rooms_note_lack(struct pool_room *r, const job_step *step);
 
+/// Keeps a candidate from other work for this round.
+void rooms_reserve(struct pool_room *r, struct place_candidate *c);
+
 /// Tells whether a task of a step may find a place: false is certain.
 bool rooms_may_fit(const struct pool_room *r, const job_step *step);
 
--- a/src/sesamewood/sched/schedule.c
+++ b/src/sesamewood/sched/schedule.c
@@ -7,6 +7,8 @@
 
 #include <string.h>
 
+#define RESERVED_SHARE 16 /* at most a sixteenth of a pool is kept for lasting tasks that wait */
+
 /* Waiting order. */
 
 int schedule_compare(const struct waiting_key *a, const struct waiting_key *b)
@@ -83,6 +85,12 @@
 	return last->room;
 }
 
+/// Tells whether a step is tried in this round. A lasting one is, also without room, to keep some.
+static bool is_tried(const struct pool_room *room, const job_step *step)
+{
+	return rooms_may_fit(room, step) || (room && step->persistent && !step->gang);
+}
+
 /// @return whether a ready task may wait, or will without further notice
 static bool gather_job(const struct manager *m, struct job *job, clock_ms_t wall,
 		       struct room_of_queue *last, GArray *out)
@@ -100,7 +108,7 @@
 		if (spec->occurrences && wall < job_due_wall(job, k))
 			break;
 		for (w.step = 0; w.step < spec->steps.steps_len; w.step++) {
-			if (!rooms_may_fit(room, &spec->steps.steps_val[w.step])) {
+			if (!is_tried(room, &spec->steps.steps_val[w.step])) {
 				waits = true; /* perhaps: looked into once there is room */
 				continue;
 			}
@@ -266,6 +274,22 @@
 	       !w->advised;
 }
 
+/// Keeps an endpoint for a lasting task that found no place.
+static void reserve(struct manager *m, const struct waiting *w, const struct place_request *q)
+{
+	struct pool_room *r = w->room;
+	struct place_candidate *c;
+	int at = -1;
+
+	if ((r->reserved + 1) * RESERVED_SHARE <= r->candidates->len)
+		at = place_reserve(r->candidates, q);
+	if (at < 0)
+		return;
+	c = &g_array_index(r->candidates, struct place_candidate, at);
+	touch_endpoint(m, c->endpoint); /* only for this round */
+	rooms_reserve(r, c);
+}
+
 /// @return whether the step was offered to endpoints
 static bool place_step(struct manager *m, clock_ms_t now, clock_ms_t wall, const struct waiting *w)
 {
@@ -283,8 +307,11 @@
 	};
 	g_autofree char *name = NULL;
 
-	if (!rooms_may_fit(w->room, step))
+	if (!rooms_may_fit(w->room, step)) {
+		if (step->persistent && !step->gang && !w->advised)
+			reserve(m, w, &q);
 		return false;
+	}
 	if (w->advised) {
 		name = g_strdup_printf("%s.%u.%u", q.job, w->occurrence, w->step);
 		if (!advice_set_tickets(m, now, name, candidates))
@@ -296,6 +323,8 @@
 	rooms_note_most(w->room);
 	if (lacks_only_room(step, w))
 		rooms_note_lack(w->room, step);
+	if (step->persistent && !step->gang)
+		reserve(m, w, &q);
 	return true;
 }
 
--- a/tests/unit/manager_fixture.c
+++ b/tests/unit/manager_fixture.c
@@ -80,8 +80,8 @@
 	fixture_submit_sized(m, now, id, tasks, 1000, 10);
 }
 
-void fixture_submit_sized(struct manager *m, clock_ms_t now, const char *id, uint32_t tasks,
-			  uint32_t cpu_milli, uint32_t mem_mb)
+static void submit(struct manager *m, clock_ms_t now, const char *id, uint32_t tasks,
+		   uint32_t cpu_milli, uint32_t mem_mb, bool lasts)
 {
 	struct call c = {
 		.type = CALL_SUBMIT, .host = g_strdup("h"), .path = g_strconcat("/q/", id, NULL)};
@@ -90,6 +90,7 @@
 	*step = (job_step){.count = tasks,
 			   .cpu_milli = cpu_milli,
 			   .mem_mb = mem_mb,
+			   .persistent = lasts,
 			   .estimate_ms = 60000,
 			   .label = strdup(""),
 			   .data_rack = strdup(""),
@@ -100,3 +101,14 @@
 	manager_call(m, now, now, 4, &c);
 	call_clear(&c);
 }
+
+void fixture_submit_sized(struct manager *m, clock_ms_t now, const char *id, uint32_t tasks,
+			  uint32_t cpu_milli, uint32_t mem_mb)
+{
+	submit(m, now, id, tasks, cpu_milli, mem_mb, false);
+}
+
+void fixture_submit_lasting(struct manager *m, clock_ms_t now, const char *id, uint32_t cpu_milli)
+{
+	submit(m, now, id, 1, cpu_milli, 10, true);
+}
--- a/tests/unit/manager_fixture.h
+++ b/tests/unit/manager_fixture.h
@@ -34,4 +34,7 @@
 void fixture_submit_sized(struct manager *m, clock_ms_t now, const char *id, uint32_t tasks,
 			  uint32_t cpu_milli, uint32_t mem_mb);
 
+/// The same, with one task that lasts.
+void fixture_submit_lasting(struct manager *m, clock_ms_t now, const char *id, uint32_t cpu_milli);
+
 #endif
--- a/tests/unit/unit_scale.c
+++ b/tests/unit/unit_scale.c
@@ -109,6 +109,46 @@
 	manager_free(m);
 }
 
+#define POOL_MACHINES 16
+#define CORES (FIXTURE_CPU_MILLI / 1000)
+
+/// @return starts ordered since the last call
+static unsigned int take_starts(struct manager *m)
+{
+	g_autoptr(GPtrArray) effects = manager_take_effects(m);
+	unsigned int n = 0;
+
+	for (guint i = 0; i < effects->len; i++) {
+		const struct effect *e = effects->pdata[i];
+
+		n += e->type == EFFECT_ORDER && e->u.order->type == ORDER_START;
+	}
+	return n;
+}
+
+/// A pool is full but for three cores of one machine, and a lasting task of four cores waits: small
+/// tasks that come all the time must not take each core that becomes free.
+static void test_room_is_kept_for_a_lasting_task(void)
+{
+	clock_ms_t now = FIXTURE_START_MS;
+	struct manager *m = fixture_manager(now);
+
+	fixture_put_config(m, now);
+	announce_many(m, now, 0, POOL_MACHINES);
+	fixture_submit(m, now, "full", POOL_MACHINES * CORES - 3);
+	schedule_round(m, now, now);
+	g_assert_cmpuint(take_starts(m), ==, POOL_MACHINES * CORES - 3);
+	fixture_submit_lasting(m, now, "lasts", 4000);
+	fixture_submit(m, now, "small", 10);
+	schedule_round(m, now, now);
+	g_assert_cmpuint(take_starts(m), ==, 0);
+	/* It finds its place as soon as there is one. */
+	fixture_announce(m, now, "i-new", "m-new", 1000);
+	schedule_round(m, now, now);
+	g_assert_cmpuint(take_starts(m), ==, 1 + (CORES - 4) + 3);
+	manager_free(m);
+}
+
 /* Moves. */
 
 static void list_standby(struct manager *m, clock_ms_t now, unsigned int machines)
@@ -317,6 +357,8 @@
 	g_test_add_func("/scale/departed_endpoint_stays_gone", test_departed_endpoint_stays_gone);
 	g_test_add_func("/scale/size_without_room_is_tried_once",
 			test_size_without_room_is_tried_once);
+	g_test_add_func("/scale/room_is_kept_for_a_lasting_task",
+			test_room_is_kept_for_a_lasting_task);
 	g_test_add_func("/scale/cost_of_moves_is_in_proportion",
 			test_cost_of_moves_is_in_proportion);
 	g_test_add_func("/scale/news_is_passed_on", test_news_is_passed_on);
