perf(manager): results are passed on together; looks and pools without tables of their own

Change: an agent sends results at most each 6 ms; an attempt notes the look that listed it; a machine notes its endpoint and pool for a look.

--- a/src/sesamewood/manager/agents.c
+++ b/src/sesamewood/manager/agents.c
@@ -9,6 +9,7 @@
 #define ANSWER_MARGIN_MS 400 /* from an order's own timeout to giving up on its agent */
 #define CALL_TIMEOUT_MS 600
 #define BATCH_MAX 1024
+#define RESULTS_GAP_MS 6 /* under a commit; at most a tick of the loop */
 
 /// An order that an agent has.
 struct remote {
@@ -19,8 +20,9 @@
 
 struct batch {
 	uint64_t term;
-	GArray *orders;	 ///< of sw_order, owned
-	GArray *results; ///< of sw_order_result, owned
+	GArray *orders;	       ///< of sw_order, owned
+	GArray *results;       ///< of sw_order_result, owned
+	clock_ms_t results_at; ///< when results were sent last
 };
 
 struct agents {
@@ -183,7 +185,7 @@
 	g_array_append_val(b->results, r);
 }
 
-static void flush_batch(struct agents *a, uint32_t node, struct batch *b, uint32_t own)
+static void flush_orders(struct agents *a, uint32_t node, struct batch *b, uint32_t own)
 {
 	for (guint at = 0; at < b->orders->len; at += BATCH_MAX) {
 		sw_order_batch out = {.leader = own, .term = b->term};
@@ -193,6 +195,16 @@
 		rpc_client_call(a->client(a->ctx, node), SW_PROC_ORDERS, &out, CALL_TIMEOUT_MS,
 				NULL, NULL);
 	}
+	g_array_set_size(b->orders, 0);
+}
+
+/// Results that come right after others wait a little for more: each message has a cost of its own
+/// at the leader, which gets them from all agents.
+static void flush_results(struct agents *a, uint32_t node, struct batch *b, clock_ms_t now)
+{
+	if (!b->results->len || now - b->results_at < RESULTS_GAP_MS)
+		return;
+	b->results_at = now;
 	for (guint at = 0; at < b->results->len; at += BATCH_MAX) {
 		sw_result_batch out = {.term = b->term};
 
@@ -201,19 +213,20 @@
 		rpc_client_call(a->client(a->ctx, node), SW_PROC_RESULTS, &out, CALL_TIMEOUT_MS,
 				NULL, NULL);
 	}
-	g_array_set_size(b->orders, 0);
 	g_array_set_size(b->results, 0);
 }
 
-void agents_flush(struct agents *a, uint32_t own)
+void agents_flush(struct agents *a, uint32_t own, clock_ms_t now)
 {
 	GHashTableIter iter;
 	gpointer key;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, a->batches);
-	while (g_hash_table_iter_next(&iter, &key, &value))
-		flush_batch(a, GPOINTER_TO_UINT(key), value, own);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		flush_orders(a, GPOINTER_TO_UINT(key), value, own);
+		flush_results(a, GPOINTER_TO_UINT(key), value, now);
+	}
 }
 
 void agents_tick(struct agents *a, clock_ms_t now)
--- a/src/sesamewood/manager/agents.h
+++ b/src/sesamewood/manager/agents.h
@@ -27,7 +27,7 @@
 		   const struct order_result *result);
 
 /// Sends what was queued. Call once an iteration of the loop.
-void agents_flush(struct agents *a, uint32_t own);
+void agents_flush(struct agents *a, uint32_t own, clock_ms_t now);
 
 /// Gives up on orders whose agents have not answered.
 void agents_tick(struct agents *a, clock_ms_t now);
--- a/src/sesamewood/manager/control_shell.c
+++ b/src/sesamewood/manager/control_shell.c
@@ -452,7 +452,7 @@
 	}
 	sh->last_pass_at = clock_monotonic();
 	work_enter(WORK_AGENTS);
-	agents_flush(sh->agents, sh->node);
+	agents_flush(sh->agents, sh->node, sh->last_pass_at);
 	work_leave(before);
 	note_slow(&sh->said_slow_loop, "one pass of the loop was slow", from, SLOW_LOOP_MS);
 }
--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -41,6 +41,7 @@
 	uint32_t percent;
 	char *checkpoint;
 	int64_t usage;
+	uint64_t listed_by; ///< the last look that listed it
 	clock_ms_t started_at;
 	clock_ms_t progress_at; ///< when percent last rose
 	clock_ms_t at_work_at;	///< lasting task: since when percent is 100; 0: it is not
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -332,8 +332,6 @@
 static void finish_look(struct manager *m, clock_ms_t now, struct endpoint *e,
 			const struct pending *p, const struct order_result *result)
 {
-	g_autoptr(GHashTable) listed = g_hash_table_new(NULL, NULL);
-
 	e->look_at = now + LOOK_GAP_MS;
 	if (result->status != ORDER_OK)
 		return;
@@ -354,7 +352,7 @@
 
 		if (r && r->endpoint == e && r->attempt == row->attempt) {
 			note_row(r, now, row);
-			g_hash_table_add(listed, r);
+			r->listed_by = p->id;
 		} else {
 			send_stop(m, now, e, row->task, row->attempt);
 		}
@@ -362,7 +360,7 @@
 	for (guint i = e->runs->len; i > 0 && result->ends->len < ENDS_PAGE; i--) {
 		struct run *r = e->runs->pdata[i - 1];
 
-		if (g_hash_table_contains(listed, r))
+		if (r->listed_by == p->id)
 			continue;
 		if (is_proved_over(r, p->sent_at))
 			attempts_release(m, r, JOB_END_RELEASED, r->checkpoint);
--- a/src/sesamewood/sched/machines.h
+++ b/src/sesamewood/sched/machines.h
@@ -12,11 +12,14 @@
 	char *pool;
 	bool is_up;
 	bool in_flight;
-	char *ends;	       ///< id of the endpoint that the move ends, or NULL
-	char *target;	       ///< of the move in flight or without an answer
-	char *not_for;	       ///< a pool that does not take it
-	clock_ms_t next_at;    ///< no order before then
-	clock_ms_t arrives_by; ///< on its way to its pool until then
+	char *ends;		   ///< id of the endpoint that the move ends, or NULL
+	char *target;		   ///< of the move in flight or without an answer
+	char *not_for;		   ///< a pool that does not take it
+	clock_ms_t next_at;	   ///< no order before then
+	clock_ms_t arrives_by;	   ///< on its way to its pool until then
+	struct endpoint *endpoint; ///< that takes work there, in the look of @ref seen_at
+	clock_ms_t seen_at;
+	struct pool *in;       ///< its pool, in the present look
 	clock_ms_t idle_since; ///< 0: it has work, or no endpoint
 };
 
--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -70,10 +70,15 @@
 	       !e->cordoned && !e->ending;
 }
 
+/// @return the endpoint that takes work on a machine, or NULL
+static struct endpoint *endpoint_on(const struct machine *x, clock_ms_t now)
+{
+	return x->seen_at == now ? x->endpoint : NULL;
+}
+
 /// Brings the machines up to date with what their endpoints report.
-static GHashTable *machines_by_endpoint(struct manager *m, clock_ms_t now)
+static void note_endpoints(struct manager *m, clock_ms_t now)
 {
-	GHashTable *endpoints = g_hash_table_new(g_str_hash, g_str_equal);
 	GHashTableIter iter;
 	gpointer value;
 
@@ -92,9 +97,9 @@
 			x->idle_since = 0;
 		else if (!x->idle_since)
 			x->idle_since = now;
-		g_hash_table_replace(endpoints, x->name, e);
+		x->endpoint = e;
+		x->seen_at = now;
 	}
-	return endpoints;
 }
 
 /* Loads. */
@@ -104,7 +109,7 @@
 	return g_hash_table_lookup(pools, name);
 }
 
-static void add_supply(struct manager *m, GHashTable *pools, GHashTable *endpoints, clock_ms_t now)
+static void add_supply(struct manager *m, GHashTable *pools, clock_ms_t now)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -114,7 +119,8 @@
 		struct machine *x = value;
 		struct pool *p = pool_of(pools, x->pool);
 
-		if (p && (g_hash_table_contains(endpoints, x->name) || now < x->arrives_by ||
+		x->in = p;
+		if (p && (endpoint_on(x, now) || now < x->arrives_by ||
 			  (x->is_up && now - m->since < SETTLE_MS)))
 			p->load.have++;
 	}
@@ -147,8 +153,7 @@
 	}
 }
 
-static GHashTable *measure(struct manager *m, GHashTable *endpoints, clock_ms_t now,
-			   clock_ms_t wall)
+static GHashTable *measure(struct manager *m, clock_ms_t now, clock_ms_t wall)
 {
 	GHashTable *pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	g_autoptr(GHashTable) demand = demand_by_pool(m, wall);
@@ -164,7 +169,7 @@
 		p->load.arriving = rate ? (int64_t)*rate : 0;
 		g_hash_table_replace(pools, config->name, p);
 	}
-	add_supply(m, pools, endpoints, now);
+	add_supply(m, pools, now);
 	add_runs(m, pools);
 	g_hash_table_iter_init(&iter, pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -271,8 +276,7 @@
 }
 
 /// @return struct spare: switched-off machines first, then the longest idle
-static GArray *list_spares(struct manager *m, GHashTable *pools, GHashTable *endpoints,
-			   clock_ms_t now)
+static GArray *list_spares(struct manager *m, clock_ms_t now)
 {
 	GArray *spares = g_array_new(FALSE, FALSE, sizeof(struct spare));
 	GHashTableIter iter;
@@ -285,8 +289,8 @@
 
 		if (!x->is_up || x->in_flight || x->target)
 			continue;
-		s.endpoint = g_hash_table_lookup(endpoints, x->name);
-		s.from = pool_of(pools, x->pool);
+		s.endpoint = endpoint_on(x, now);
+		s.from = x->in;
 		if (!s.from || !is_free(x, s.endpoint, now) || machines_is_down(m, x->name, now) ||
 		    machine_is_guarded(m, x->name, now))
 			continue;
@@ -337,7 +341,7 @@
 }
 
 /// Switches off what has been idle for long.
-static void switch_off(struct manager *m, GHashTable *pools, GHashTable *endpoints, clock_ms_t now)
+static void switch_off(struct manager *m, GHashTable *pools, clock_ms_t now)
 {
 	const char *standby = standby_name(pools);
 	GHashTableIter iter;
@@ -346,8 +350,8 @@
 	g_hash_table_iter_init(&iter, m->machines);
 	while (standby && g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct machine *x = value;
-		struct endpoint *e = g_hash_table_lookup(endpoints, x->name);
-		struct pool *from = pool_of(pools, x->pool);
+		struct endpoint *e = endpoint_on(x, now);
+		struct pool *from = x->in;
 
 		if (!e || !from || from->config->standby || !x->idle_since ||
 		    now - x->idle_since < IDLE_MS || machine_is_guarded(m, x->name, now) ||
@@ -360,7 +364,7 @@
 }
 
 /// Sends moves again that had no answer: whether they were made is unknown until one is agreed.
-static void repeat_moves(struct manager *m, GHashTable *endpoints, clock_ms_t now)
+static void repeat_moves(struct manager *m, clock_ms_t now)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -370,7 +374,7 @@
 		struct machine *x = value;
 
 		if (x->target && !x->in_flight && now >= x->next_at)
-			send_move(m, now, x, x->target, g_hash_table_lookup(endpoints, x->name));
+			send_move(m, now, x, x->target, endpoint_on(x, now));
 	}
 }
 
@@ -391,7 +395,6 @@
 
 void pools_tick(struct manager *m, clock_ms_t now, clock_ms_t wall)
 {
-	g_autoptr(GHashTable) endpoints = NULL;
 	g_autoptr(GHashTable) pools = NULL;
 	g_autoptr(GArray) spares = NULL;
 	GHashTableIter iter;
@@ -405,15 +408,15 @@
 		return;
 	if (!m->listing && now >= m->list_at)
 		list_machines(m, now, "");
-	endpoints = machines_by_endpoint(m, now);
-	pools = measure(m, endpoints, now, wall);
-	repeat_moves(m, endpoints, now);
-	spares = list_spares(m, pools, endpoints, now);
+	note_endpoints(m, now);
+	pools = measure(m, now, wall);
+	repeat_moves(m, now);
+	spares = list_spares(m, now);
 	g_hash_table_iter_init(&iter, pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		if (!((struct pool *)value)->config->standby)
 			fill(m, spares, value, now);
-	switch_off(m, pools, endpoints, now);
+	switch_off(m, pools, now);
 }
 
 /* Results. */
