--- a/src/sesamewood/control/raft.c
+++ b/src/sesamewood/control/raft.c
@@ -6,8 +6,8 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define BATCH_RECORDS_MAX 8000	      /* under SW_LIST_MAX */
-#define BATCH_BYTES_MAX (1024 * 1024) /* 10 ms of the slowest link between replicas */
+#define BATCH_RECORDS_MAX 8000		     /* under SW_LIST_MAX */
+#define BATCH_BYTES_MAX ((gsize)1024 * 1024) /* 10 ms of the slowest link between replicas */
 #define LEASE_PERCENT 90 ///< share of the least election timeout that a leader counts on
 #define RESEND_MS 1000
 #define LEARNER_LAG_MAX 64
--- a/src/sesamewood/manager/overload.c
+++ b/src/sesamewood/manager/overload.c
@@ -3,8 +3,8 @@
 #define REFUSE_MS 500 /* half of what an entry waits for the leader */
 #define ADMIT_MS 150  /* a few commits */
 #define SLOT_MS 5     /* a leader that has caught up takes 200 jobs a second besides its work */
-#define RETRY_LEAST_S 1
-#define RETRY_MOST_S 6 /* callers try four times */
+#define RETRY_LEAST_MS 1000
+#define RETRY_MOST_MS 6000 /* callers try four times */
 #define MS_PER_S 1000
 #define SWEEP_MS 1000
 
@@ -44,8 +44,8 @@
 	clock_ms_t after_ms;
 
 	o->next_slot = MAX(o->next_slot, now + lag_ms) + SLOT_MS;
-	after_ms = CLAMP(o->next_slot - now, RETRY_LEAST_S * MS_PER_S, RETRY_MOST_S * MS_PER_S);
-	*until = now + RETRY_LEAST_S * MS_PER_S;
+	after_ms = CLAMP(o->next_slot - now, RETRY_LEAST_MS, RETRY_MOST_MS);
+	*until = now + RETRY_LEAST_MS;
 	g_hash_table_replace(o->refused, g_strdup(job), until);
 	return (uint32_t)((after_ms + MS_PER_S - 1) / MS_PER_S);
 }
--- a/src/sesamewood/sched/estimates.c
+++ b/src/sesamewood/sched/estimates.c
@@ -64,9 +64,9 @@
 {
 	const job_spec *spec = &job->image.spec;
 	u_int steps = spec->steps.steps_len;
-	struct chain on_stack[STEPS_ON_STACK];
+	struct chain on_stack[STEPS_ON_STACK] = {{0}};
 	g_autofree struct chain *on_heap =
-		steps > STEPS_ON_STACK ? g_new(struct chain, steps) : NULL;
+		steps > STEPS_ON_STACK ? g_new0(struct chain, steps) : NULL;
 	struct chain *end = on_heap ? on_heap : on_stack;
 	struct chain longest = {0};
 
@@ -74,7 +74,6 @@
 		const job_step *step = &spec->steps.steps_val[s];
 		int64_t own_ms = (int64_t)step->estimate_ms * estimates_ratio(m, job, s) / 100;
 
-		end[s] = (struct chain){0};
 		for (u_int i = 0; i < step->after.after_len; i++) {
 			const struct chain *before = &end[step->after.after_val[i]];
 
