--- a/src/sesamewood/base/log.c
+++ b/src/sesamewood/base/log.c
@@ -77,9 +77,9 @@
 
 void log_flush(void)
 {
-	g_autoptr(GMutexLocker) locker = g_mutex_locker_new(&lock);
-
+	g_mutex_lock(&lock);
 	flush_locked();
+	g_mutex_unlock(&lock);
 }
 
 void log_set_buffered(void)
@@ -120,11 +120,10 @@
 static GLogWriterOutput write_json_line(GLogLevelFlags level, const GLogField *fields, gsize count,
 					gpointer unused)
 {
-	g_autoptr(GMutexLocker) locker = g_mutex_locker_new(&lock);
-
 	(void)unused;
 	if ((level & G_LOG_LEVEL_MASK) > log_least)
 		return G_LOG_WRITER_HANDLED;
+	g_mutex_lock(&lock);
 	if (!pending)
 		pending = g_string_new(NULL);
 	g_string_append_printf(pending, "{\"time_ms\":%" PRId64, clock_wall());
@@ -138,6 +137,7 @@
 	if (!buffered || pending->len > BUFFER_BYTES ||
 	    (level & G_LOG_LEVEL_MASK) <= G_LOG_LEVEL_CRITICAL)
 		flush_locked();
+	g_mutex_unlock(&lock);
 	return G_LOG_WRITER_HANDLED;
 }
 
