fix(runs): a lasting attempt in doubt is not stopped blindly again

The start arrived, the task was at work, and the next stop ended it while another task of its step was away. Random cases reach it since attempts are seen to each 100 ms. Change: a stop is sent again to a lasting attempt in doubt only after a look that is newer than the last one; a look that lists it keeps it, unless a stop was agreed to or its job is over.

--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -26,8 +26,9 @@
 	enum run_state state;
 	bool stop_wanted;
 	bool stop_in_flight;
-	clock_ms_t stopped_at; ///< when the endpoint acknowledged the stop; 0: it has not
-	clock_ms_t stop_at;    ///< not before then is a stop sent (again)
+	clock_ms_t stopped_at;	 ///< when the endpoint acknowledged the stop; 0: it has not
+	clock_ms_t stop_sent_at; ///< 0: no stop has been sent
+	clock_ms_t stop_at;	 ///< not before then is a stop sent (again)
 	/* What it takes and is. */
 	uint32_t cpu_milli;
 	uint32_t mem_mb;
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -293,6 +293,12 @@
 {
 	if (r->state != RUN_CONFIRMED && r->state != RUN_IN_DOUBT)
 		r->progress_at = now;
+	/* A start that was held up has arrived after all. Unless its stop was agreed to, the task
+	 * stays: ending it could take too many of its step away. */
+	if (r->state == RUN_IN_DOUBT && r->stop_wanted && !r->stopped_at) {
+		r->stop_wanted = false;
+		r->started_at = now;
+	}
 	if (r->state != RUN_IN_DOUBT || !r->stop_wanted)
 		r->state = RUN_CONFIRMED;
 	if (row->percent != r->percent)
@@ -430,6 +436,14 @@
 	return r->endpoint->looked_at - r->progress_at > bound;
 }
 
+/// Tells whether a stop may be sent again to a lasting attempt in doubt: not before a look that is
+/// newer than the last one. Its start may have arrived meanwhile, and the task be at work.
+static bool may_stop_again(const struct run *r)
+{
+	return r->state != RUN_IN_DOUBT || !r->persistent || !r->stop_sent_at ||
+	       r->endpoint->looked_at > r->stop_sent_at || job_is_over(r->job);
+}
+
 static void tick_run(struct manager *m, clock_ms_t now, struct run *r)
 {
 	if (job_is_over(r->job))
@@ -440,8 +454,10 @@
 		r->stop_wanted = true;
 		health_note_failure(r->endpoint, now, r->name, false);
 	}
-	if (r->stop_wanted && !r->stopped_at && !r->stop_in_flight && now >= r->stop_at) {
+	if (r->stop_wanted && !r->stopped_at && !r->stop_in_flight && now >= r->stop_at &&
+	    may_stop_again(r)) {
 		r->stop_in_flight = true;
+		r->stop_sent_at = now;
 		send_stop(m, now, r->endpoint, r->name, r->attempt);
 	}
 	if (r->pace_wanted != r->pace && !r->pace_in_flight && r->state == RUN_CONFIRMED)
