--- /dev/null
+++ b/src/sesamewood/manager/control_loop.c
@@ -0,0 +1,284 @@
+#include "manager/control_shell_internal.h"
+
+#include "base/codec.h"
+#include "base/log.h"
+#include "rpc/rpc_client.h"
+#include "rpc/rpc_stream.h"
+
+#include <stdlib.h>
+
+#define SNAPSHOT_RECORDS 8000 /* about 2 MB of log */
+#define PASS_MS 25	      /* of a pass of the loop for callers, who can wait; the log can't */
+#define SLOW_COMMIT_MS 300    /* ten times the usual */
+#define SLOW_LOOP_MS 150      /* callers notice, and a heartbeat is late */
+#define STOP_LEAST_MS 1200    /* callers have found the next leader by then */
+#define STOP_MARGIN_MS 800
+
+/* Leadership. */
+
+bool shell_leads(const struct shell *sh)
+{
+	return sh->manager && sh->manager_term == raft_term(sh->raft) &&
+	       raft_leads(sh->raft, clock_monotonic());
+}
+
+uint32_t shell_other_leader(const struct shell *sh)
+{
+	return raft_leader(sh->raft) == sh->node ? 0 : raft_leader(sh->raft);
+}
+
+/// Drops what was not committed. Its callers get no answer that says what became of it.
+static void lose_leadership(struct shell *sh)
+{
+	struct held *h;
+
+	log_info("leadership lost", "TERM", log_number(sh->manager_term));
+	while ((h = g_queue_pop_head(&sh->held))) {
+		effect_free(h->effect);
+		g_free(h);
+	}
+	callers_give_up(sh->callers);
+	manager_free(sh->manager);
+	sh->manager = NULL;
+}
+
+static void check_leadership(struct shell *sh)
+{
+	clock_ms_t now = clock_monotonic();
+
+	if (sh->manager && manager_is_fenced_off(sh->manager) && raft_role(sh->raft) == RAFT_LEADER)
+		raft_resign(sh->raft, now, now + ELECTION_MS);
+	if (sh->manager &&
+	    (raft_role(sh->raft) != RAFT_LEADER || raft_term(sh->raft) != sh->manager_term))
+		lose_leadership(sh);
+	if (!sh->manager && raft_leads(sh->raft, now) && !sh->stopping_at) {
+		sh->manager_term = raft_term(sh->raft);
+		sh->manager = manager_new(&sh->settings.manager, sh->state, sh->manager_term, now,
+					  clock_wall());
+	}
+}
+
+/* Effects. */
+
+static void take_manager_effects(struct shell *sh)
+{
+	g_autoptr(GPtrArray) effects = NULL;
+
+	if (!sh->manager)
+		return;
+	effects = manager_take_effects(sh->manager);
+	g_ptr_array_set_free_func(effects, NULL);
+	for (guint i = 0; i < effects->len; i++) {
+		struct effect *e = effects->pdata[i];
+		struct held *h;
+
+		if (e->type == EFFECT_PROPOSE) {
+			raft_propose(sh->raft, e->u.command);
+			metrics_add(sh->proposals, 1);
+			effect_free(e);
+			continue;
+		}
+		h = g_new0(struct held, 1);
+		*h = (struct held){.index = raft_last_index(sh->raft),
+				   .effect = e,
+				   .since = clock_monotonic()};
+		g_queue_push_tail(&sh->held, h);
+	}
+}
+
+/// Releases effects whose commands are committed, while this replica surely leads.
+static bool release_held(struct shell *sh)
+{
+	bool any = false;
+
+	while (shell_leads(sh)) {
+		struct held *h = g_queue_peek_head(&sh->held);
+		struct effect *e;
+
+		if (!h || h->index > sh->state_index)
+			break;
+		g_queue_pop_head(&sh->held);
+		metrics_observe(sh->commit_ms, clock_monotonic() - h->since);
+		shell_note_slow(&sh->said_slow_commit, "commit was slow", h->since, SLOW_COMMIT_MS);
+		e = h->effect;
+		g_free(h);
+		any = true;
+		if (e->type == EFFECT_REPLY)
+			callers_reply(sh->callers, e->u.reply.token, &e->u.reply.reply);
+		else
+			shell_send_order(sh, g_steal_pointer(&e->u.order));
+		effect_free(e);
+	}
+	return any;
+}
+
+static void apply_committed(struct shell *sh)
+{
+	const raft_snapshot *snapshot = raft_latest_snapshot(sh->raft);
+	const struct raft_log_record *record;
+
+	if (snapshot->index > sh->state_index) {
+		if (!jobs_restore(sh->state, snapshot->data.sw_blob_val,
+				  snapshot->data.sw_blob_len)) {
+			log_error("the snapshot can't be read; stopping");
+			exit(EXIT_DISK);
+		}
+		sh->state_index = snapshot->index;
+	}
+	while ((record = raft_next_committed(sh->raft))) {
+		gsize len;
+		const void *data = g_bytes_get_data(record->command, &len);
+		sw_command c;
+
+		sh->state_index = record->index;
+		if (!codec_decode(CODEC_PROC(sw_command), data, len, &c, sizeof(c)))
+			continue;
+		if (c.type == SW_COMMAND_JOB)
+			jobs_apply(sh->state, &c.sw_command_u.job);
+		codec_free(CODEC_PROC(sw_command), &c);
+	}
+	if (sh->state_index > raft_snapshot_index(sh->raft) + SNAPSHOT_RECORDS) {
+		g_autoptr(GByteArray) data = jobs_snapshot(sh->state);
+
+		raft_compact(sh->raft, data);
+	}
+}
+
+static void send_message(struct shell *sh, const raft_message *m)
+{
+	rpc_client_call(relay_client(sh->relay, m->to), SW_PROC_RAFT, m, RAFT_CALL_MS, NULL, NULL);
+}
+
+/// A leader's records need not wait for its own disk: they count as stored by it only then.
+static bool may_send_at_once(const struct raft_effect *e)
+{
+	return e->type == RAFT_SEND &&
+	       (e->u.message.type == RAFT_APPEND || e->u.message.type == RAFT_SNAPSHOT);
+}
+
+static bool needs_disk(const GPtrArray *effects)
+{
+	for (guint i = 0; i < effects->len; i++)
+		if (((struct raft_effect *)effects->pdata[i])->type != RAFT_SEND)
+			return true;
+	return false;
+}
+
+static void send_batch(struct shell *sh, GPtrArray *effects)
+{
+	for (guint i = 0; i < effects->len; i++) {
+		struct raft_effect *e = effects->pdata[i];
+
+		if (e->type == RAFT_SEND)
+			send_message(sh, &e->u.message);
+	}
+	g_ptr_array_unref(effects);
+}
+
+static bool take_raft_effects(struct shell *sh)
+{
+	g_autoptr(GPtrArray) effects = raft_take_effects(sh->raft);
+	bool any = effects->len > 0;
+
+	g_ptr_array_set_free_func(effects, NULL);
+	for (guint i = 0; i < effects->len; i++) {
+		struct raft_effect *e = effects->pdata[i];
+
+		if (!may_send_at_once(e)) {
+			g_ptr_array_add(sh->unsent, e);
+			continue;
+		}
+		send_message(sh, &e->u.message);
+		raft_effect_free(e);
+	}
+	if (sh->writing || !sh->unsent->len)
+		return any;
+	effects = g_steal_pointer(&sh->unsent);
+	sh->unsent = g_ptr_array_new_with_free_func(raft_effect_free);
+	if (!needs_disk(effects)) {
+		send_batch(sh, g_steal_pointer(&effects));
+		return any;
+	}
+	sh->writing = true;
+	sh->writing_to = raft_last_index(sh->raft);
+	storage_thread_write(sh->storage, g_steal_pointer(&effects));
+	return any;
+}
+
+void shell_on_stored(void *ctx, GPtrArray *effects)
+{
+	struct shell *sh = ctx;
+
+	sh->writing = false;
+	raft_persisted_to(sh->raft, sh->writing_to);
+	send_batch(sh, effects);
+}
+
+/* The loop. */
+
+void shell_flush(struct shell *sh)
+{
+	bool any = true;
+	clock_ms_t from = clock_monotonic();
+	enum work_kind before = work_enter(WORK_IO);
+
+	shell_note_lag(sh, from);
+	while (any) {
+		work_enter(WORK_APPLY);
+		apply_committed(sh);
+		check_leadership(sh);
+		work_enter(WORK_RELEASE);
+		any = release_held(sh);
+		work_enter(WORK_IO);
+		if (shell_leads(sh))
+			manager_tick(sh->manager, clock_monotonic(), clock_wall());
+		work_enter(WORK_PROPOSE);
+		take_manager_effects(sh);
+		work_enter(WORK_REPLICATE);
+		raft_flush(sh->raft, clock_monotonic());
+		any |= take_raft_effects(sh);
+	}
+	sh->last_pass_at = clock_monotonic();
+	work_enter(WORK_AGENTS);
+	agents_flush(sh->agents, sh->node, sh->last_pass_at);
+	work_leave(before);
+	shell_note_slow(&sh->said_slow_loop, "one pass of the loop was slow", from, SLOW_LOOP_MS);
+}
+
+void shell_on_before_wait(struct ev_loop *loop, ev_prepare *w, int revents)
+{
+	(void)loop;
+	(void)revents;
+	shell_flush(w->data);
+	log_flush();
+	work_enter(WORK_IDLE);
+}
+
+void shell_on_after_wait(struct ev_loop *loop, ev_check *w, int revents)
+{
+	(void)loop;
+	(void)w;
+	(void)revents;
+	work_enter(WORK_IO);
+	rpc_stream_begin_pass(clock_monotonic() + PASS_MS);
+}
+
+void shell_on_tick(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	struct shell *sh = w->data;
+	clock_ms_t now = clock_monotonic();
+
+	(void)revents;
+	raft_tick(sh->raft, now);
+	agents_tick(sh->agents, now);
+	shell_pace_rounds(sh, now);
+	hearing_tick(sh->hearing, now, raft_term(sh->raft), shell_other_leader(sh));
+	shell_say_load(sh, now);
+	if (!sh->stopping_at)
+		return;
+	if (now - sh->stopping_at > sh->settings.grace_ms - STOP_MARGIN_MS ||
+	    (now - sh->stopping_at > STOP_LEAST_MS && !http_server_active(sh->http))) {
+		log_info("stopped");
+		ev_break(loop, EVBREAK_ALL);
+	}
+}
