feat(pools): log pools that need machines and why others can't be moved

Each pass now counts the machines by availability; twice a second at most, while a pool needs machines, it logs the pools' loads and these counts.

No decision is changed.

--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -41,10 +41,11 @@
 	GHashTable *machines;	      ///< struct machine by name; owned
 	GHashTable *arriving; ///< double, mean rate of arriving work in thousandths of a core, by
 			      ///< pool; owned
-	uint32_t max_machine_cpu_milli; ///< of the largest machine seen so far
-	bool list_in_flight;		///< a machine list order is in flight
-	clock_ms_t next_list_at;	///< next machine list order
-	clock_ms_t next_pool_pass_at;	///< next evaluation of the pools
+	uint32_t max_machine_cpu_milli;	 ///< of the largest machine seen so far
+	bool list_in_flight;		 ///< a machine list order is in flight
+	clock_ms_t next_list_at;	 ///< next machine list order
+	clock_ms_t next_pool_pass_at;	 ///< next evaluation of the pools
+	clock_ms_t next_shortage_log_at; ///< earliest time to log pools without enough machines
 	GHashTable *failed_at; ///< id of the endpoint where a task failed last, by task name
 	GHashTable *cooldown_machines; ///< machines with recent orders of the previous leader
 	GArray *machine_order_times; ///< clock_ms_t of this leader's recent machine orders, oldest
--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -28,7 +28,8 @@
 #define USABLE_PERCENT 90     /* usable share of a machine; fragmentation takes the rest */
 /// Idle time before a machine is moved to standby: by then idling has cost as much as two moves.
 #define STANDBY_AFTER_IDLE_MS 2200
-#define SPREAD_MACHINES_MAX 16 /* most machines requested for a limit per endpoint */
+#define SPREAD_MACHINES_MAX 16	   /* most machines requested for a limit per endpoint */
+#define SHORTAGE_LOG_PERIOD_MS 500 /* a surge lasts some seconds */
 
 struct pool {
 	const job_pool *config;
@@ -279,9 +280,46 @@
 	return (x->idle_since > y->idle_since) - (x->idle_since < y->idle_since);
 }
 
+/// Why a machine can or cannot be moved in a pass.
+enum availability {
+	AVAILABILITY_IDLE, ///< may be moved
+	AVAILABILITY_NOT_UP,
+	AVAILABILITY_MOVING, ///< a move is in flight or unanswered, or the machine has yet to
+			     ///< arrive
+	AVAILABILITY_IN_COOLDOWN,
+	AVAILABILITY_RETRY_LATER, ///< it was rejected lately
+	AVAILABILITY_IN_MAINTENANCE,
+	AVAILABILITY_BUSY,	  ///< it runs something
+	AVAILABILITY_NO_ENDPOINT, ///< no endpoint on it takes work, and it is not switched off
+	AVAILABILITIES,
+};
+
+static enum availability availability_of(struct manager *m, const struct machine *x, clock_ms_t now)
+{
+	const struct endpoint *e = endpoint_on(x, now);
+
+	if (!x->is_up || !x->pool_state)
+		return AVAILABILITY_NOT_UP;
+	if (x->in_flight || x->target_pool || now < x->arrives_by)
+		return AVAILABILITY_MOVING;
+	if (now < x->retry_at)
+		return AVAILABILITY_RETRY_LATER;
+	if (e && e->runs->len)
+		return AVAILABILITY_BUSY;
+	if (machines_is_down(m, x->name, now))
+		return AVAILABILITY_IN_MAINTENANCE;
+	if (manager_machine_in_cooldown(m, x->name, now))
+		return AVAILABILITY_IN_COOLDOWN;
+	if (!x->pool_state->config->standby && (!e || !x->idle_since))
+		return AVAILABILITY_NO_ENDPOINT;
+	return AVAILABILITY_IDLE;
+}
+
+/// @param[out] counts machines by availability
 /// @return struct idle_machine, owned by the caller: switched-off machines first, then the longest
 /// idle
-static GArray *list_idle_machines(struct manager *m, clock_ms_t now)
+static GArray *list_idle_machines(struct manager *m, clock_ms_t now,
+				  unsigned int counts[AVAILABILITIES])
 {
 	GArray *idle_machines = g_array_new(FALSE, FALSE, sizeof(struct idle_machine));
 	GHashTableIter iter;
@@ -291,19 +329,15 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct machine *x = value;
 		struct idle_machine idle = {.machine = x, .idle_since = x->idle_since};
+		enum availability availability = availability_of(m, x, now);
 
-		if (!x->is_up || x->in_flight || x->target_pool)
+		counts[availability]++;
+		if (availability != AVAILABILITY_IDLE)
 			continue;
 		idle.endpoint = endpoint_on(x, now);
 		idle.from = x->pool_state;
-		if (!idle.from || !may_be_moved(x, idle.endpoint, now) ||
-		    machines_is_down(m, x->name, now) ||
-		    manager_machine_in_cooldown(m, x->name, now))
-			continue;
 		if (idle.from->config->standby)
 			idle.idle_since = 0;
-		else if (!idle.endpoint || !idle.idle_since)
-			continue;
 		g_array_append_val(idle_machines, idle);
 	}
 	g_array_sort(idle_machines, compare_idle_machines);
@@ -387,6 +421,57 @@
 	}
 }
 
+/* Logs. */
+
+/// Logs the load of a pool that needs more machines.
+static void log_shortage(const struct pool *p, uint32_t needed)
+{
+	const struct pool_load *l = &p->load;
+
+	log_info("pool needs machines", "POOL", p->config->name, "NEEDED", log_number(needed),
+		 "MACHINES", log_number(l->machines), "WAITING_CORE_MS",
+		 log_number((guint64)l->waiting_core_us / 1000), "ARRIVING_MILLI",
+		 log_number((guint64)l->arriving_cpu_milli), "RUNNING_MILLI",
+		 log_number((guint64)l->running_cpu_milli), "LONG_RUNNING_MILLI",
+		 log_number((guint64)l->long_running_cpu_milli));
+}
+
+/// Logs every SHORTAGE_LOG_PERIOD_MS which pools need more machines, and how many machines may be
+/// moved.
+///
+/// @param counts machines by availability
+static void log_shortages(struct manager *m, GHashTable *pools, const unsigned int *counts,
+			  clock_ms_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	bool any = false;
+
+	if (now < m->next_shortage_log_at)
+		return;
+	g_hash_table_iter_init(&iter, pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct pool *p = value;
+		uint32_t needed = pools_machines_needed(&p->load);
+
+		if (p->config->standby || p->load.machines >= needed)
+			continue;
+		log_shortage(p, needed);
+		any = true;
+	}
+	if (!any)
+		return;
+	m->next_shortage_log_at = now + SHORTAGE_LOG_PERIOD_MS;
+	log_info("machines by availability", "IDLE", log_number(counts[AVAILABILITY_IDLE]),
+		 "NOT_UP", log_number(counts[AVAILABILITY_NOT_UP]), "MOVING",
+		 log_number(counts[AVAILABILITY_MOVING]), "IN_COOLDOWN",
+		 log_number(counts[AVAILABILITY_IN_COOLDOWN]), "RETRY_LATER",
+		 log_number(counts[AVAILABILITY_RETRY_LATER]), "IN_MAINTENANCE",
+		 log_number(counts[AVAILABILITY_IN_MAINTENANCE]), "BUSY",
+		 log_number(counts[AVAILABILITY_BUSY]), "NO_ENDPOINT",
+		 log_number(counts[AVAILABILITY_NO_ENDPOINT]));
+}
+
 static void list_machines(struct manager *m, clock_ms_t now, const char *page)
 {
 	struct order *o = g_new0(struct order, 1);
@@ -406,6 +491,7 @@
 {
 	g_autoptr(GHashTable) pools = NULL;
 	g_autoptr(GArray) idle_machines = NULL;
+	unsigned int counts[AVAILABILITIES] = {0};
 	GHashTableIter iter;
 	gpointer value;
 
@@ -420,7 +506,8 @@
 	update_machines(m, now);
 	pools = measure_pool_loads(m, now, wall_ms);
 	resend_moves(m, now);
-	idle_machines = list_idle_machines(m, now);
+	idle_machines = list_idle_machines(m, now, counts);
+	log_shortages(m, pools, counts, now);
 	g_hash_table_iter_init(&iter, pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		if (!((struct pool *)value)->config->standby)
