fix(pools): a repeated move doesn't end the work of the next endpoint

Cause, by reading: a move that was not answered within 1.5 s was sent again 0.4 s later, with whatever endpoint was then on the machine as the one to be shut down. If the first order had been executed, that was the machine's next endpoint, already at work in the target pool. The platform answers 200 to what is done already; the leader took it as the end of that endpoint, released its attempts and started them elsewhere while they ran. The class of fault: the success of a repeated order is taken for an effect on the present state.

Now an endpoint that takes work on the machine settles the unanswered move: in the target pool the move was executed; in another one it is abandoned if the endpoint has work.

Test: /pools/repeated_move_keeps_work_of_next_endpoint. On the code before: 'assertion failed (most_starts(&w) == 1): (2 == 1)'.

--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -406,8 +406,46 @@
 	}
 }
 
-/// Sends unanswered moves again; whether a move was executed is unknown until it is answered.
-static void resend_moves(struct manager *m, clock_ms_t now)
+/// @return the endpoint that a move of a machine shuts down, or NULL if it has ended already
+static struct endpoint *endpoint_ended_by_move(struct manager *m, const struct machine *x)
+{
+	struct endpoint *e =
+		x->shutdown_endpoint ? incarnations_find_endpoint(m, x->shutdown_endpoint) : NULL;
+
+	return e && !e->terminated && e->shutdown_ordered && g_str_equal(e->machine, x->name)
+		       ? e
+		       : NULL;
+}
+
+static void clear_move(struct machine *x)
+{
+	g_clear_pointer(&x->target_pool, g_free);
+	g_clear_pointer(&x->shutdown_endpoint, g_free);
+}
+
+/// Settles an unanswered move, or sends it again. An endpoint that takes work on the machine is a
+/// later one than the move was to shut down: in the target pool, it proves that the move was
+/// executed; in another one, the move must not end its work.
+static void retry_move(struct manager *m, clock_ms_t now, struct machine *x)
+{
+	struct endpoint *e = endpoint_on(x, now);
+	struct endpoint *earlier = endpoint_ended_by_move(m, x);
+	bool is_done = e && g_str_equal(e->pool, x->target_pool);
+
+	if (!is_done && !(e && e->runs->len)) {
+		send_move(m, now, x, x->target_pool, e);
+		return;
+	}
+	log_info(is_done ? "unanswered move was executed" : "unanswered move is abandoned",
+		 "MACHINE", x->name, "TO", x->target_pool, "ENDPOINT", e->id, "RUNS",
+		 log_number(e->runs->len));
+	if (earlier && earlier->incarnation_wall_ms < e->incarnation_wall_ms)
+		attempts_handle_termination(m, now, earlier);
+	clear_move(x);
+}
+
+/// Retries unanswered moves; whether a move was executed is unknown until it is answered.
+static void retry_moves(struct manager *m, clock_ms_t now)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -417,7 +455,7 @@
 		struct machine *x = value;
 
 		if (x->target_pool && !x->in_flight && now >= x->retry_at)
-			send_move(m, now, x, x->target_pool, endpoint_on(x, now));
+			retry_move(m, now, x);
 	}
 }
 
@@ -505,7 +543,7 @@
 		list_machines(m, now, "");
 	update_machines(m, now);
 	pools = measure_pool_loads(m, now, wall_ms);
-	resend_moves(m, now);
+	retry_moves(m, now);
 	idle_machines = list_idle_machines(m, now, counts);
 	log_shortages(m, pools, counts, now);
 	g_hash_table_iter_init(&iter, pools);
@@ -538,17 +576,6 @@
 		list_machines(m, now, result->next_page);
 }
 
-/// @return the endpoint that a move of a machine shuts down, or NULL if it has ended already
-static struct endpoint *endpoint_ended_by_move(struct manager *m, const struct machine *x)
-{
-	struct endpoint *e =
-		x->shutdown_endpoint ? incarnations_find_endpoint(m, x->shutdown_endpoint) : NULL;
-
-	return e && !e->terminated && e->shutdown_ordered && g_str_equal(e->machine, x->name)
-		       ? e
-		       : NULL;
-}
-
 static void handle_move_result(struct manager *m, clock_ms_t now, struct machine *x,
 			       const struct order_result *result)
 {
@@ -580,8 +607,7 @@
 	default:
 		break;
 	}
-	g_clear_pointer(&x->target_pool, g_free);
-	g_clear_pointer(&x->shutdown_endpoint, g_free);
+	clear_move(x);
 	if (result->status == ORDER_OK)
 		return;
 	x->retry_at = now + MACHINE_BUSY_RETRY_MS;
--- /dev/null
+++ b/tests/unit/unit_pools.c
@@ -0,0 +1,200 @@
+/// @file
+/// Moves of machines between pools through the job manager's public interface.
+
+#include "manager_fixture.h"
+
+#include <string.h>
+
+#define POOL "p"
+#define STANDBY "off"
+
+/// The job manager with endpoints that accept every start, and a machine service.
+struct world {
+	struct manager *m;
+	clock_ms_t now;
+	GPtrArray *machines;	       ///< names of the machines that the service lists
+	const char *listed_pool;       ///< pool in which it lists them
+	enum machine_state listed;     ///< state in which it lists them
+	enum order_status move_status; ///< its answer to moves
+	bool holds_moves;	       ///< it answers no move for now
+	GArray *held_moves;	       ///< uint64_t order ids
+	GHashTable *moved;	       ///< names of the machines ordered to POOL
+	GHashTable *starts;	       ///< count of start orders by task
+	GHashTable *endpoints;	       ///< id of the endpoint that runs it by task
+	unsigned int lists;	       ///< machine list orders
+};
+
+static void world_init(struct world *w)
+{
+	*w = (struct world){
+		.m = fixture_manager(FIXTURE_START_MS),
+		.now = FIXTURE_START_MS,
+		.machines = g_ptr_array_new(),
+		.listed_pool = STANDBY,
+		.listed = MACHINE_UP,
+		.held_moves = g_array_new(FALSE, FALSE, sizeof(uint64_t)),
+		.moved = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+		.starts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+		.endpoints = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
+	};
+	fixture_put_config(w->m, w->now);
+}
+
+static void world_clear(struct world *w)
+{
+	manager_free(w->m);
+	g_ptr_array_unref(w->machines);
+	g_array_unref(w->held_moves);
+	g_hash_table_unref(w->moved);
+	g_hash_table_unref(w->starts);
+	g_hash_table_unref(w->endpoints);
+}
+
+static void answer(struct world *w, uint64_t id, enum order_status status)
+{
+	struct order_result *r = order_result_new(id, status);
+
+	manager_handle_result(w->m, w->now, w->now, r);
+	order_result_free(r);
+}
+
+static void answer_held_moves(struct world *w, enum order_status status)
+{
+	for (guint i = 0; i < w->held_moves->len; i++)
+		answer(w, g_array_index(w->held_moves, uint64_t, i), status);
+	g_array_set_size(w->held_moves, 0);
+}
+
+static void answer_list(struct world *w, uint64_t id)
+{
+	struct order_result *r = order_result_new(id, ORDER_OK);
+
+	for (guint i = 0; i < w->machines->len; i++) {
+		struct machine_row row = {
+			.machine = g_strdup(w->machines->pdata[i]),
+			.pool = g_strdup(w->listed_pool),
+			.state = w->listed,
+			.endpoint = g_strdup(""),
+		};
+
+		g_array_append_val(r->machines, row);
+	}
+	w->lists++;
+	manager_handle_result(w->m, w->now, w->now, r);
+	order_result_free(r);
+}
+
+static void answer_status_query(struct world *w, const struct order *o)
+{
+	struct order_result *r = order_result_new(o->id, ORDER_OK);
+	GHashTableIter iter;
+	gpointer task;
+	gpointer endpoint;
+
+	r->clock_ms = w->now;
+	g_hash_table_iter_init(&iter, w->endpoints);
+	while (g_hash_table_iter_next(&iter, &task, &endpoint)) {
+		struct running_attempt row = {.attempt = 1};
+
+		if (!g_str_equal(endpoint, o->instance))
+			continue;
+		row.task = g_strdup(task);
+		row.checkpoint = g_strdup("");
+		g_array_append_val(r->runs, row);
+	}
+	manager_handle_result(w->m, w->now, w->now, r);
+	order_result_free(r);
+}
+
+static void handle_order(struct world *w, const struct order *o)
+{
+	guint n;
+
+	switch (o->type) {
+	case ORDER_START:
+		n = GPOINTER_TO_UINT(g_hash_table_lookup(w->starts, o->task));
+		g_hash_table_replace(w->starts, g_strdup(o->task), GUINT_TO_POINTER(n + 1));
+		g_hash_table_replace(w->endpoints, g_strdup(o->task), g_strdup(o->instance));
+		answer(w, o->id, ORDER_OK);
+		break;
+	case ORDER_STATUS_QUERY:
+		answer_status_query(w, o);
+		break;
+	case ORDER_MACHINE_LIST:
+		answer_list(w, o->id);
+		break;
+	case ORDER_MACHINE_MOVE:
+		if (g_str_equal(o->pool, POOL))
+			g_hash_table_add(w->moved, g_strdup(o->machine));
+		if (w->holds_moves)
+			g_array_append_val(w->held_moves, o->id);
+		else
+			answer(w, o->id, w->move_status);
+		break;
+	default:
+		break;
+	}
+}
+
+static void run_for(struct world *w, clock_ms_t ms)
+{
+	for (clock_ms_t until = w->now + ms; w->now < until; w->now += MANAGER_TICK_MS) {
+		g_autoptr(GPtrArray) effects = NULL;
+
+		manager_tick(w->m, w->now, w->now);
+		effects = manager_take_effects(w->m);
+		for (guint i = 0; i < effects->len; i++) {
+			const struct effect *e = effects->pdata[i];
+
+			if (e->type == EFFECT_ORDER)
+				handle_order(w, e->u.order);
+		}
+	}
+}
+
+/// @return most start orders for any one task
+static unsigned int most_starts(const struct world *w)
+{
+	unsigned int most = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, w->starts);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		most = MAX(most, GPOINTER_TO_UINT(value));
+	return most;
+}
+
+/// The answer to a move is lost, and the machine's next endpoint takes work before the move is sent
+/// again. The repeated order succeeds because the machine is in its pool already; the tasks of the
+/// endpoint still run and must not start elsewhere.
+static void test_repeated_move_keeps_work_of_next_endpoint(void)
+{
+	struct world w;
+
+	world_init(&w);
+	g_ptr_array_add(w.machines, "m-2");
+	fixture_heartbeat(w.m, w.now, "i-1", "m-1", 1);
+	w.holds_moves = true;
+	fixture_submit(w.m, w.now, "j", 3 * FIXTURE_CPU_MILLI / 1000);
+	run_for(&w, 300);
+	g_assert_true(g_hash_table_contains(w.moved, "m-2"));
+	answer_held_moves(&w, ORDER_NO_ANSWER);
+	fixture_heartbeat(w.m, w.now, "i-2", "m-2", 2);
+	run_for(&w, 1000);
+	g_assert_cmpuint(g_hash_table_size(w.starts), ==, 2 * FIXTURE_CPU_MILLI / 1000);
+	answer_held_moves(&w, ORDER_OK);
+	fixture_heartbeat(w.m, w.now, "i-3", "m-3", 3);
+	fixture_heartbeat(w.m, w.now, "i-4", "m-4", 4);
+	run_for(&w, 3000);
+	g_assert_cmpuint(most_starts(&w), ==, 1);
+	world_clear(&w);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/pools/repeated_move_keeps_work_of_next_endpoint",
+			test_repeated_move_keeps_work_of_next_endpoint);
+	return g_test_run();
+}
