fix(pools): a new leader waits for each machine's own last order

Cause: a new leader ordered no machine that the earlier one had ordered in its last 5 s until 3.5 s after its own start, whatever the age of the order; after the start of a surge that is nearly every idle machine. The class of fault: a permission is timed from when the next owner appears, not from the act that it protects.

Asked are 3 s between orders of two leaders for one machine. The leader now writes a time mark into the log every 100 ms while there are recent orders and it does not lag; counting the marks behind an order, the next leader knows how old it is at least, without comparing clocks, also after a restart of all: records found on disk were received before the start.

While at it, found by the new test: a second new leader forgot the orders of the first leader as soon as the one between had ordered any machine, and could order 1.7 s after it. The record is now inherited.

Tests, on the code before: /pools/new_leader_moves_machine_ordered_long_ago: not moved in 300 ms /pools/new_leader_keeps_lease_of_recent_order: 105400 <= 103900 failed /pools/second_new_leader_keeps_lease_of_first: 101720 >= 103100 failed

--- a/src/sesamewood/jobs/jobs.h
+++ b/src/sesamewood/jobs/jobs.h
@@ -38,7 +38,7 @@
 	uint32_t next_endpoint;	     ///< number of the next endpoint incarnation
 	GPtrArray *waves;	     ///< of job_wave *, oldest first
 	GPtrArray *ordered_machines; ///< machines of the latest move and maintenance orders, oldest
-				     ///< first
+				     ///< first; "": a time mark, see sched/cooldown.h
 };
 
 /// @return an empty state, owned by the caller; release with jobs_free()
--- a/src/sesamewood/manager/control_loop.c
+++ b/src/sesamewood/manager/control_loop.c
@@ -56,7 +56,7 @@
 	if (!sh->manager && raft_holds_leader_lease(sh->raft, now) && !sh->stopping_at) {
 		sh->manager_term = raft_term(sh->raft);
 		sh->manager = manager_new(&sh->settings.manager, sh->state, sh->manager_term, now,
-					  clock_wall());
+					  sh->machine_orders_seen_at);
 	}
 }
 
@@ -117,6 +117,19 @@
 	return any;
 }
 
+/// Returns an upper bound of the time at which a log record was received.
+static clock_ms_t received_by(const struct shell *sh, uint64_t index)
+{
+	return index <= sh->recovered_index ? sh->started_at : clock_monotonic();
+}
+
+static void apply_job_command(struct shell *sh, uint64_t index, const job_command *c)
+{
+	jobs_apply(sh->state, c);
+	if (c->type == JOB_COMMAND_MACHINE_ORDER)
+		sh->machine_orders_seen_at = received_by(sh, index);
+}
+
 static void apply_committed(struct shell *sh)
 {
 	const raft_snapshot *snapshot = raft_latest_snapshot(sh->raft);
@@ -129,6 +142,7 @@
 			exit(EXIT_DISK);
 		}
 		sh->state_index = snapshot->index;
+		sh->machine_orders_seen_at = received_by(sh, snapshot->index);
 	}
 	while ((record = raft_next_committed(sh->raft))) {
 		gsize len;
@@ -139,7 +153,7 @@
 		if (!codec_decode(CODEC_PROC(sw_command), data, len, &c, sizeof(c)))
 			continue;
 		if (c.type == SW_COMMAND_JOB)
-			jobs_apply(sh->state, &c.sw_command_u.job);
+			apply_job_command(sh, record->index, &c.sw_command_u.job);
 		codec_free(CODEC_PROC(sw_command), &c);
 	}
 	if (sh->state_index > raft_snapshot_index(sh->raft) + SNAPSHOT_RECORDS) {
--- a/src/sesamewood/manager/control_shell.c
+++ b/src/sesamewood/manager/control_shell.c
@@ -97,6 +97,8 @@
 	}
 	sh->storage = storage_thread_new(sh->loop, storage, shell_on_stored, sh);
 	sh->raft = raft_new(&raft, &recovered, clock_monotonic());
+	sh->recovered_index = raft_last_index(sh->raft);
+	sh->started_at = clock_monotonic();
 }
 
 static void listen_or_exit(struct shell *sh)
--- a/src/sesamewood/manager/control_shell_internal.h
+++ b/src/sesamewood/manager/control_shell_internal.h
@@ -41,12 +41,15 @@
 	uint32_t node;
 	struct raft *raft;
 	struct storage_thread *storage;
-	bool writing;		 ///< the storage thread is writing a batch
-	uint64_t writing_to;	 ///< last log record of the batch that is being written
-	GPtrArray *unsent;	 ///< raft effects that wait for the disk
-	struct jobs *state;	 ///< committed job state
-	uint64_t state_index;	 ///< last log record applied to state
-	struct manager *manager; ///< NULL unless this replica leads
+	bool writing;		  ///< the storage thread is writing a batch
+	uint64_t writing_to;	  ///< last log record of the batch that is being written
+	GPtrArray *unsent;	  ///< raft effects that wait for the disk
+	struct jobs *state;	  ///< committed job state
+	uint64_t state_index;	  ///< last log record applied to state
+	uint64_t recovered_index; ///< last log record found on disk at the start
+	clock_ms_t started_at;
+	clock_ms_t machine_orders_seen_at; ///< when the latest machine order in state was received
+	struct manager *manager;	   ///< NULL unless this replica leads
 	uint64_t manager_term;
 	GQueue held; ///< struct held_effect, oldest first
 	struct callers *callers;
--- a/src/sesamewood/manager/effects.c
+++ b/src/sesamewood/manager/effects.c
@@ -6,7 +6,6 @@
 /// endpoint under the same id that this leader has seen: once a later incarnation has received a
 /// call, it rejects a late order to an earlier one.
 #define RESTART_COUNT_BITS 12
-#define HOLDER_MARGIN_MS 500 /* added to holder_lease_ms */
 #define RESTART_COUNT_MAX ((1U << RESTART_COUNT_BITS) - 1)
 
 static struct effect *add_effect(struct manager *m, enum effect_type type)
@@ -47,31 +46,13 @@
 	g_ptr_array_add(m->capacity_changed, e);
 }
 
-#define RECENT_ORDER_MS 5000 /* longer than holder_lease_ms */
-
 void effects_send_machine_order(struct manager *m, clock_ms_t now, struct order *order,
 				uint64_t wave)
 {
-	job_command c = {.type = JOB_COMMAND_MACHINE_ORDER};
-
-	while (m->machine_order_times->len &&
-	       now - g_array_index(m->machine_order_times, clock_ms_t, 0) > RECENT_ORDER_MS)
-		g_array_remove_index(m->machine_order_times, 0);
-	c.job_command_u.machine_order = (job_machine_order){
-		.machine = order->machine,
-		.keep = m->machine_order_times->len,
-	};
-	g_array_append_val(m->machine_order_times, now);
-	effects_propose(m, &c);
+	cooldown_record_order(m, now, order->machine);
 	effects_send_order(m, now, order, NULL, order->machine, wave);
 }
 
-bool manager_machine_in_cooldown(const struct manager *m, const char *machine, clock_ms_t now)
-{
-	return now < m->leader_since + m->settings.holder_lease_ms + HOLDER_MARGIN_MS &&
-	       g_hash_table_contains(m->cooldown_machines, machine);
-}
-
 void effects_send_order(struct manager *m, clock_ms_t now, struct order *order, struct endpoint *e,
 			const char *machine, uint64_t wave)
 {
--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -38,11 +38,10 @@
 }
 
 struct manager *manager_new(const struct manager_settings *settings, const struct jobs *state,
-			    uint64_t term, clock_ms_t now, clock_ms_t wall_ms)
+			    uint64_t term, clock_ms_t now, clock_ms_t machine_orders_seen_at)
 {
 	struct manager *m = g_new0(struct manager, 1);
 
-	(void)wall_ms;
 	m->settings = *settings;
 	m->jobs = copy_state(state);
 	m->term = term;
@@ -63,12 +62,9 @@
 	m->due_machines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	m->ready_counts = g_hash_table_new(NULL, NULL);
 	m->endpoint_by_machine = g_hash_table_new(g_str_hash, g_str_equal);
-	m->cooldown_machines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	for (guint i = 0; i < m->jobs->ordered_machines->len; i++)
-		g_hash_table_add(m->cooldown_machines,
-				 g_strdup(m->jobs->ordered_machines->pdata[i]));
+	m->cooldown = cooldown_new(m->jobs->ordered_machines, now, machine_orders_seen_at,
+				   settings->holder_lease_ms);
 	m->capacity_changed = g_ptr_array_new();
-	m->machine_order_times = g_array_new(FALSE, FALSE, sizeof(clock_ms_t));
 	m->failed_at = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->active = g_ptr_array_new();
 	incarnations_inherit(m, now);
@@ -92,8 +88,7 @@
 	g_hash_table_unref(m->maintenance_by_machine);
 	g_hash_table_unref(m->machines);
 	g_hash_table_unref(m->failed_at);
-	g_hash_table_unref(m->cooldown_machines);
-	g_array_unref(m->machine_order_times);
+	cooldown_free(m->cooldown);
 	g_hash_table_unref(m->due_machines);
 	g_hash_table_unref(m->endpoint_by_machine);
 	g_hash_table_unref(m->ready_counts);
@@ -185,6 +180,7 @@
 
 void manager_record_lag(struct manager *m, clock_ms_t now, clock_ms_t lag_ms)
 {
+	m->lag_ms = lag_ms;
 	if (lag_ms > LAG_MS)
 		m->last_lag_at = now;
 }
@@ -209,6 +205,7 @@
 	waves_tick(m, now, wall_ms);
 	work_enter(WORK_POOLS);
 	pools_tick(m, now, wall_ms);
+	cooldown_tick(m, now);
 	work_leave(before);
 	purge_expired(m, now, wall_ms);
 	if (now < (m->round_wanted ? m->next_round_at : m->round_due_at))
--- a/src/sesamewood/manager/manager.h
+++ b/src/sesamewood/manager/manager.h
@@ -29,8 +29,10 @@
 ///
 /// @param state  committed job state; copied
 /// @param term   term of this leadership, the upper part of its fencing tokens
+/// @param machine_orders_seen_at  when this replica had received the latest machine order that is
+///				   recorded in @p state
 struct manager *manager_new(const struct manager_settings *settings, const struct jobs *state,
-			    uint64_t term, clock_ms_t now, clock_ms_t wall_ms);
+			    uint64_t term, clock_ms_t now, clock_ms_t machine_orders_seen_at);
 void manager_free(struct manager *m);
 
 /// Handles an API call; the reply effect carries @p token. May modify @p call, whose owner stays
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -7,6 +7,7 @@
 
 #include "manager/manager.h"
 #include "runs/endpoint.h"
+#include "sched/cooldown.h"
 
 struct manager {
 	struct manager_settings settings;
@@ -35,6 +36,7 @@
 	GHashTable *due_machines;	  ///< names of machines with maintenance pending
 	bool round_wanted; ///< a change since the last placement round may allow another placement
 	bool fenced_off;   ///< a receiver has seen a higher fencing token
+	clock_ms_t lag_ms; ///< age of the oldest input or commit not processed
 	clock_ms_t last_lag_at;	      ///< when the replica last lagged behind its input
 	clock_ms_t next_cleanup_at;   ///< next purge of ended jobs and terminated endpoints
 	clock_ms_t next_wave_pass_at; ///< next evaluation of the maintenance waves
@@ -46,10 +48,8 @@
 	clock_ms_t next_list_at;	 ///< next machine list order
 	clock_ms_t next_pool_pass_at;	 ///< next evaluation of the pools
 	clock_ms_t next_shortage_log_at; ///< earliest time to log pools without enough machines
-	GHashTable *failed_at; ///< id of the endpoint where a task failed last, by task name
-	GHashTable *cooldown_machines; ///< machines with recent orders of the previous leader
-	GArray *machine_order_times; ///< clock_ms_t of this leader's recent machine orders, oldest
-				     ///< first
+	GHashTable *failed_at;	   ///< id of the endpoint where a task failed last, by task name
+	struct cooldown *cooldown; ///< recent machine orders, of earlier leaders as well
 	GHashTable *endpoint_by_machine;    ///< struct endpoint by machine, rebuilt before each use
 	GHashTable *maintenance_by_machine; ///< struct maintenance by machine; owned
 	GHashTable *ready_counts;	    ///< count of ready long-running tasks by job_step_state
@@ -95,8 +95,4 @@
 void effects_send_machine_order(struct manager *m, clock_ms_t now, struct order *order,
 				uint64_t wave);
 
-/// Returns whether the previous leader may have sent an order for a machine so recently that this
-/// leader has to wait before sending its own.
-bool manager_machine_in_cooldown(const struct manager *m, const char *machine, clock_ms_t now);
-
 #endif
--- a/src/sesamewood/rpc/sesamewood.x
+++ b/src/sesamewood/rpc/sesamewood.x
@@ -336,7 +336,7 @@
 };
 
 /* Recorded before a leader sends an order for a machine, so that its successor knows for which
- * machines orders were sent recently. */
+ * machines orders were sent recently. An empty name is a time mark: see sched/cooldown.h. */
 struct job_machine_order {
 	string machine<256>;
 	unsigned int keep;         /* number of latest earlier orders that are still recent */
--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -308,7 +308,7 @@
 		return AVAILABILITY_BUSY;
 	if (machines_is_down(m, x->name, now))
 		return AVAILABILITY_IN_MAINTENANCE;
-	if (manager_machine_in_cooldown(m, x->name, now))
+	if (cooldown_applies(m->cooldown, x->name, now))
 		return AVAILABILITY_IN_COOLDOWN;
 	if (!x->pool_state->config->standby && (!e || !x->idle_since))
 		return AVAILABILITY_NO_ENDPOINT;
@@ -397,7 +397,7 @@
 
 		if (!e || !from || from->config->standby || !x->idle_since ||
 		    now - x->idle_since < STANDBY_AFTER_IDLE_MS ||
-		    manager_machine_in_cooldown(m, x->name, now) || !may_be_moved(x, e, now) ||
+		    cooldown_applies(m->cooldown, x->name, now) || !may_be_moved(x, e, now) ||
 		    surplus_of(from) <= 0 ||
 		    (x->rejected_by_pool && g_str_equal(x->rejected_by_pool, standby)))
 			continue;
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -12,7 +12,6 @@
 #define DRAIN_WAIT_MS 2500	   /* time for tasks of bounded run time to end first */
 #define HEARTBEAT_DELAY_MAX_MS 300 /* longest time that a heartbeat is in flight */
 #define WAVE_LOG_PERIOD_MS 3000
-#define HOLDER_MARGIN_MS 500 /* on top of the lease of the previous holder of machine orders */
 /// Delay before a task counts as ready, to notice one that fails as soon as it is ready.
 #define READY_MARGIN_MS 200
 
@@ -358,7 +357,7 @@
 
 		if (w->settled || maint->in_flight || now < maint->retry_at ||
 		    machines_is_moving(m, w->machine, now) ||
-		    manager_machine_in_cooldown(m, w->machine, now))
+		    cooldown_applies(m->cooldown, w->machine, now))
 			continue;
 		if (e && e->cordoned && !w->ordered && !exceeds_budget_alone(e) &&
 		    find_blocking_run(m, e, now))
--- a/tests/unit/manager_fixture.c
+++ b/tests/unit/manager_fixture.c
@@ -2,7 +2,8 @@
 
 #include <string.h>
 
-struct manager *fixture_manager(clock_ms_t now)
+struct manager *fixture_next_manager(const struct jobs *state, uint64_t term, clock_ms_t now,
+				     clock_ms_t machine_orders_seen_at)
 {
 	const struct manager_settings settings = {
 		.holder = "test",
@@ -13,8 +14,14 @@
 		.move_ms = 1500,
 		.maintenance_ms = FIXTURE_MAINTENANCE_MS,
 	};
+
+	return manager_new(&settings, state, term, now, machine_orders_seen_at);
+}
+
+struct manager *fixture_manager(clock_ms_t now)
+{
 	struct jobs *state = jobs_new();
-	struct manager *m = manager_new(&settings, state, 1, now, now);
+	struct manager *m = fixture_next_manager(state, 1, now, now);
 
 	jobs_free(state);
 	return m;
--- a/tests/unit/manager_fixture.h
+++ b/tests/unit/manager_fixture.h
@@ -14,6 +14,10 @@
 /// Returns a manager without endpoints, jobs or a configuration; release with manager_free().
 struct manager *fixture_manager(clock_ms_t now);
 
+/// Returns the manager of a later leadership on a committed state; see manager_new().
+struct manager *fixture_next_manager(const struct jobs *state, uint64_t term, clock_ms_t now,
+				     clock_ms_t machine_orders_seen_at);
+
 /// Sends a full heartbeat of an endpoint of pool "p" whose clock reads @p now.
 void fixture_heartbeat(struct manager *m, clock_ms_t now, const char *id, const char *machine,
 		       int64_t incarnation_wall_ms);
--- a/tests/unit/unit_pools.c
+++ b/tests/unit/unit_pools.c
@@ -3,6 +3,9 @@
 
 #include "manager_fixture.h"
 
+#include "base/codec.h"
+#include "sched/cooldown.h"
+
 #include <string.h>
 
 #define POOL "p"
@@ -12,16 +15,20 @@
 struct world {
 	struct manager *m;
 	clock_ms_t now;
+	uint64_t term;
+	struct jobs *state;	       ///< committed state; proposals commit at once
+	clock_ms_t seen_at;	       ///< when the latest machine order was committed
 	GPtrArray *machines;	       ///< names of the machines that the service lists
 	const char *listed_pool;       ///< pool in which it lists them
 	enum machine_state listed;     ///< state in which it lists them
 	enum order_status move_status; ///< its answer to moves
 	bool holds_moves;	       ///< it answers no move for now
 	GArray *held_moves;	       ///< uint64_t order ids
-	GHashTable *moved;	       ///< names of the machines ordered to POOL
-	GHashTable *starts;	       ///< count of start orders by task
-	GHashTable *endpoints;	       ///< id of the endpoint that runs it by task
-	unsigned int lists;	       ///< machine list orders
+	GHashTable *moved;  ///< time of the first order to POOL since the last change of leader, by
+			    ///< machine
+	GHashTable *starts; ///< count of start orders by task
+	GHashTable *endpoints; ///< id of the endpoint that runs it by task
+	unsigned int lists;    ///< machine list orders
 };
 
 static void world_init(struct world *w)
@@ -29,6 +36,9 @@
 	*w = (struct world){
 		.m = fixture_manager(FIXTURE_START_MS),
 		.now = FIXTURE_START_MS,
+		.term = 1,
+		.state = jobs_new(),
+		.seen_at = FIXTURE_START_MS,
 		.machines = g_ptr_array_new(),
 		.listed_pool = STANDBY,
 		.listed = MACHINE_UP,
@@ -43,6 +53,7 @@
 static void world_clear(struct world *w)
 {
 	manager_free(w->m);
+	jobs_free(w->state);
 	g_ptr_array_unref(w->machines);
 	g_array_unref(w->held_moves);
 	g_hash_table_unref(w->moved);
@@ -50,6 +61,12 @@
 	g_hash_table_unref(w->endpoints);
 }
 
+/// @return time of the first order of a machine to POOL by the present leader; 0: none
+static clock_ms_t moved_at(const struct world *w, const char *machine)
+{
+	return (clock_ms_t)GPOINTER_TO_SIZE(g_hash_table_lookup(w->moved, machine));
+}
+
 static void answer(struct world *w, uint64_t id, enum order_status status)
 {
 	struct order_result *r = order_result_new(id, status);
@@ -124,8 +141,9 @@
 		answer_list(w, o->id);
 		break;
 	case ORDER_MACHINE_MOVE:
-		if (g_str_equal(o->pool, POOL))
-			g_hash_table_add(w->moved, g_strdup(o->machine));
+		if (g_str_equal(o->pool, POOL) && !moved_at(w, o->machine))
+			g_hash_table_replace(w->moved, g_strdup(o->machine),
+					     GSIZE_TO_POINTER(w->now));
 		if (w->holds_moves)
 			g_array_append_val(w->held_moves, o->id);
 		else
@@ -136,6 +154,29 @@
 	}
 }
 
+static void commit(struct world *w, GBytes *command)
+{
+	gsize len;
+	const void *data = g_bytes_get_data(command, &len);
+	sw_command c;
+
+	g_assert_true(codec_decode(CODEC_PROC(sw_command), data, len, &c, sizeof(c)));
+	jobs_apply(w->state, &c.sw_command_u.job);
+	if (c.sw_command_u.job.type == JOB_COMMAND_MACHINE_ORDER)
+		w->seen_at = w->now;
+	codec_free(CODEC_PROC(sw_command), &c);
+}
+
+/// Replaces the leader after a time without one.
+static void change_leader(struct world *w, clock_ms_t downtime_ms)
+{
+	manager_free(w->m);
+	w->now += downtime_ms;
+	w->m = fixture_next_manager(w->state, ++w->term, w->now, w->seen_at);
+	g_hash_table_remove_all(w->moved);
+	w->lists = 0;
+}
+
 static void run_for(struct world *w, clock_ms_t ms)
 {
 	for (clock_ms_t until = w->now + ms; w->now < until; w->now += MANAGER_TICK_MS) {
@@ -146,6 +187,8 @@
 		for (guint i = 0; i < effects->len; i++) {
 			const struct effect *e = effects->pdata[i];
 
+			if (e->type == EFFECT_PROPOSE)
+				commit(w, e->u.command);
 			if (e->type == EFFECT_ORDER)
 				handle_order(w, e->u.order);
 		}
@@ -178,7 +221,7 @@
 	w.holds_moves = true;
 	fixture_submit(w.m, w.now, "j", 3 * FIXTURE_CPU_MILLI / 1000);
 	run_for(&w, 300);
-	g_assert_true(g_hash_table_contains(w.moved, "m-2"));
+	g_assert_cmpint(moved_at(&w, "m-2"), !=, 0);
 	answer_held_moves(&w, ORDER_NO_ANSWER);
 	fixture_heartbeat(w.m, w.now, "i-2", "m-2", 2);
 	run_for(&w, 1000);
@@ -191,10 +234,97 @@
 	world_clear(&w);
 }
 
+#define TASKS_PER_MACHINE (FIXTURE_CPU_MILLI / 1000)
+/// Two passes over the pools, and a time mark.
+#define PASSES_MS 300
+
+/// Sets up a leader that orders machine m-2 to the pool, whose endpoint never sends a heartbeat.
+///
+/// @return time of the order
+static clock_ms_t order_silent_machine(struct world *w)
+{
+	clock_ms_t at;
+
+	world_init(w);
+	g_ptr_array_add(w->machines, "m-2");
+	fixture_heartbeat(w->m, w->now, "i-1", "m-1", 1);
+	fixture_submit(w->m, w->now, "j", 2 * TASKS_PER_MACHINE);
+	run_for(w, PASSES_MS);
+	at = moved_at(w, "m-2");
+	g_assert_cmpint(at, !=, 0);
+	return at;
+}
+
+/// Runs the manager until it orders a machine to the pool.
+static void run_until_moved(struct world *w, const char *machine, clock_ms_t max_ms)
+{
+	clock_ms_t until = w->now + max_ms;
+
+	while (!moved_at(w, machine) && w->now < until)
+		run_for(w, MANAGER_TICK_MS);
+}
+
+/// A surge that runs while the leader changes must not wait for machines whose last order is older
+/// than the lease.
+static void test_new_leader_moves_machine_ordered_long_ago(void)
+{
+	struct world w;
+
+	order_silent_machine(&w);
+	run_for(&w, FIXTURE_HOLDER_LEASE_MS + 500);
+	change_leader(&w, 600);
+	fixture_heartbeat(w.m, w.now, "i-1", "m-1", 1);
+	run_until_moved(&w, "m-2", PASSES_MS);
+	g_assert_cmpint(moved_at(&w, "m-2"), !=, 0);
+	world_clear(&w);
+}
+
+/// A machine that the earlier leader ordered lately gets no order before the lease has passed since
+/// then, and gets it soon after.
+static void test_new_leader_keeps_lease_of_recent_order(void)
+{
+	struct world w;
+	clock_ms_t ordered_at = order_silent_machine(&w);
+
+	run_for(&w, 1000);
+	change_leader(&w, 600);
+	fixture_heartbeat(w.m, w.now, "i-1", "m-1", 1);
+	run_until_moved(&w, "m-2", 2 * FIXTURE_HOLDER_LEASE_MS);
+	g_assert_cmpint(moved_at(&w, "m-2"), >=, ordered_at + FIXTURE_HOLDER_LEASE_MS);
+	g_assert_cmpint(moved_at(&w, "m-2"), <=,
+			ordered_at + FIXTURE_HOLDER_LEASE_MS + HOLDER_MARGIN_MS + PASSES_MS);
+	world_clear(&w);
+}
+
+/// Two changes of leader in a row must not shorten the lease of the first leader's order.
+static void test_second_new_leader_keeps_lease_of_first(void)
+{
+	struct world w;
+	clock_ms_t ordered_at = order_silent_machine(&w);
+
+	g_ptr_array_add(w.machines, "m-3");
+	change_leader(&w, 600);
+	fixture_heartbeat(w.m, w.now, "i-1", "m-1", 1);
+	run_until_moved(&w, "m-3", PASSES_MS);
+	g_assert_cmpint(moved_at(&w, "m-3"), !=, 0);
+	change_leader(&w, 600);
+	fixture_heartbeat(w.m, w.now, "i-1", "m-1", 1);
+	fixture_submit(w.m, w.now, "k", 2 * TASKS_PER_MACHINE);
+	run_until_moved(&w, "m-2", 2 * FIXTURE_HOLDER_LEASE_MS);
+	g_assert_cmpint(moved_at(&w, "m-2"), >=, ordered_at + FIXTURE_HOLDER_LEASE_MS);
+	world_clear(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/pools/repeated_move_keeps_work_of_next_endpoint",
 			test_repeated_move_keeps_work_of_next_endpoint);
+	g_test_add_func("/pools/new_leader_moves_machine_ordered_long_ago",
+			test_new_leader_moves_machine_ordered_long_ago);
+	g_test_add_func("/pools/new_leader_keeps_lease_of_recent_order",
+			test_new_leader_keeps_lease_of_recent_order);
+	g_test_add_func("/pools/second_new_leader_keeps_lease_of_first",
+			test_second_new_leader_keeps_lease_of_first);
 	return g_test_run();
 }
