fix(pools): list machines again while some will soon be up

Cause: a new leader lists the machines once, then every 10 s. A machine in maintenance or on its way at that moment counts as not up until its endpoint sends a heartbeat; one that is switched off never does. The same happens without a change of leader, when the 10-second list meets a machine in maintenance. The class of fault: a passing state is kept as if it were lasting.

The list is now due again after 1 s while it shows machines that move or are in maintenance by orders other than this leader's own; rows of machines that this leader keeps down itself change nothing.

Test: /pools/machine_back_from_maintenance_is_moved. On the code before: 'assertion failed (moved_at(&w, "m-2") != 0)'.

--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -13,6 +13,9 @@
 #define POOL_PASS_MS 100     /* a fifteenth of the time of a move */
 #define LIST_PERIOD_MS 10000 /* own moves are tracked; the list finds all others */
 #define LIST_RETRY_MS 1000
+/// Period of the list while it shows machines that will be up again within seconds: those that are
+/// switched off send no heartbeat.
+#define LIST_TRANSIENT_PERIOD_MS 1000
 #define ORDER_TIMEOUT_MS 1500
 #define LEADER_SETTLE_MS 2000 /* all endpoints have sent a heartbeat to a new leader by then */
 #define RETRY_MS 400	      /* delay before an unanswered move is sent again */
@@ -521,7 +524,8 @@
 		.not_after = now + ORDER_TIMEOUT_MS,
 	};
 	m->list_in_flight = true;
-	m->next_list_at = now + LIST_PERIOD_MS;
+	if (!*page)
+		m->next_list_at = now + LIST_PERIOD_MS;
 	effects_send_order(m, now, o, NULL, NULL, 0);
 }
 
@@ -567,10 +571,12 @@
 			&g_array_index(result->machines, struct machine_row, i);
 		struct machine *x = machines_get(m, row->machine);
 
-		if (x->target_pool || now < x->arrives_by)
+		if (x->target_pool || now < x->arrives_by || machines_is_down(m, x->name, now))
 			continue;
 		set_pool(x, row->pool);
 		x->is_up = row->state == MACHINE_UP;
+		if (row->state == MACHINE_MOVING || row->state == MACHINE_MAINTENANCE)
+			m->next_list_at = MIN(m->next_list_at, now + LIST_TRANSIENT_PERIOD_MS);
 	}
 	if (result->next_page)
 		list_machines(m, now, result->next_page);
--- a/tests/unit/manager_fixture.c
+++ b/tests/unit/manager_fixture.c
@@ -11,7 +11,7 @@
 		.lease_max_ms = 6000,
 		.job_retention_s = 120,
 		.holder_lease_ms = FIXTURE_HOLDER_LEASE_MS,
-		.move_ms = 1500,
+		.move_ms = FIXTURE_MOVE_MS,
 		.maintenance_ms = FIXTURE_MAINTENANCE_MS,
 	};
 
--- a/tests/unit/unit_pools.c
+++ b/tests/unit/unit_pools.c
@@ -315,6 +315,25 @@
 	world_clear(&w);
 }
 
+/// A machine that a new leader finds in maintenance, and that is switched off afterwards, sends no
+/// heartbeat; it must be used in a surge as soon as it is up again.
+static void test_machine_back_from_maintenance_is_moved(void)
+{
+	struct world w;
+
+	world_init(&w);
+	g_ptr_array_add(w.machines, "m-2");
+	w.listed = MACHINE_MAINTENANCE;
+	fixture_heartbeat(w.m, w.now, "i-1", "m-1", 1);
+	fixture_submit(w.m, w.now, "j", 2 * TASKS_PER_MACHINE);
+	run_for(&w, FIXTURE_MAINTENANCE_MS);
+	g_assert_cmpint(moved_at(&w, "m-2"), ==, 0);
+	w.listed = MACHINE_UP;
+	run_until_moved(&w, "m-2", FIXTURE_MOVE_MS);
+	g_assert_cmpint(moved_at(&w, "m-2"), !=, 0);
+	world_clear(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -326,5 +345,7 @@
 			test_new_leader_keeps_lease_of_recent_order);
 	g_test_add_func("/pools/second_new_leader_keeps_lease_of_first",
 			test_second_new_leader_keeps_lease_of_first);
+	g_test_add_func("/pools/machine_back_from_maintenance_is_moved",
+			test_machine_back_from_maintenance_is_moved);
 	return g_test_run();
 }
