fix(pools): a few large jobs are not a surge

Callers saw short jobs late in the first seconds of a surge, more so if the leader changed then (SHORT): the reserve of idle machines was spent.

Cause: the work of arriving jobs over 0.5 s was taken as a rate that goes on, however few the jobs were, and waiting work as if any number of machines could share it. One large job of a pool in its trough asked for up to 270 machines, of which its tasks can use eight. The class of fault: an estimate is used without its uncertainty.

Now the rate counts n / (n + 2) of itself for n jobs in the window, and a pool is given no more than its running and waiting tasks and expected arrivals can use at once. The unit test of a backlog states the request of its waiting tasks too; its bounds are as before.

--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -37,12 +37,11 @@
 	bool round_wanted; ///< a change since the last placement round may allow another placement
 	bool fenced_off;   ///< a receiver has seen a higher fencing token
 	clock_ms_t lag_ms; ///< age of the oldest input or commit not processed
-	clock_ms_t last_lag_at;	      ///< when the replica last lagged behind its input
-	clock_ms_t next_cleanup_at;   ///< next purge of ended jobs and terminated endpoints
-	clock_ms_t next_wave_pass_at; ///< next evaluation of the maintenance waves
-	GHashTable *machines;	      ///< struct machine by name; owned
-	GHashTable *arriving; ///< double, mean rate of arriving work in thousandths of a core, by
-			      ///< pool; owned
+	clock_ms_t last_lag_at;		 ///< when the replica last lagged behind its input
+	clock_ms_t next_cleanup_at;	 ///< next purge of ended jobs and terminated endpoints
+	clock_ms_t next_wave_pass_at;	 ///< next evaluation of the maintenance waves
+	GHashTable *machines;		 ///< struct machine by name; owned
+	GHashTable *arriving;		 ///< struct arrivals by pool; owned
 	uint32_t max_machine_cpu_milli;	 ///< of the largest machine seen so far
 	bool list_in_flight;		 ///< a machine list order is in flight
 	clock_ms_t next_list_at;	 ///< next machine list order
--- a/src/sesamewood/sched/demand.c
+++ b/src/sesamewood/sched/demand.c
@@ -21,6 +21,8 @@
 		d->spread = MAX(d->spread, (s->count + max_together - 1) / max_together);
 	if (s->long_running && !s->best_effort)
 		d->long_running_cpu_milli += (int64_t)waiting * s->cpu_milli;
+	if (!s->long_running && !s->best_effort)
+		d->cpu_milli += (int64_t)waiting * s->cpu_milli;
 	d->work_core_us += waiting * estimates_task_work(m, job, step);
 }
 
--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -28,7 +28,9 @@
 /// short job.
 #define CATCH_UP_MS 1000
 #define ARRIVAL_WINDOW_MS 500 /* an eighth of the shortest surge */
-#define USABLE_PERCENT 90     /* usable share of a machine; fragmentation takes the rest */
+/// Number of jobs in the window that count half as a rate: one large job is not a surge.
+#define FEW_JOBS 2.0
+#define USABLE_PERCENT 90 /* usable share of a machine; fragmentation takes the rest */
 /// Idle time before a machine is moved to standby: by then idling has cost as much as two moves.
 #define STANDBY_AFTER_IDLE_MS 2200
 #define SPREAD_MACHINES_MAX 16	   /* most machines requested for a limit per endpoint */
@@ -37,11 +39,28 @@
 struct pool {
 	const job_pool *config;
 	struct pool_load load;
-	double arriving; ///< exponentially decaying mean, thousandths of a core
+};
+
+/// Recently arrived jobs of one pool; both decay exponentially.
+struct arrivals {
+	double cpu_milli; ///< mean rate of their work, thousandths of a core
+	double jobs;
 };
 
 /* Machines needed. */
 
+int64_t pools_expected_arrivals(double cpu_milli, double jobs)
+{
+	return (int64_t)(cpu_milli * jobs / (jobs + FEW_JOBS));
+}
+
+/// @return processor time that the tasks of a pool can use at once, thousandths of a core
+static int64_t usable_at_once(const struct pool_load *l)
+{
+	return l->running_cpu_milli + l->waiting_cpu_milli +
+	       l->arriving_cpu_milli * MACHINE_LEAD_MS / CATCH_UP_MS;
+}
+
 uint32_t pools_machines_needed(const struct pool_load *l)
 {
 	int64_t usable = l->machine_cpu_milli * USABLE_PERCENT / 100;
@@ -55,6 +74,7 @@
 	left = l->waiting_core_us + (l->arriving_cpu_milli - supply) * MACHINE_LEAD_MS +
 	       l->running_cpu_milli * CATCH_UP_MS / 2;
 	wanted = l->arriving_cpu_milli + MAX(left, 0) / CATCH_UP_MS;
+	wanted = MIN(wanted, usable_at_once(l));
 	wanted = MAX(wanted, l->running_cpu_milli);
 	n = (wanted + l->long_running_cpu_milli + usable - 1) / usable;
 	return (uint32_t)MAX(n, (int64_t)l->spread);
@@ -171,10 +191,11 @@
 	for (u_int i = 0; i < m->jobs->config.pools.pools_len; i++) {
 		const job_pool *config = &m->jobs->config.pools.pools_val[i];
 		struct pool *p = g_new0(struct pool, 1);
-		const double *rate = g_hash_table_lookup(m->arriving, config->name);
+		const struct arrivals *a = g_hash_table_lookup(m->arriving, config->name);
 
 		p->config = config;
-		p->load.arriving_cpu_milli = rate ? (int64_t)*rate : 0;
+		if (a)
+			p->load.arriving_cpu_milli = pools_expected_arrivals(a->cpu_milli, a->jobs);
 		g_hash_table_replace(pools, config->name, p);
 	}
 	add_supply(m, pools, now);
@@ -186,6 +207,7 @@
 
 		if (d) {
 			p->load.waiting_core_us = d->work_core_us;
+			p->load.waiting_cpu_milli = d->cpu_milli;
 			p->load.long_running_cpu_milli += d->long_running_cpu_milli;
 			p->load.spread = MIN(d->spread, SPREAD_MACHINES_MAX);
 		}
@@ -198,23 +220,29 @@
 void pools_record_accepted_job(struct manager *m, const struct job *job)
 {
 	const job_spec *spec = &job->image.spec;
-	double *rate = g_hash_table_lookup(m->arriving, spec->pool);
+	struct arrivals *a = g_hash_table_lookup(m->arriving, spec->pool);
 
-	if (!rate) {
-		rate = g_new0(double, 1);
-		g_hash_table_insert(m->arriving, g_strdup(spec->pool), rate);
+	if (!a) {
+		a = g_new0(struct arrivals, 1);
+		g_hash_table_insert(m->arriving, g_strdup(spec->pool), a);
 	}
-	*rate += (double)estimates_job_work(m, job) / ARRIVAL_WINDOW_MS;
+	a->cpu_milli += (double)estimates_job_work(m, job) / ARRIVAL_WINDOW_MS;
+	a->jobs++;
 }
 
 static void decay_arrivals(struct manager *m, clock_ms_t elapsed_ms)
 {
+	double share = MAX(0.0, 1.0 - (double)elapsed_ms / ARRIVAL_WINDOW_MS);
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, m->arriving);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		*(double *)value *= MAX(0.0, 1.0 - (double)elapsed_ms / ARRIVAL_WINDOW_MS);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct arrivals *a = value;
+
+		a->cpu_milli *= share;
+		a->jobs *= share;
+	}
 }
 
 /* Moves. */
@@ -471,7 +499,8 @@
 
 	log_info("pool needs machines", "POOL", p->config->name, "NEEDED", log_number(needed),
 		 "MACHINES", log_number(l->machines), "WAITING_CORE_MS",
-		 log_number((guint64)l->waiting_core_us / 1000), "ARRIVING_MILLI",
+		 log_number((guint64)l->waiting_core_us / 1000), "WAITING_MILLI",
+		 log_number((guint64)l->waiting_cpu_milli), "ARRIVING_MILLI",
 		 log_number((guint64)l->arriving_cpu_milli), "RUNNING_MILLI",
 		 log_number((guint64)l->running_cpu_milli), "LONG_RUNNING_MILLI",
 		 log_number((guint64)l->long_running_cpu_milli));
--- a/src/sesamewood/sched/pools.h
+++ b/src/sesamewood/sched/pools.h
@@ -13,6 +13,7 @@
 	int64_t running_cpu_milli;	///< used by attempts of bounded run time
 	int64_t long_running_cpu_milli; ///< used or requested by long-running tasks
 	int64_t waiting_core_us;	///< work of waiting tasks, core-microseconds
+	int64_t waiting_cpu_milli;	///< used by waiting tasks once they run
 	int64_t arriving_cpu_milli; ///< recent mean rate of arriving work, thousandths of a core
 	int64_t machine_cpu_milli;  ///< processor of one machine
 	uint32_t spread;   ///< machines that any one step needs because of its limit of tasks per
@@ -20,6 +21,14 @@
 	uint32_t machines; ///< machines that take work or are arriving
 };
 
+/// Estimates the rate at which work goes on arriving from that of recent jobs. The fewer these are,
+/// the less their work says about the jobs to come.
+///
+/// @param cpu_milli  mean rate of the work that arrived, thousandths of a core
+/// @param jobs       number of jobs that brought it
+/// @return thousandths of a core
+int64_t pools_expected_arrivals(double cpu_milli, double jobs);
+
 /// @return number of machines that the pool needs to start waiting and arriving work in time
 uint32_t pools_machines_needed(const struct pool_load *load);
 
--- a/tests/unit/unit_sched.c
+++ b/tests/unit/unit_sched.c
@@ -24,6 +24,7 @@
 	g_assert_cmpuint(pools_machines_needed(&load), >, 16);
 	load.arriving_cpu_milli = 0;
 	load.waiting_core_us = 800000000; /* a backlog of 800 core-seconds */
+	load.waiting_cpu_milli = 800000;
 	g_assert_cmpuint(pools_machines_needed(&load), >, 16);
 }
 
