fix(waves): leave idle machines to a surge while the wave is on time

Callers saw short jobs late when a wave was accepted in a surge (SHORT).

Cause: a wave took all idle machines at once, up to its cap, whatever pools needed.

While a pool lacks machines, a wave now takes switched-off machines only as fast as it must to be done after 80% of its time.

Test: /pools/wave_leaves_idle_machines_to_surge, fails without the condition.

--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -46,6 +46,7 @@
 	bool list_in_flight;		 ///< a machine list order is in flight
 	clock_ms_t next_list_at;	 ///< next machine list order
 	clock_ms_t next_pool_pass_at;	 ///< next evaluation of the pools
+	clock_ms_t pool_shortage_at;	 ///< when a pool last needed more machines
 	clock_ms_t next_shortage_log_at; ///< earliest time to log pools without enough machines
 	GHashTable *failed_at;	   ///< id of the endpoint where a task failed last, by task name
 	struct cooldown *cooldown; ///< recent machine orders, of earlier leaders as well
--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -34,6 +34,7 @@
 /// Idle time before a machine is moved to standby: by then idling has cost as much as two moves.
 #define STANDBY_AFTER_IDLE_MS 2200
 #define SPREAD_MACHINES_MAX 16	   /* most machines requested for a limit per endpoint */
+#define SHORTAGE_MS 1000	   /* a quarter of the shortest surge */
 #define SHORTAGE_LOG_PERIOD_MS 500 /* a surge lasts some seconds */
 
 struct pool {
@@ -390,6 +391,8 @@
 {
 	uint32_t needed = pools_machines_needed(&to->load);
 
+	if (to->load.machines < needed)
+		m->pool_shortage_at = now;
 	for (guint i = 0; i < idle_machines->len && to->load.machines < needed; i++) {
 		struct idle_machine *idle = &g_array_index(idle_machines, struct idle_machine, i);
 
@@ -558,6 +561,11 @@
 	effects_send_order(m, now, o, NULL, NULL, 0);
 }
 
+bool pools_lack_machines(const struct manager *m, clock_ms_t now)
+{
+	return m->pool_shortage_at && now - m->pool_shortage_at < SHORTAGE_MS;
+}
+
 void pools_tick(struct manager *m, clock_ms_t now, clock_ms_t wall_ms)
 {
 	g_autoptr(GHashTable) pools = NULL;
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "runs/attempts.h"
 #include "sched/machines.h"
+#include "sched/pools.h"
 
 #include <string.h>
 
@@ -14,6 +15,10 @@
 #define WAVE_LOG_PERIOD_MS 3000
 /// Delay before a task counts as ready, to notice one that fails as soon as it is ready.
 #define READY_MARGIN_MS 200
+/// Time between a machine's return and the order for the next one, on average.
+#define MAINTENANCE_GAP_MS 500
+/// While pools lack machines, a wave plans to be done after this share of its time.
+#define PACE_PERCENT 80
 
 static void index_endpoints_by_machine(struct manager *m)
 {
@@ -325,12 +330,22 @@
 				   (clock_ms_t)MAX(wave->cap, 1));
 }
 
+unsigned int waves_pace(const job_wave *wave, unsigned int n_open, clock_ms_t maintenance_ms,
+			clock_ms_t left_ms)
+{
+	clock_ms_t each = maintenance_ms + MAINTENANCE_GAP_MS;
+	clock_ms_t left = MAX(left_ms * PACE_PERCENT / 100, 1);
+
+	return (unsigned int)MIN((n_open * each + left - 1) / left, (clock_ms_t)wave->cap);
+}
+
 static void tick_wave(struct manager *m, clock_ms_t now, clock_ms_t wall_ms, const job_wave *wave)
 {
 	unsigned int n_down = 0;
 	unsigned int n_cordoned = 0;
 	unsigned int n_open = 0;
 	unsigned int n_wanted;
+	unsigned int pace;
 	bool deadline_near;
 
 	for (u_int i = 0; i < wave->machines.machines_len; i++) {
@@ -346,10 +361,10 @@
 		else if (!w->settled && e && e->cordoned)
 			n_cordoned++;
 	}
-	/* Each batch of cap machines takes the maintenance time and about 500 ms of overhead. */
 	deadline_near = wall_ms + (clock_ms_t)(n_open / MAX(wave->cap, 1) + 1) *
-					  (m->settings.maintenance_ms + 500) >
+					  (m->settings.maintenance_ms + MAINTENANCE_GAP_MS) >
 			wave->due_wall_ms;
+	pace = waves_pace(wave, n_open, m->settings.maintenance_ms, wave->due_wall_ms - wall_ms);
 	for (u_int i = 0; i < wave->machines.machines_len; i++) {
 		const job_wave_machine *w = &wave->machines.machines_val[i];
 		struct maintenance *maint = machines_get_maintenance(m, w->machine);
@@ -375,6 +390,7 @@
 		if (n_down < wave->cap)
 			log_blocking_condition(m, maint, w->machine, e, now);
 		if (n_down >= wave->cap || (e && !e->cordoned) ||
+		    (!e && n_down >= pace && pools_lack_machines(m, now)) ||
 		    !may_start_maintenance(m, e, now, deadline_near))
 			continue;
 		send_maintenance(m, now, wave, w->machine, true);
--- a/src/sesamewood/sched/waves.h
+++ b/src/sesamewood/sched/waves.h
@@ -20,6 +20,13 @@
 void waves_handle_heartbeat(struct manager *m, clock_ms_t now, const char *machine,
 			    int64_t incarnation_wall_ms);
 
+/// @param n_open    machines of the wave whose maintenance has not begun
+/// @param left_ms   time to the deadline of the wave
+/// @return number of machines that have to be down at once for the wave to be done before its
+/// deadline; at most its cap
+unsigned int waves_pace(const job_wave *wave, unsigned int n_open, clock_ms_t maintenance_ms,
+			clock_ms_t left_ms);
+
 /// @return true if the maintenance of all machines of a wave has begun or is impossible
 bool waves_is_complete(const job_wave *wave);
 
--- a/tests/unit/unit_pools.c
+++ b/tests/unit/unit_pools.c
@@ -334,6 +334,45 @@
 	world_clear(&w);
 }
 
+#define WAVE_S 30
+
+static void put_wave(struct world *w, uint32_t cap)
+{
+	struct call c = {.type = CALL_WAVE_PUT, .wave_s = WAVE_S};
+
+	c.wave.number = 1;
+	c.wave.cap = cap;
+	c.wave.machines.machines_val = calloc(w->machines->len, sizeof(job_wave_machine));
+	for (guint i = 0; i < w->machines->len; i++)
+		c.wave.machines.machines_val[c.wave.machines.machines_len++].machine =
+			strdup(w->machines->pdata[i]);
+	manager_handle_call(w->m, w->now, w->now, 2, &c);
+	call_clear(&c);
+}
+
+/// A wave is accepted while a surge grows. The wave has time enough to take idle machines a few at a
+/// time, so most of them must be left for the pool.
+static void test_wave_leaves_idle_machines_to_surge(void)
+{
+	const char *const names[] = {"m-2", "m-3", "m-4", "m-5", "m-6", "m-7", "m-8", "m-9"};
+	struct world w;
+
+	world_init(&w);
+	for (unsigned int i = 0; i < G_N_ELEMENTS(names); i++)
+		g_ptr_array_add(w.machines, (char *)names[i]);
+	fixture_heartbeat(w.m, w.now, "i-1", "m-1", 1);
+	run_for(&w, FIXTURE_HOLDER_LEASE_MS + HOLDER_MARGIN_MS);
+	fixture_heartbeat(w.m, w.now, "i-1", "m-1", 1);
+	fixture_submit(w.m, w.now, "j", 3 * TASKS_PER_MACHINE);
+	run_for(&w, PASSES_MS);
+	put_wave(&w, G_N_ELEMENTS(names));
+	run_for(&w, PASSES_MS);
+	fixture_submit(w.m, w.now, "k", G_N_ELEMENTS(names) * TASKS_PER_MACHINE);
+	run_for(&w, PASSES_MS);
+	g_assert_cmpuint(g_hash_table_size(w.moved), >=, G_N_ELEMENTS(names) - 2);
+	world_clear(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -347,5 +386,7 @@
 			test_second_new_leader_keeps_lease_of_first);
 	g_test_add_func("/pools/machine_back_from_maintenance_is_moved",
 			test_machine_back_from_maintenance_is_moved);
+	g_test_add_func("/pools/wave_leaves_idle_machines_to_surge",
+			test_wave_leaves_idle_machines_to_surge);
 	return g_test_run();
 }
