fix(rpc): a timed-out call keeps a connection that is alive

A call that timed out closed its connection and failed all others on it. Callers' requests and heartbeats that wait for a slow commit time out after 700 ms on the same connection that carries the replies to the leader's batches; the leader sends a batch without a reply again after 1 s; that makes the next commit slow. The class of fault: a slow answer is taken for a dead peer, and one request's deadline ends the work of others.

A call that times out now fails alone if the connection has brought a record since the call was sent.

Test: /rpc/timed_out_call_keeps_the_connection. On the code before: 'assertion failed (s.failed == 0): (2 == 0)'.

--- a/src/sesamewood/rpc/rpc_client.c
+++ b/src/sesamewood/rpc/rpc_client.c
@@ -22,6 +22,7 @@
 	GPtrArray *outbox; ///< of struct queued_record, sent once connected
 	ev_timer reconnect;
 	uint32_t next_xid;
+	clock_ms_t received_at; ///< when the connection last brought a record
 };
 
 /// A call that has not completed.
@@ -31,6 +32,7 @@
 	const struct rpc_proc *proc;
 	rpc_reply_fn fn;
 	void *ctx;
+	clock_ms_t started_at;
 	bool is_sent;	       ///< its record was passed to the stream
 	guint64 stream_offset; ///< offset of its record in the bytes sent on the connection
 	ev_timer timer;
@@ -146,6 +148,7 @@
 	struct call *call;
 	XDR xdr;
 
+	c->received_at = clock_monotonic();
 	xdrmem_create(&xdr, (char *)data, len, XDR_DECODE);
 	msg.acpted_rply.ar_results.proc = (xdrproc_t)(void *)decode_no_results;
 	if (!xdr_replymsg(&xdr, &msg)) {
@@ -201,11 +204,24 @@
 		connect_now(c);
 }
 
+/// Tells whether the connection has brought a record since a call was sent on it.
+static bool connection_is_alive(const struct rpc_client *c, const struct call *call)
+{
+	return c->stream && call->is_sent && c->received_at > call->started_at;
+}
+
+/// Fails a call without a reply. All other calls fail with it unless the connection is alive: then
+/// only this call is slow.
 static void on_call_timeout(struct ev_loop *loop, ev_timer *w, int revents)
 {
+	struct call *call = w->data;
+
 	(void)loop;
 	(void)revents;
-	disconnect(((struct call *)w->data)->client);
+	if (connection_is_alive(call->client, call))
+		complete_call(call, RPC_NO_REPLY, NULL);
+	else
+		disconnect(call->client);
 }
 
 struct rpc_client *rpc_client_new(struct ev_loop *loop, const char *address)
@@ -279,6 +295,7 @@
 	*call = (struct call){
 		.client = c,
 		.xid = ++c->next_xid,
+		.started_at = clock_monotonic(),
 		.proc = rpc_proc_find(proc),
 		.fn = fn,
 		.ctx = ctx,
--- a/src/sesamewood/rpc/rpc_client.h
+++ b/src/sesamewood/rpc/rpc_client.h
@@ -34,7 +34,8 @@
 /// is freed first.
 ///
 /// @param args value of the procedure's argument type, encoded before the function returns
-/// @param timeout_ms time after which the connection is closed and all pending calls fail
+/// @param timeout_ms time after which the call fails; if the connection has brought nothing since
+///                   the call, it is closed and all pending calls fail
 /// @param fn may be NULL when the outcome does not matter
 void rpc_client_call(struct rpc_client *c, uint32_t proc, const void *args, clock_ms_t timeout_ms,
 		     rpc_reply_fn fn, void *ctx);
--- a/tests/unit/unit_rpc.c
+++ b/tests/unit/unit_rpc.c
@@ -152,6 +152,90 @@
 	rpc_client_free(c);
 }
 
+/* Calls that share a connection. */
+
+#define QUICK_CALLS 30
+#define QUICK_CALL_PERIOD_S 0.01
+#define QUICK_CALL_TIMEOUT_MS 2000
+
+/// A server that never answers a relayed call, and a quick call only when the next one arrives, so
+/// that there is always one in flight.
+struct shared_connection {
+	struct ev_loop *loop;
+	struct rpc_client *client;
+	ev_timer next_call;
+	struct rpc_request *held;
+	enum rpc_result slow_result;
+	unsigned int sent;
+	unsigned int replied;
+	unsigned int failed;
+};
+
+static void on_shared_call(void *ctx, struct rpc_request *req, uint32_t proc, const void *args)
+{
+	struct shared_connection *s = ctx;
+
+	(void)args;
+	if (proc != SW_PROC_RAFT)
+		return;
+	if (s->held)
+		rpc_request_reply(s->held, NULL);
+	s->held = req;
+}
+
+static void on_quick_call_done(void *ctx, enum rpc_result result, const void *reply)
+{
+	struct shared_connection *s = ctx;
+
+	(void)reply;
+	s->replied += result == RPC_REPLIED;
+	s->failed += result != RPC_REPLIED;
+	if (s->replied + s->failed == QUICK_CALLS - 1)
+		ev_break(s->loop, EVBREAK_ALL);
+}
+
+static void on_slow_call_done(void *ctx, enum rpc_result result, const void *reply)
+{
+	(void)reply;
+	((struct shared_connection *)ctx)->slow_result = result;
+}
+
+static void send_quick_call(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	struct shared_connection *s = w->data;
+	raft_message args = {.type = RAFT_APPEND};
+
+	(void)revents;
+	rpc_client_call(s->client, SW_PROC_RAFT, &args, QUICK_CALL_TIMEOUT_MS, on_quick_call_done,
+			s);
+	if (++s->sent == QUICK_CALLS)
+		ev_timer_stop(loop, w);
+}
+
+/// A call that times out on a connection that is alive must not fail the calls beside it: a slow
+/// commit times callers' requests out, and replication shares their connection.
+static void test_timed_out_call_keeps_the_connection(void)
+{
+	struct shared_connection s = {.loop = ev_loop_new(EVFLAG_AUTO)};
+	sw_relay_args slow = {
+		.method = (char *)"POST", .host = (char *)"h", .target = (char *)"/q/j"};
+	struct sockaddr_in address;
+	int fd = bind_loopback(-1, &address);
+	g_autofree char *text = g_strdup_printf("127.0.0.1:%u", ntohs(address.sin_port));
+
+	close(fd);
+	s.client = rpc_client_new(s.loop, text);
+	g_assert_nonnull(rpc_server_new(s.loop, text, on_shared_call, &s));
+	rpc_client_call(s.client, SW_PROC_RELAY, &slow, CALL_TIMEOUT_MS, on_slow_call_done, &s);
+	ev_timer_init(&s.next_call, send_quick_call, 0., QUICK_CALL_PERIOD_S);
+	s.next_call.data = &s;
+	ev_timer_start(s.loop, &s.next_call);
+	ev_run(s.loop, 0);
+	g_assert_cmpint(s.slow_result, ==, RPC_NO_REPLY);
+	g_assert_cmpuint(s.failed, ==, 0);
+	rpc_client_free(s.client);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -159,6 +243,8 @@
 	g_test_add_func("/rpc/hanging_connection_is_not_sent", test_hanging_connection_is_not_sent);
 	g_test_add_func("/rpc/unresponsive_peer_may_have_run_it",
 			test_unresponsive_peer_may_have_run_it);
+	g_test_add_func("/rpc/timed_out_call_keeps_the_connection",
+			test_timed_out_call_keeps_the_connection);
 	g_test_add_func("/rpc/calls_without_results_are_acknowledged_together",
 			test_calls_without_results_are_acknowledged_together);
 	return g_test_run();
