test(pools): make the wave's test reach the case

They now come up after it. Without the condition: 'assertion failed (g_hash_table_size(w.moved) >= ...): (0 >= 6)'. The bound is as before.

--- a/tests/unit/unit_pools.c
+++ b/tests/unit/unit_pools.c
@@ -350,8 +350,8 @@
 	call_clear(&c);
 }
 
-/// A wave is accepted while a surge grows. The wave has time enough to take idle machines a few at a
-/// time, so most of them must be left for the pool.
+/// A wave is accepted while a pool lacks machines, just before idle ones come up. The wave has time
+/// enough to take them a few at a time, so most of them must be left for the pool.
 static void test_wave_leaves_idle_machines_to_surge(void)
 {
 	const char *const names[] = {"m-2", "m-3", "m-4", "m-5", "m-6", "m-7", "m-8", "m-9"};
@@ -360,15 +360,13 @@
 	world_init(&w);
 	for (unsigned int i = 0; i < G_N_ELEMENTS(names); i++)
 		g_ptr_array_add(w.machines, (char *)names[i]);
+	w.listed = MACHINE_MAINTENANCE;
 	fixture_heartbeat(w.m, w.now, "i-1", "m-1", 1);
+	fixture_submit(w.m, w.now, "j", (1 + G_N_ELEMENTS(names)) * TASKS_PER_MACHINE);
 	run_for(&w, FIXTURE_HOLDER_LEASE_MS + HOLDER_MARGIN_MS);
-	fixture_heartbeat(w.m, w.now, "i-1", "m-1", 1);
-	fixture_submit(w.m, w.now, "j", 3 * TASKS_PER_MACHINE);
-	run_for(&w, PASSES_MS);
 	put_wave(&w, G_N_ELEMENTS(names));
-	run_for(&w, PASSES_MS);
-	fixture_submit(w.m, w.now, "k", G_N_ELEMENTS(names) * TASKS_PER_MACHINE);
-	run_for(&w, PASSES_MS);
+	w.listed = MACHINE_UP;
+	run_for(&w, FIXTURE_MOVE_MS);
 	g_assert_cmpuint(g_hash_table_size(w.moved), >=, G_N_ELEMENTS(names) - 2);
 	world_clear(&w);
 }
