fix(raft): send a lost batch again after the reply to a later message

Cause: a batch of records that is lost with its connection was sent again after 1 s, although the member answers heartbeats all the while. Where a bare majority is left each member is needed, so that every lost batch holds all commits for a second.

Messages and replies keep their order on a connection and on the disk queue, so the reply to a later message than the batch shows the loss.

Test: /raft/lost_batch_is_sent_again_after_later_reply. On the code before: 'assertion failed (count_batches(r, 2) == 1): (0 == 1)'.

--- a/src/sesamewood/control/raft.c
+++ b/src/sesamewood/control/raft.c
@@ -9,7 +9,7 @@
 #define BATCH_RECORDS_MAX 8000		     /* must be less than SW_LIST_MAX */
 #define BATCH_BYTES_MAX ((gsize)1024 * 1024) /* sent in 10 ms on the slowest replica link */
 #define LEADER_LEASE_PERCENT 90		     ///< of the minimum election timeout
-#define RESEND_MS 1000	   ///< an unacknowledged batch is sent again after this time
+#define RESEND_MS 1000	   ///< a batch without any later reply is sent again after this time
 #define LEARNER_LAG_MAX 64 ///< records that a learner may lack when it becomes a member
 #define VOTERS_MAX 9	   ///< further nodes stay learners until a member is unresponsive
 /// A learner replaces a member that has not replied for this time. It is twice the longest disk
@@ -172,6 +172,7 @@
 	codec_copy(CODEC_PROC(sw_members), &r->snapshot.members, &m->members, sizeof(m->members));
 	codec_copy(CODEC_PROC(sw_blob), &r->snapshot.data, &m->snapshot, sizeof(m->snapshot));
 	p->in_flight_until = now + RESEND_MS;
+	p->batch_sent_at = now;
 }
 
 static void fill_records(const struct raft *r, const struct peer *p, raft_message *m)
@@ -230,6 +231,7 @@
 		return;
 	fill_records(r, p, m);
 	p->in_flight_until = now + RESEND_MS;
+	p->batch_sent_at = now;
 }
 
 /// Sends the next batch of records if there is one and none is in flight.
@@ -521,10 +523,11 @@
 		}
 		return;
 	}
-	if (m->index > p->match) {
-		p->match = m->index;
+	/* Replies come in the order of the messages: one to a later message than the batch means
+	 * that the batch, or its reply, was lost with a connection. */
+	if (m->index > p->match || m->echo_ms > p->batch_sent_at)
 		p->in_flight_until = 0;
-	}
+	p->match = MAX(p->match, m->index);
 	p->next = MAX(p->next, p->match + 1);
 	advance_commit(r);
 	if (p->learner)
--- a/src/sesamewood/control/raft_internal.h
+++ b/src/sesamewood/control/raft_internal.h
@@ -14,6 +14,7 @@
 	uint64_t next;	///< index of the next record to send
 	clock_ms_t in_flight_until; ///< resend time of the batch in flight; 0: it was
 				    ///< acknowledged
+	clock_ms_t batch_sent_at;   ///< when the latest batch was sent
 	clock_ms_t acked_send_ms;   ///< send time, by this replica's clock, of the latest
 				    ///< acknowledged message
 	clock_ms_t last_reply_at;   ///< last reply to this leader, or start of its term
--- a/tests/unit/unit_raft.c
+++ b/tests/unit/unit_raft.c
@@ -179,6 +179,41 @@
 	raft_free(r);
 }
 
+/// @return number of append messages with records to a member among the effects so far
+static unsigned int count_batches(struct raft *r, uint32_t to)
+{
+	g_autoptr(GPtrArray) effects = raft_take_effects(r);
+	unsigned int n = 0;
+
+	for (guint i = 0; i < effects->len; i++) {
+		const struct raft_effect *e = effects->pdata[i];
+
+		n += e->type == RAFT_SEND && e->u.message.type == RAFT_APPEND &&
+		     e->u.message.to == to && e->u.message.records.records_len > 0;
+	}
+	return n;
+}
+
+/// A batch is lost with its connection. Messages keep their order, so the reply to a later heartbeat
+/// shows the loss; where each member is needed for a quorum, commits wait until it is noticed.
+static void test_lost_batch_is_sent_again_after_later_reply(void)
+{
+	struct raft *r = leader_with_record_of_earlier_term();
+	clock_ms_t now = START_MS + 4 * ELECTION_MS;
+	raft_message m = make_message(RAFT_APPEND_REPLY, 2, 12, 7);
+
+	count_batches(r, 2);
+	raft_flush(r, now);
+	g_assert_cmpuint(count_batches(r, 2), ==, 1);
+	m.echo_ms = now; /* the reply to a heartbeat that was sent before the batch */
+	raft_receive(r, now + 1, &m);
+	g_assert_cmpuint(count_batches(r, 2), ==, 0);
+	m.echo_ms = now + 1;
+	raft_receive(r, now + 2, &m);
+	g_assert_cmpuint(count_batches(r, 2), ==, 1);
+	raft_free(r);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -194,5 +229,7 @@
 			test_records_of_earlier_terms_do_not_commit_by_count);
 	g_test_add_func("/raft/partitioned_leader_loses_its_lease",
 			test_partitioned_leader_loses_its_lease);
+	g_test_add_func("/raft/lost_batch_is_sent_again_after_later_reply",
+			test_lost_batch_is_sent_again_after_later_reply);
 	return g_test_run();
 }
