test(jobs): machines move between pools in the fleet model

With machines in standby the model now executes moves, lists the machines, loses and delays the answers, and checks that no two leaders order a machine within the lease of the holder.

The other properties run without a standby pool as before.

--- a/tests/model/fleet_model.cc
+++ b/tests/model/fleet_model.cc
@@ -23,6 +23,8 @@
 constexpr clock_ms_t kCancelMs = 3000;
 constexpr clock_ms_t kMaintenanceMs = 2000; ///< a maintained machine is down for this time
 constexpr clock_ms_t kMoveMs = 1500;
+constexpr clock_ms_t kHolderLeaseMs = 3000;
+constexpr const char *kStandbyPool = "standby";
 /// Time until the leader must know that a task has become unavailable without an order, after a
 /// crash or an expired lease.
 constexpr clock_ms_t kDetectionMs = 4500;
@@ -57,9 +59,11 @@
 }
 } // namespace
 
-Fleet::Fleet(uint64_t seed, unsigned int pools, unsigned int per_pool)
+Fleet::Fleet(uint64_t seed, unsigned int pools, unsigned int per_pool,
+	     unsigned int standby_machines)
     : random(seed), committed(jobs_new())
 {
+	has_standby_pool = standby_machines > 0;
 	for (unsigned int p = 0; p < pools; p++)
 		for (unsigned int i = 0; i < per_pool; i++) {
 			auto e = std::make_unique<Endpoint>();
@@ -71,6 +75,15 @@
 			start_incarnation(*e, false);
 			endpoints.push_back(std::move(e));
 		}
+	for (unsigned int i = 0; i < standby_machines; i++) {
+		auto e = std::make_unique<Endpoint>();
+
+		e->address = "10.1.0." + std::to_string(i + 1) + ":80";
+		e->pool = kStandbyPool;
+		e->machine = "m-s-" + std::to_string(i);
+		start_incarnation(*e, false);
+		endpoints.push_back(std::move(e));
+	}
 	elect_leader();
 	put_config(pools);
 	for (auto &e : endpoints)
@@ -126,7 +139,7 @@
 	s.lease_max_ms = kLeaseMaxMs;
 	s.job_retention_s = 120;
 	s.remote_data_factor = 3;
-	s.holder_lease_ms = 3000;
+	s.holder_lease_ms = kHolderLeaseMs;
 	s.move_ms = kMoveMs;
 	s.maintenance_ms = kMaintenanceMs;
 	manager = manager_new(&s, committed, ++term, now, now);
@@ -235,7 +248,7 @@
 	c.type = CALL_CONFIG_PUT;
 	c.config.config_version = 1;
 	c.config.queues.queues_val = static_cast<job_queue *>(calloc(pools, sizeof(job_queue)));
-	c.config.pools.pools_val = static_cast<job_pool *>(calloc(pools, sizeof(job_pool)));
+	c.config.pools.pools_val = static_cast<job_pool *>(calloc(pools + 1, sizeof(job_pool)));
 	for (unsigned int p = 0; p < pools; p++) {
 		std::string name = "pool" + std::to_string(p);
 		job_queue *q = &c.config.queues.queues_val[c.config.queues.queues_len++];
@@ -248,6 +261,12 @@
 		q->stretch_milli = 1600;
 		c.config.pools.pools_val[c.config.pools.pools_len++].name = new_c_string(name);
 	}
+	if (has_standby_pool) {
+		job_pool *standby = &c.config.pools.pools_val[c.config.pools.pools_len++];
+
+		standby->name = new_c_string(kStandbyPool);
+		standby->standby = true;
+	}
 	c.config.document.sw_blob_val = new_c_string("{}");
 	c.config.document.sw_blob_len = 2;
 	manager_handle_call(manager, now, now, ++next_token, &c);
@@ -357,12 +376,18 @@
 	return nullptr;
 }
 
+/// Returns whether an endpoint can send and receive; machines in the standby pool are off.
+bool Fleet::is_reachable(const Endpoint &e) const
+{
+	return e.up && !e.cut && now >= e.down_until && e.pool != kStandbyPool;
+}
+
 void Fleet::send_heartbeat(Endpoint &e)
 {
 	struct call c = {};
 	struct endpoint_heartbeat &a = c.heartbeat;
 
-	if (!e.up || e.cut || now < e.down_until || !manager || lag_ms > kHeartbeatTimeoutMs)
+	if (!is_reachable(e) || !manager || lag_ms > kHeartbeatTimeoutMs)
 		return;
 	c.type = CALL_HEARTBEAT;
 	a.id = g_strdup(e.id.c_str());
@@ -585,13 +610,15 @@
 	unsigned int down = 0;
 
 	for (const auto &e : endpoints)
-		down += now < e->down_until;
+		down += now < e->maintenance_until;
 	for (auto &e : endpoints) {
 		if (e->machine != o.machine)
 			continue;
 		if (o.fencing_token < machine_fencing_token[o.machine])
 			return make_result(o, ORDER_FENCED);
 		machine_fencing_token[o.machine] = o.fencing_token;
+		if (now < e->down_until && now >= e->maintenance_until)
+			return make_result(o, ORDER_MACHINE_BUSY);
 		if (now < e->down_until || !maintained_machines.insert(o.machine).second)
 			return make_result(o, ORDER_OK);
 		if (down >= jobs_wave(committed, o.wave)->cap)
@@ -605,6 +632,53 @@
 		}
 		start_incarnation(*e, false);
 		e->down_until = now + kMaintenanceMs;
+		e->maintenance_until = e->down_until;
+		return make_result(o, ORDER_OK);
+	}
+	return make_result(o, ORDER_REJECTED);
+}
+
+std::shared_ptr<struct order_result> Fleet::list_machines(const struct order &o) const
+{
+	auto r = make_result(o, ORDER_OK);
+
+	for (const auto &e : endpoints) {
+		struct machine_row row = {};
+
+		row.machine = g_strdup(e->machine.c_str());
+		row.pool = g_strdup(e->pool.c_str());
+		row.endpoint = g_strdup(e->id.c_str());
+		row.state = now < e->maintenance_until ? MACHINE_MAINTENANCE
+			    : now < e->down_until      ? MACHINE_MOVING
+						       : MACHINE_UP;
+		g_array_append_val(r->machines, row);
+	}
+	return r;
+}
+
+/// Executes a move: ends all attempts at the endpoint; its successor joins the pool after kMoveMs.
+/// Succeeds without effect if the machine is in that pool.
+std::shared_ptr<struct order_result> Fleet::move_machine(const struct order &o, bool late)
+{
+	for (auto &e : endpoints) {
+		if (e->machine != o.machine)
+			continue;
+		if (o.fencing_token < machine_fencing_token[o.machine])
+			return make_result(o, ORDER_FENCED);
+		machine_fencing_token[o.machine] = o.fencing_token;
+		if (e->pool == o.pool)
+			return make_result(o, ORDER_OK);
+		if (now < e->down_until)
+			return make_result(o, ORDER_MACHINE_BUSY);
+		for (const auto &run : e->running) {
+			if (!late)
+				check_unavailability_budget(run.second, "move");
+			task_history[run.first].record_end(now, true);
+		}
+		moves++;
+		start_incarnation(*e, false);
+		e->pool = o.pool;
+		e->down_until = now + kMoveMs;
 		return make_result(o, ORDER_OK);
 	}
 	return make_result(o, ORDER_REJECTED);
@@ -616,10 +690,14 @@
 
 	if (o.type == ORDER_MACHINE_MAINTENANCE)
 		return machine_order(o, late);
+	if (o.type == ORDER_MACHINE_LIST && has_standby_pool)
+		return list_machines(o);
+	if (o.type == ORDER_MACHINE_MOVE && has_standby_pool)
+		return move_machine(o, late);
 	if (o.type == ORDER_MACHINE_LIST || o.type == ORDER_MACHINE_MOVE || !o.address)
 		return make_result(o, ORDER_TRY_LATER);
 	e = find_endpoint(o.address);
-	if (!e || !e->up || e->cut || now < e->down_until)
+	if (!e || !is_reachable(*e))
 		return make_result(o, fault.unreachable ? ORDER_NOT_SENT : ORDER_NO_ANSWER);
 	if (e->id != o.instance)
 		return make_result(o, ORDER_WRONG_INSTANCE);
@@ -698,6 +776,16 @@
 						     leader_gets_answer, late, nullptr});
 }
 
+/// Throws RuleViolation if two leaders order the same machine within the lease of a holder.
+void Fleet::check_holder_lease(const struct order &o)
+{
+	auto &last = machine_ordered[o.machine];
+
+	if (last.first && last.first != term && now - last.second < kHolderLeaseMs)
+		throw RuleViolation(std::string("leaders order a machine in turns: ") + o.machine);
+	last = {term, now};
+}
+
 /// Sends an order, which the model then owns. With fault injection a lost order gets no answer and
 /// is executed in half of the cases; a late order gets no answer and is executed 1.5 to 6.5 s
 /// later.
@@ -714,6 +802,8 @@
 		      : late ? "order late"
 			     : "order",
 		      order->task, order->instance ? order->instance : "", order->type);
+	if (order->type == ORDER_MACHINE_MOVE || order->type == ORDER_MACHINE_MAINTENANCE)
+		check_holder_lease(*order);
 	if (on_order)
 		on_order(order);
 	if (lost || late) {
--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -60,8 +60,10 @@
 	bool up = true, draining = false;
 	/// When the first heartbeat of this incarnation with `draining` set was sent, or 0.
 	clock_ms_t drain_reported_at = 0;
-	/// The machine is down for maintenance until this time.
+	/// The machine is down, for maintenance or to move, until this time.
 	clock_ms_t down_until = 0;
+	/// The machine is down for maintenance until this time.
+	clock_ms_t maintenance_until = 0;
 	/// Partitioned from the leader: sends no heartbeats and answers no orders, but goes on
 	/// executing its attempts until its lease expires.
 	bool cut = false;
@@ -109,7 +111,10 @@
 class Fleet
 {
       public:
-	explicit Fleet(uint64_t seed, unsigned int pools, unsigned int endpoints_per_pool);
+	/// @param standby_machines  machines in a standby pool; with them, machines may be moved
+	/// between pools, otherwise the machine service refuses lists and moves
+	explicit Fleet(uint64_t seed, unsigned int pools, unsigned int endpoints_per_pool,
+		       unsigned int standby_machines = 0);
 	~Fleet();
 	Fleet(const Fleet &) = delete;
 	Fleet &operator=(const Fleet &) = delete;
@@ -151,6 +156,8 @@
 	clock_ms_t now = 100000;
 	/// Started attempts, calls of depose_leader(), and attempts that ended with success.
 	uint64_t starts = 0, leader_changes = 0, done = 0;
+	/// Moves executed.
+	uint64_t moves = 0;
 	/// Commands proposed and orders sent.
 	uint64_t commands = 0, orders = 0;
 	/// Ids of jobs whose submission or cancellation was acknowledged.
@@ -250,6 +257,9 @@
 	std::map<std::string, JobPlan> plans;
 	std::map<std::string, TaskHistory> task_history;
 	std::map<std::string, uint64_t> machine_fencing_token;
+	/// By machine: term and time of the latest order sent.
+	std::map<std::string, std::pair<uint64_t, clock_ms_t>> machine_ordered;
+	bool has_standby_pool = false;
 	std::set<std::string> maintained_machines;
 	int64_t next_incarnation_wall_ms = 1;
 	unsigned int next_endpoint_id = 0;
@@ -270,6 +280,10 @@
 	std::shared_ptr<struct order_result> start(Endpoint &e, const struct order &o, bool late);
 	std::shared_ptr<struct order_result> list_attempts(Endpoint &e, const struct order &o);
 	std::shared_ptr<struct order_result> machine_order(const struct order &o, bool late);
+	std::shared_ptr<struct order_result> move_machine(const struct order &o, bool late);
+	std::shared_ptr<struct order_result> list_machines(const struct order &o) const;
+	bool is_reachable(const Endpoint &e) const;
+	void check_holder_lease(const struct order &o);
 	void finish_attempt(Endpoint &e, const std::string &task, attempt_outcome outcome);
 	void end_due_attempts(Endpoint &e);
 	void answer_status_queries();
--- a/tests/property/property_jobs.cc
+++ b/tests/property/property_jobs.cc
@@ -13,7 +13,7 @@
 
 /// Counts of what the random actions caused, over all cases.
 struct Reached {
-	unsigned long actions, starts, done, leader_changes, jobs, cancelled;
+	unsigned long actions, starts, done, leader_changes, jobs, cancelled, moves;
 } reached;
 
 job_step step_of(uint32_t random, bool long_running)
@@ -102,9 +102,10 @@
 ///
 /// @param strict also executes late start orders at an incarnation that has not executed an order
 /// sent to it; a task may then run twice (open: docs/findings.md, finding 1)
-void invariants_hold_under_faults(const std::vector<uint32_t> &actions, bool strict)
+void invariants_hold_under_faults(const std::vector<uint32_t> &actions, bool strict,
+				  unsigned int standby_machines = 0)
 {
-	model::Fleet fleet(actions.size(), 2, 4);
+	model::Fleet fleet(actions.size(), 2, 4, standby_machines);
 	unsigned int jobs = 0;
 
 	fleet.strict = strict;
@@ -121,6 +122,7 @@
 	reached.done += fleet.done;
 	reached.leader_changes += fleet.leader_changes;
 	reached.jobs += fleet.acked.size();
+	reached.moves += fleet.moves;
 }
 
 /// An endpoint becomes unresponsive for good. Its long-running tasks must run elsewhere once its
@@ -222,6 +224,8 @@
 
 	property.check("invariants_hold_under_faults",
 		       [] { invariants_hold_under_faults(*actions(120), false); });
+	property.check("invariants_hold_while_machines_move",
+		       [] { invariants_hold_under_faults(*actions(120), false, 4); });
 	property.check("tasks_of_lost_endpoint_restart", [] {
 		tasks_of_lost_endpoint_restart(*rc::gen::inRange<uint32_t>(0, 1000));
 	});
@@ -234,8 +238,8 @@
 	property.check("late_order_to_unfenced_incarnation",
 		       [] { invariants_hold_under_faults(*actions(120), true); });
 	std::printf("# reached: %lu actions, %lu jobs, %lu starts, %lu done, %lu leaders deposed, "
-		    "%lu cancelled\n",
+		    "%lu cancelled, %lu moves\n",
 		    reached.actions, reached.jobs, reached.starts, reached.done,
-		    reached.leader_changes, reached.cancelled);
+		    reached.leader_changes, reached.cancelled, reached.moves);
 	return property.end();
 }
--- a/tests/unit/unit_raft.c
+++ b/tests/unit/unit_raft.c
@@ -194,8 +194,9 @@
 	return n;
 }
 
-/// A batch is lost with its connection. Messages keep their order, so the reply to a later heartbeat
-/// shows the loss; where each member is needed for a quorum, commits wait until it is noticed.
+/// A batch is lost with its connection. Messages keep their order, so the reply to a later
+/// heartbeat shows the loss; where each member is needed for a quorum, commits wait until it is
+/// noticed.
 static void test_lost_batch_is_sent_again_after_later_reply(void)
 {
 	struct raft *r = leader_with_record_of_earlier_term();
