test(soak): sizes, SIGHUP and overlapping changes

New faults: SIGHUP to all processes, and changes of the configuration of which the next but one is sent to another replica before the first is answered. No check is changed; seeds now draw other faults.

--- a/tests/soak/test_soak.c
+++ b/tests/soak/test_soak.c
@@ -19,9 +19,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define CONTROL_COUNT 3
-#define ENTRY_COUNT 2
-#define ENDPOINT_COUNT 8
+#define CONTROL_MAX 9
+#define ENTRY_MAX 80
+#define ENDPOINT_MAX 100
+#define SEED_COUNT 3
+#define DEFAULT_CONTROL 3
+#define DEFAULT_ENTRIES 2
+#define DEFAULT_ENDPOINTS 8
 #define CONTROL_PORT 8623
 #define CALLER_PORT 8624
 #define READY_PORT 8622
@@ -60,11 +64,15 @@
 	char *programs;
 	char *work_dir; ///< temporary directory of settings, data and logs
 	char *network;	///< first three numbers of the loopback addresses, for example "127.64.1"
-	struct process processes[CONTROL_COUNT + ENTRY_COUNT];
-	struct soak_endpoint *endpoints[ENDPOINT_COUNT];
-	clock_ms_t heartbeat_at[ENDPOINT_COUNT];
+	unsigned int control_count; ///< the first processes
+	unsigned int process_count; ///< control replicas, then entries
+	unsigned int endpoint_count;
+	struct process processes[CONTROL_MAX + ENTRY_MAX];
+	struct soak_endpoint *endpoints[ENDPOINT_MAX];
+	clock_ms_t heartbeat_at[ENDPOINT_MAX];
 	struct http_async_client *client;
 	ev_timer tick;
+	clock_ms_t submit_interval_ms;
 	clock_ms_t submit_at;
 	clock_ms_t config_at;
 	clock_ms_t fault_at;
@@ -146,7 +154,7 @@
 /// Restarts or resumes the processes whose downtime has passed.
 static void recover_processes(struct soak *s, clock_ms_t now)
 {
-	for (unsigned int i = 0; i < G_N_ELEMENTS(s->processes); i++) {
+	for (unsigned int i = 0; i < s->process_count; i++) {
 		struct process *p = &s->processes[i];
 
 		if (!p->recover_at || now < p->recover_at)
@@ -199,39 +207,53 @@
 {
 	clock_ms_t now = clock_monotonic();
 
-	if (!s->kill_at_ack || s->recovery_ends_at || !all_running(s, 0, CONTROL_COUNT))
+	if (!s->kill_at_ack || s->recovery_ends_at || !all_running(s, 0, s->control_count))
 		return;
 	s->kill_at_ack = false;
 	g_print("# all control replicas: killed after an acknowledgement\n");
-	for (unsigned int i = 0; i < CONTROL_COUNT; i++) {
+	for (unsigned int i = 0; i < s->control_count; i++) {
 		kill_process(&s->processes[i], SIGKILL);
 		s->processes[i].recover_at = now + DOWNTIME_MIN_MS;
 	}
 }
 
+/// Makes all processes that run read their settings again.
+static void reload_settings(struct soak *s)
+{
+	g_print("# all processes: sent SIGHUP\n");
+	for (unsigned int i = 0; i < s->process_count; i++)
+		if (s->processes[i].process)
+			g_subprocess_send_signal(s->processes[i].process, SIGHUP);
+}
+
 /// Injects one random fault and sets the time of the next one.
 static void inject_fault(struct soak *s, clock_ms_t now)
 {
 	GRand *r = s->state.random;
 	int kind = g_rand_int_range(r, 0, 100);
-	struct soak_endpoint *e = s->endpoints[g_rand_int_range(r, 0, ENDPOINT_COUNT)];
+	struct soak_endpoint *e = s->endpoints[g_rand_int_range(r, 0, (gint32)s->endpoint_count)];
 
 	s->fault_count++;
-	if (kind < 35 && all_running(s, 0, CONTROL_COUNT))
-		inject_process_fault(s, &s->processes[g_rand_int_range(r, 0, CONTROL_COUNT)], now);
+	if (kind < 35 && all_running(s, 0, s->control_count))
+		inject_process_fault(
+			s, &s->processes[g_rand_int_range(r, 0, (gint32)s->control_count)], now);
 	else if (kind < 45)
 		s->kill_at_ack = true;
-	else if (kind < 50 && all_running(s, CONTROL_COUNT, CONTROL_COUNT + ENTRY_COUNT))
-		inject_process_fault(
-			s, &s->processes[CONTROL_COUNT + g_rand_int_range(r, 0, ENTRY_COUNT)], now);
+	else if (kind < 50 && all_running(s, s->control_count, s->process_count))
+		inject_process_fault(s,
+				     &s->processes[g_rand_int_range(r, (gint32)s->control_count,
+								    (gint32)s->process_count)],
+				     now);
 	else if (kind < 65)
 		soak_endpoint_crash(e, g_rand_boolean(r));
 	else if (kind < 80)
 		soak_endpoint_set_unresponsive(e, now + 2 * random_downtime_ms(s));
 	else if (kind < 90)
 		s->state.delay_percent = (unsigned int)g_rand_int_range(r, 0, 15);
-	else
+	else if (kind < 95)
 		s->state.fail_percent = (unsigned int)g_rand_int_range(r, 0, 10);
+	else
+		reload_settings(s);
 	s->fault_at = now + g_rand_int_range(r, FAULT_INTERVAL_MIN_MS, FAULT_INTERVAL_MAX_MS);
 }
 
@@ -289,7 +311,8 @@
 static void submit_job(struct soak *s, struct soak_job *job)
 {
 	g_autofree char *path = job_path(job);
-	g_autofree char *address = random_address(s, CONTROL_COUNT, ENTRY_COUNT, CALLER_PORT);
+	g_autofree char *address = random_address(s, s->control_count,
+						  s->process_count - s->control_count, CALLER_PORT);
 	GString *body = g_string_new(NULL);
 
 	g_string_append_printf(body, "{\"spec\":\"%s\",\"phases\":[", job->payload);
@@ -361,8 +384,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct soak_job *job = value;
 		g_autofree char *path = job_path(job);
-		g_autofree char *address =
-			random_address(s, CONTROL_COUNT, ENTRY_COUNT, CALLER_PORT);
+		g_autofree char *address = random_address(
+			s, s->control_count, s->process_count - s->control_count, CALLER_PORT);
 
 		if (job->request_pending || job->ended)
 			continue;
@@ -386,14 +409,10 @@
 	on_acknowledgement(c->soak);
 }
 
-static void put_config(struct soak *s)
+static void send_config(struct soak *s, gint64 config_version)
 {
-	g_autofree char *address = random_address(s, 0, CONTROL_COUNT, CONTROL_PORT);
-	g_autofree char *body = NULL;
-
-	if (s->acked_version == s->sent_version)
-		s->sent_version += g_rand_int_range(s->state.random, 1, 5);
-	body = g_strdup_printf(
+	g_autofree char *address = random_address(s, 0, s->control_count, CONTROL_PORT);
+	g_autofree char *body = g_strdup_printf(
 		"{\"version\":%" G_GINT64_FORMAT
 		",\"routes\":[{\"name\":\"r\",\"hostname\":\"soak.example\",\"pathPrefix\":"
 		"\"/queue/\",\"routeKind\":\"mutating\",\"timeoutMs\":3000,\"targetDurationMs\":"
@@ -402,8 +421,25 @@
 		"\"protocol\":\"h1\",\"tls\":false,\"admissionControl\":false,\"standby\":false}],"
 		"\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":"
 		"3000,\"idleTimeoutMs\":15000}}",
-		s->sent_version);
-	send_request(s, address, "/api/config/replace", body, on_config, NULL, s->sent_version);
+		config_version);
+
+	send_request(s, address, "/api/config/replace", body, on_config, NULL, config_version);
+}
+
+/// Sends the newest configuration until it is acknowledged, then the next one. Half of the changes
+/// overlap: the next but one is sent to another replica before the answer to the first.
+static void put_config(struct soak *s)
+{
+	GRand *r = s->state.random;
+
+	if (s->acked_version == s->sent_version) {
+		s->sent_version += g_rand_int_range(r, 1, 5);
+		if (s->acked_version && g_rand_boolean(r)) {
+			send_config(s, s->sent_version);
+			s->sent_version += g_rand_int_range(r, 1, 5);
+		}
+	}
+	send_config(s, s->sent_version);
 }
 
 static void on_config_read(void *ctx, const struct http_async_result *r)
@@ -429,7 +465,7 @@
 /// CONFIG_PROPAGATION_MAX_MS ago.
 static void read_config(struct soak *s, clock_ms_t now)
 {
-	g_autofree char *address = random_address(s, 0, CONTROL_COUNT, CONTROL_PORT);
+	g_autofree char *address = random_address(s, 0, s->control_count, CONTROL_PORT);
 
 	if (s->acked_version)
 		send_request(s, address, "/api/config/read", NULL, on_config_read, NULL,
@@ -446,7 +482,7 @@
 {
 	g_autofree char *path = NULL;
 	g_autofree char *body = soak_endpoint_heartbeat(s->endpoints[i], &path);
-	g_autofree char *address = random_address(s, 0, CONTROL_COUNT, CONTROL_PORT);
+	g_autofree char *address = random_address(s, 0, s->control_count, CONTROL_PORT);
 
 	if (body)
 		send_request(s, address, path, body, on_heartbeat_sent, NULL, 0);
@@ -474,11 +510,11 @@
 /// Stops injecting faults, recovers all processes and starts the wait for recovery.
 static void end_faults(struct soak *s, clock_ms_t now)
 {
-	for (unsigned int i = 0; i < G_N_ELEMENTS(s->processes); i++)
+	for (unsigned int i = 0; i < s->process_count; i++)
 		if (s->processes[i].recover_at)
 			s->processes[i].recover_at =
 				MIN(s->processes[i].recover_at, now + DOWNTIME_MIN_MS);
-	for (unsigned int i = 0; i < ENDPOINT_COUNT; i++)
+	for (unsigned int i = 0; i < s->endpoint_count; i++)
 		soak_endpoint_set_unresponsive(s->endpoints[i], now);
 	s->state.delay_percent = 0;
 	s->state.fail_percent = 0;
@@ -495,7 +531,7 @@
 
 	(void)revents;
 	recover_processes(s, now);
-	for (unsigned int i = 0; i < ENDPOINT_COUNT; i++) {
+	for (unsigned int i = 0; i < s->endpoint_count; i++) {
 		soak_endpoint_tick(s->endpoints[i], now);
 		if (now >= s->heartbeat_at[i])
 			send_heartbeat(s, i);
@@ -512,7 +548,7 @@
 		if (!s->recovery_ends_at)
 			create_job(s);
 		poll_jobs(s, s->recovery_ends_at != 0);
-		s->submit_at = now + SUBMIT_INTERVAL_MS;
+		s->submit_at = now + s->submit_interval_ms;
 	}
 	if (!s->recovery_ends_at && now >= s->fault_at && s->acked_version)
 		inject_fault(s, now);
@@ -527,14 +563,15 @@
 {
 	struct process *p = &s->processes[i];
 
-	p->control = i < CONTROL_COUNT;
+	p->control = i < s->control_count;
 	p->program = p->control ? (char *)"sesamewood-platform-control"
 				: (char *)"sesamewood-platform-entry";
 	p->name = p->control ? g_strdup_printf("control-%u", i + 1)
-			     : g_strdup_printf("entry-%u", i + 1 - CONTROL_COUNT);
-	p->ip = g_strdup_printf("%s.%u", s->network, p->control ? i + 1 : i + 11 - CONTROL_COUNT);
+			     : g_strdup_printf("entry-%u", i + 1 - s->control_count);
+	p->ip = g_strdup_printf("%s.%u", s->network,
+				p->control ? i + 1 : i + 11 - s->control_count);
 	p->data_dir = g_strdup_printf("%s/%s", s->work_dir, p->name);
-	start_process(s, p, p->control);
+	start_process(s, p, i < SEED_COUNT);
 }
 
 static void set_up(struct soak *s, guint32 seed, int seconds)
@@ -557,14 +594,14 @@
 	s->client = http_async_client_new(s->state.loop, 64);
 	machines = g_strdup_printf("%s.99:%d", s->network, MACHINES_PORT);
 	g_assert_nonnull(http_server_new(s->state.loop, machines, &limits, &handlers, s));
-	for (unsigned int i = 0; i < ENDPOINT_COUNT; i++) {
+	for (unsigned int i = 0; i < s->endpoint_count; i++) {
 		g_autofree char *id = g_strdup_printf("e%u", i);
 		g_autofree char *address =
 			g_strdup_printf("%s.%u:%d", s->network, 100 + i, ENDPOINT_PORT);
 
 		s->endpoints[i] = soak_endpoint_new(&s->state, id, address);
 	}
-	for (unsigned int i = 0; i < G_N_ELEMENTS(s->processes); i++)
+	for (unsigned int i = 0; i < s->process_count; i++)
 		add_process(s, i);
 	s->fault_at = now + STARTUP_MS;
 	s->faults_end_at = now + STARTUP_MS + (clock_ms_t)seconds * 1000;
@@ -582,7 +619,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	for (unsigned int i = 0; i < G_N_ELEMENTS(s->processes); i++)
+	for (unsigned int i = 0; i < s->process_count; i++)
 		kill_process(&s->processes[i], SIGKILL);
 	for (guint i = 0; i < s->state.violations->len; i++)
 		g_print("# violated: %s\n", (char *)s->state.violations->pdata[i]);
@@ -604,6 +641,9 @@
 	struct soak s = {.programs = (char *)"build"};
 	gint seed = DEFAULT_SEED;
 	gint seconds = DEFAULT_SECONDS;
+	gint control = DEFAULT_CONTROL;
+	gint n_entries = DEFAULT_ENTRIES;
+	gint endpoints = DEFAULT_ENDPOINTS;
 	g_autofree char *programs = NULL;
 	const GOptionEntry entries[] = {
 		{"programs", 0, 0, G_OPTION_ARG_FILENAME, &programs, "Directory of the programs",
@@ -611,6 +651,9 @@
 		{"seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed of the faults", "N"},
 		{"seconds", 0, 0, G_OPTION_ARG_INT, &seconds, "Duration of the faults in seconds",
 		 "N"},
+		{"control", 0, 0, G_OPTION_ARG_INT, &control, "Control replicas, 3 to 9", "N"},
+		{"entries", 0, 0, G_OPTION_ARG_INT, &n_entries, "Entries, 1 to 80", "N"},
+		{"endpoints", 0, 0, G_OPTION_ARG_INT, &endpoints, "Endpoints, 1 to 100", "N"},
 		{0},
 	};
 	g_autoptr(GOptionContext) options = g_option_context_new(NULL);
@@ -620,6 +663,13 @@
 	g_option_context_add_main_entries(options, entries, NULL);
 	if (!g_option_context_parse(options, &argc, &argv, NULL))
 		return EXIT_FAILURE;
+	if (control < SEED_COUNT || control > CONTROL_MAX || n_entries < 1 ||
+	    n_entries > ENTRY_MAX || endpoints < 1 || endpoints > ENDPOINT_MAX)
+		return EXIT_FAILURE;
+	s.control_count = (unsigned int)control;
+	s.process_count = (unsigned int)(control + n_entries);
+	s.endpoint_count = (unsigned int)endpoints;
+	s.submit_interval_ms = MAX(SUBMIT_INTERVAL_MS * DEFAULT_ENDPOINTS / endpoints, 1);
 	if (programs)
 		s.programs = programs;
 	setvbuf(stdout, NULL, _IOLBF, 0);
