fix(pools): machine orders within the rate of the machine service

Callers saw short jobs late in the first seconds of surges, most after a change of leader (SHORT, large).

Cause: orders for all machines that a pool needs were recorded in the log and emitted in one pass, up to 440 moves and 207 maintenance orders, over four connections that carry 244 a second. They waited up to 1.5 s, then counted as not sent, and their machines were left alone for another 1.5 s. The class of fault: work is committed to a queue instead of being decided when it can be done.

Orders are now emitted at the rate that the platform states (cloud.dutyPerS): a quarter of a second's orders at once, the rest by refill; what doesn't fit is decided again in the next pass, and moves to standby leave half of the burst for pools in need. Sixteen connections carry them. A move that was not sent may be ordered again at once.

Tests: /sched/order_budget_holds_in_any_second (new code), /pools/unsent_move_is_ordered_again, on the code before: 'assertion failed (moved_at(&w, "m-2") != 0)'.

--- a/src/sesamewood/manager/effects.c
+++ b/src/sesamewood/manager/effects.c
@@ -49,6 +49,7 @@
 void effects_send_machine_order(struct manager *m, clock_ms_t now, struct order *order,
 				uint64_t wave)
 {
+	order_budget_take(&m->order_budget);
 	cooldown_record_order(m, now, order->machine);
 	effects_send_order(m, now, order, NULL, order->machine, wave);
 }
--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -64,6 +64,7 @@
 	m->endpoint_by_machine = g_hash_table_new(g_str_hash, g_str_equal);
 	m->cooldown = cooldown_new(m->jobs->ordered_machines, now, machine_orders_seen_at,
 				   settings->holder_lease_ms);
+	order_budget_init(&m->order_budget, settings->machine_orders_per_s, now);
 	m->capacity_changed = g_ptr_array_new();
 	m->failed_at = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->active = g_ptr_array_new();
--- a/src/sesamewood/manager/manager.h
+++ b/src/sesamewood/manager/manager.h
@@ -13,14 +13,15 @@
 
 /// Settings of the manager: limits, periods and durations.
 struct manager_settings {
-	char *holder;		      ///< name of this replica in machine orders
-	uint32_t heartbeat_period_ms; ///< period of endpoint heartbeats
-	uint32_t lease_max_ms;	      ///< endpoints truncate longer leases to this
-	uint32_t job_retention_s;     ///< how long an ended job is retained
-	uint32_t remote_data_factor;  ///< slowdown factor of a task that runs away from its data
-	uint32_t holder_lease_ms;     ///< least time between machine orders of different holders
-	uint32_t move_ms;	      ///< duration of a machine's move to another pool
-	uint32_t maintenance_ms;      ///< duration of a machine's maintenance
+	char *holder;		       ///< name of this replica in machine orders
+	uint32_t heartbeat_period_ms;  ///< period of endpoint heartbeats
+	uint32_t lease_max_ms;	       ///< endpoints truncate longer leases to this
+	uint32_t job_retention_s;      ///< how long an ended job is retained
+	uint32_t remote_data_factor;   ///< slowdown factor of a task that runs away from its data
+	uint32_t holder_lease_ms;      ///< least time between machine orders of different holders
+	uint32_t machine_orders_per_s; ///< accepted by the machine service; 0: no limit
+	uint32_t move_ms;	       ///< duration of a machine's move to another pool
+	uint32_t maintenance_ms;       ///< duration of a machine's maintenance
 };
 
 struct manager;
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -8,6 +8,7 @@
 #include "manager/manager.h"
 #include "runs/endpoint.h"
 #include "sched/cooldown.h"
+#include "sched/order_budget.h"
 
 struct manager {
 	struct manager_settings settings;
@@ -50,6 +51,7 @@
 	clock_ms_t next_shortage_log_at; ///< earliest time to log pools without enough machines
 	GHashTable *failed_at;	   ///< id of the endpoint where a task failed last, by task name
 	struct cooldown *cooldown; ///< recent machine orders, of earlier leaders as well
+	struct order_budget order_budget;   ///< of machine orders
 	GHashTable *endpoint_by_machine;    ///< struct endpoint by machine, rebuilt before each use
 	GHashTable *maintenance_by_machine; ///< struct maintenance by machine; owned
 	GHashTable *ready_counts;	    ///< count of ready long-running tasks by job_step_state
--- a/src/sesamewood/manager/order_sender.c
+++ b/src/sesamewood/manager/order_sender.c
@@ -6,10 +6,13 @@
 #include <string.h>
 
 #define HOST_CONNECTIONS 4 /* one status query that waits, and starts in parallel */
+/// Carry 600 orders a second at 25 ms each.
+#define MACHINE_SERVICE_CONNECTIONS 16
 
 struct order_sender {
 	const struct wire *wire;
 	struct http_async_client *calls;
+	struct http_async_client *machine_calls; ///< to the machine service
 	order_sent_fn done;
 	void *ctx;
 	struct metric *orders;
@@ -32,6 +35,7 @@
 	*s = (struct order_sender){
 		.wire = wire,
 		.calls = http_async_client_new(loop, HOST_CONNECTIONS),
+		.machine_calls = http_async_client_new(loop, MACHINE_SERVICE_CONNECTIONS),
 		.done = done,
 		.ctx = ctx,
 		.orders = metrics_get(METRIC_COUNTER, "sesamewood_orders_total", "",
@@ -58,6 +62,12 @@
 	g_free(o);
 }
 
+static bool is_machine_order(const struct order *o)
+{
+	return o->type == ORDER_MACHINE_LIST || o->type == ORDER_MACHINE_MOVE ||
+	       o->type == ORDER_MACHINE_MAINTENANCE;
+}
+
 void order_sender_send(struct order_sender *s, struct order *order, uint32_t leader, uint64_t term)
 {
 	clock_ms_t now = clock_monotonic();
@@ -82,6 +92,7 @@
 		.timeout_ms = order->timeout_ms,
 	};
 	metrics_add(s->orders, 1);
-	http_async_client_send(s->calls, &call, on_done, o);
+	http_async_client_send(is_machine_order(order) ? s->machine_calls : s->calls, &call,
+			       on_done, o);
 	wire_request_clear(&request);
 }
--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -33,7 +33,9 @@
 #define USABLE_PERCENT 90 /* usable share of a machine; fragmentation takes the rest */
 /// Idle time before a machine is moved to standby: by then idling has cost as much as two moves.
 #define STANDBY_AFTER_IDLE_MS 2200
-#define SPREAD_MACHINES_MAX 16	   /* most machines requested for a limit per endpoint */
+#define SPREAD_MACHINES_MAX 16 /* most machines requested for a limit per endpoint */
+/// Share of the burst of machine orders that moves to standby leave for pools in need.
+#define RESERVE_PERCENT 50
 #define SHORTAGE_MS 1000	   /* a quarter of the shortest surge */
 #define SHORTAGE_LOG_PERIOD_MS 500 /* a surge lasts some seconds */
 
@@ -396,6 +398,8 @@
 	for (guint i = 0; i < idle_machines->len && to->load.machines < needed; i++) {
 		struct idle_machine *idle = &g_array_index(idle_machines, struct idle_machine, i);
 
+		if (!order_budget_allows(&m->order_budget, now, 0))
+			return;
 		if (!may_move_to(idle, to))
 			continue;
 		send_move(m, now, idle->machine, to->config->name, idle->endpoint);
@@ -424,7 +428,8 @@
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, m->machines);
-	while (standby && g_hash_table_iter_next(&iter, NULL, &value)) {
+	while (standby && order_budget_allows(&m->order_budget, now, RESERVE_PERCENT) &&
+	       g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct machine *x = value;
 		struct endpoint *e = endpoint_on(x, now);
 		struct pool *from = x->pool_state;
@@ -488,7 +493,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct machine *x = value;
 
-		if (x->target_pool && !x->in_flight && now >= x->retry_at)
+		if (x->target_pool && !x->in_flight && now >= x->retry_at &&
+		    order_budget_allows(&m->order_budget, now, 0))
 			retry_move(m, now, x);
 	}
 }
@@ -639,6 +645,11 @@
 	case ORDER_TRY_LATER:
 		x->retry_at = now + RETRY_MS;
 		return;
+	case ORDER_NOT_SENT:
+		clear_move(x);
+		if (e)
+			e->shutdown_ordered = false;
+		return;
 	case ORDER_FENCED:
 		m->fenced_off = true;
 		return;
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -371,6 +371,7 @@
 		struct endpoint *e = endpoint_on(m, w->machine);
 
 		if (w->settled || maint->in_flight || now < maint->retry_at ||
+		    !order_budget_allows(&m->order_budget, now, 0) ||
 		    machines_is_moving(m, w->machine, now) ||
 		    cooldown_applies(m->cooldown, w->machine, now))
 			continue;
--- a/tests/unit/unit_pools.c
+++ b/tests/unit/unit_pools.c
@@ -334,6 +334,24 @@
 	world_clear(&w);
 }
 
+/// A move that was not sent had no effect: the machine is still idle and must not be left alone.
+static void test_unsent_move_is_ordered_again(void)
+{
+	struct world w;
+
+	world_init(&w);
+	g_ptr_array_add(w.machines, "m-2");
+	w.move_status = ORDER_NOT_SENT;
+	fixture_heartbeat(w.m, w.now, "i-1", "m-1", 1);
+	fixture_submit(w.m, w.now, "j", 2 * TASKS_PER_MACHINE);
+	run_for(&w, PASSES_MS);
+	g_assert_cmpint(moved_at(&w, "m-2"), !=, 0);
+	g_hash_table_remove_all(w.moved);
+	run_for(&w, PASSES_MS);
+	g_assert_cmpint(moved_at(&w, "m-2"), !=, 0);
+	world_clear(&w);
+}
+
 #define WAVE_S 30
 
 static void put_wave(struct world *w, uint32_t cap)
@@ -384,6 +402,7 @@
 			test_second_new_leader_keeps_lease_of_first);
 	g_test_add_func("/pools/machine_back_from_maintenance_is_moved",
 			test_machine_back_from_maintenance_is_moved);
+	g_test_add_func("/pools/unsent_move_is_ordered_again", test_unsent_move_is_ordered_again);
 	g_test_add_func("/pools/wave_leaves_idle_machines_to_surge",
 			test_wave_leaves_idle_machines_to_surge);
 	return g_test_run();
--- a/tests/unit/unit_sched.c
+++ b/tests/unit/unit_sched.c
@@ -4,6 +4,7 @@
 
 #include "manager_fixture.h"
 #include "sched/health.h"
+#include "sched/order_budget.h"
 #include "sched/pace.h"
 #include "sched/place.h"
 #include "sched/pools.h"
@@ -42,6 +43,34 @@
 	g_assert_cmpuint(pools_machines_needed(&load), ==, 5);
 }
 
+/* Budget of machine orders. */
+
+#define ORDERS_PER_S 200
+#define ORDER_STEP_MS 10
+
+/// The machine service refuses what exceeds its limit in any second.
+static void test_order_budget_holds_in_any_second(void)
+{
+	unsigned int sent[3000 / ORDER_STEP_MS] = {0};
+	struct order_budget b;
+
+	order_budget_init(&b, ORDERS_PER_S, 0);
+	for (unsigned int i = 0; i < G_N_ELEMENTS(sent); i++) {
+		unsigned int in_second = 0;
+
+		/* Idle in the first half of the second second, so that a burst follows. */
+		while ((i < 100 || i > 150) &&
+		       order_budget_allows(&b, (clock_ms_t)i * ORDER_STEP_MS, 0)) {
+			order_budget_take(&b);
+			sent[i]++;
+		}
+		for (unsigned int k = 0; k < 1000 / ORDER_STEP_MS && k <= i; k++)
+			in_second += sent[i - k];
+		g_assert_cmpuint(in_second, <=, ORDERS_PER_S);
+	}
+	g_assert_cmpuint(sent[0], >=, ORDERS_PER_S / 5);
+}
+
 /* Pace. */
 
 static void test_best_effort_yields_to_latency_sensitive(void)
@@ -171,6 +200,8 @@
 	g_test_add_func("/sched/endpoint_limit_needs_machines", test_endpoint_limit_needs_machines);
 	g_test_add_func("/sched/unknown_machine_size_keeps_count",
 			test_unknown_machine_size_keeps_count);
+	g_test_add_func("/sched/order_budget_holds_in_any_second",
+			test_order_budget_holds_in_any_second);
 	g_test_add_func("/sched/best_effort_yields_to_latency_sensitive",
 			test_best_effort_yields_to_latency_sensitive);
 	g_test_add_func("/sched/waiting_order", test_waiting_order);
