fix(pools): a move in doubt stays open until it is settled

By reading, beside the repeated moves: after a move without an answer, a repetition that was not sent, or was refused because the machine is busy (with that very move), withdrew the move and put the endpoint back into use. The first order could still be executed and end the work that the endpoint got meanwhile. The class is the one of the repeated move: the result of a repetition is taken for the outcome of the whole.

Such a move now stays open and is sent again until it is done, refused for good, or settled by the machine's next endpoint.

Test: /pools/endpoint_of_unanswered_move_gets_no_work. On the code before: 'assertion failed (g_hash_table_size(w.starts) == 0): (1 == 0)'. property-jobs with moves, 300 cases of: passed.

--- a/src/sesamewood/sched/machines.h
+++ b/src/sesamewood/sched/machines.h
@@ -13,6 +13,7 @@
 	char *pool;
 	bool is_up;		 ///< listed as up, or an endpoint on it takes work
 	bool in_flight;		 ///< a move order is in flight
+	bool in_doubt;		 ///< an earlier order of the open move was not answered
 	char *shutdown_endpoint; ///< id of the endpoint that the move shuts down, or NULL
 	char *target_pool;	 ///< pool of a move that is in flight or unanswered, or NULL
 	char *rejected_by_pool;	 ///< pool that permanently rejected a move of the machine, or NULL
--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -460,6 +460,7 @@
 {
 	g_clear_pointer(&x->target_pool, g_free);
 	g_clear_pointer(&x->shutdown_endpoint, g_free);
+	x->in_doubt = false;
 }
 
 /// Settles an unanswered move, or sends it again. An endpoint that takes work on the machine is a
@@ -625,51 +626,62 @@
 		list_machines(m, now, result->next_page);
 }
 
-static void handle_move_result(struct manager *m, clock_ms_t now, struct machine *x,
-			       const struct order_result *result)
+static void complete_move(struct manager *m, clock_ms_t now, struct machine *x,
+			  struct endpoint *ended)
 {
-	struct endpoint *e = endpoint_ended_by_move(m, x);
+	set_pool(x, x->target_pool);
+	x->idle_since = 0;
+	x->arrives_by = now + m->settings.move_ms + MACHINE_ARRIVAL_MAX_MS;
+	if (ended)
+		attempts_handle_termination(m, now, ended);
+	clear_move(x);
+}
 
-	x->in_flight = false;
-	log_info("move answered", "MACHINE", x->name, "TO", x->target_pool, "STATUS",
-		 log_number(result->status));
-	switch (result->status) {
-	case ORDER_OK:
-		set_pool(x, x->target_pool);
-		x->idle_since = 0;
-		x->arrives_by = now + m->settings.move_ms + MACHINE_ARRIVAL_MAX_MS;
-		if (e)
-			attempts_handle_termination(m, now, e);
-		break;
-	case ORDER_NO_ANSWER:
-	case ORDER_TRY_LATER:
-		x->retry_at = now + RETRY_MS;
-		return;
-	case ORDER_NOT_SENT:
-		clear_move(x);
-		if (e)
-			e->shutdown_ordered = false;
-		return;
-	case ORDER_FENCED:
-		m->fenced_off = true;
-		return;
-	case ORDER_REJECTED:
-	case ORDER_MACHINE_NOT_IN_WAVE:
+/// Tells whether a move stays open after a result: it will be sent again, or an earlier order of it
+/// may still be executed.
+static bool stays_open(const struct machine *x, enum order_status status)
+{
+	if (status == ORDER_NO_ANSWER || status == ORDER_TRY_LATER)
+		return true;
+	return x->in_doubt && (status == ORDER_NOT_SENT || status == ORDER_MACHINE_BUSY);
+}
+
+/// Withdraws a move that has had no effect.
+static void withdraw_move(struct manager *m, clock_ms_t now, struct machine *x, struct endpoint *e,
+			  enum order_status status)
+{
+	if (status == ORDER_REJECTED || status == ORDER_MACHINE_NOT_IN_WAVE) {
 		g_free(x->rejected_by_pool);
 		x->rejected_by_pool = g_strdup(x->target_pool);
-		break;
-	default:
-		break;
 	}
+	if (e)
+		e->shutdown_ordered = false;
 	clear_move(x);
-	if (result->status == ORDER_OK)
+	if (status == ORDER_NOT_SENT)
 		return;
 	x->retry_at = now + MACHINE_BUSY_RETRY_MS;
-	if (e)
-		e->shutdown_ordered = false;
 	m->next_list_at = MIN(m->next_list_at, now + LIST_RETRY_MS);
 }
 
+static void handle_move_result(struct manager *m, clock_ms_t now, struct machine *x,
+			       const struct order_result *result)
+{
+	struct endpoint *e = endpoint_ended_by_move(m, x);
+
+	x->in_flight = false;
+	x->in_doubt |= result->status == ORDER_NO_ANSWER;
+	log_info("move answered", "MACHINE", x->name, "TO", x->target_pool, "STATUS",
+		 log_number(result->status));
+	if (result->status == ORDER_OK)
+		complete_move(m, now, x, e);
+	else if (result->status == ORDER_FENCED)
+		m->fenced_off = true;
+	else if (stays_open(x, result->status))
+		x->retry_at = now + RETRY_MS;
+	else
+		withdraw_move(m, now, x, e, result->status);
+}
+
 void pools_handle_result(struct manager *m, clock_ms_t now, const struct pending_order *p,
 			 const struct order_result *result)
 {
--- a/tests/unit/unit_pools.c
+++ b/tests/unit/unit_pools.c
@@ -334,6 +334,9 @@
 	world_clear(&w);
 }
 
+/// Idle machines of a pool are moved to standby within this time.
+#define IDLE_MAX_MS 4000
+
 /// A move that was not sent had no effect: the machine is still idle and must not be left alone.
 static void test_unsent_move_is_ordered_again(void)
 {
@@ -352,6 +355,29 @@
 	world_clear(&w);
 }
 
+/// A move to standby is not answered, and its repetition is not sent. The first order may still be
+/// executed, so the endpoint must get no work: the move would end it.
+static void test_endpoint_of_unanswered_move_gets_no_work(void)
+{
+	struct world w;
+
+	world_init(&w);
+	w.holds_moves = true;
+	fixture_heartbeat(w.m, w.now, "i-1", "m-1", 1);
+	while (!w.held_moves->len && w.now < FIXTURE_START_MS + IDLE_MAX_MS)
+		run_for(&w, MANAGER_TICK_MS);
+	g_assert_cmpuint(w.held_moves->len, ==, 1);
+	answer_held_moves(&w, ORDER_NO_ANSWER);
+	while (!w.held_moves->len && w.now < FIXTURE_START_MS + IDLE_MAX_MS)
+		run_for(&w, MANAGER_TICK_MS);
+	g_assert_cmpuint(w.held_moves->len, ==, 1);
+	answer_held_moves(&w, ORDER_NOT_SENT);
+	fixture_submit(w.m, w.now, "j", 1);
+	run_for(&w, PASSES_MS);
+	g_assert_cmpuint(g_hash_table_size(w.starts), ==, 0);
+	world_clear(&w);
+}
+
 #define WAVE_S 30
 
 static void put_wave(struct world *w, uint32_t cap)
@@ -403,6 +429,8 @@
 	g_test_add_func("/pools/machine_back_from_maintenance_is_moved",
 			test_machine_back_from_maintenance_is_moved);
 	g_test_add_func("/pools/unsent_move_is_ordered_again", test_unsent_move_is_ordered_again);
+	g_test_add_func("/pools/endpoint_of_unanswered_move_gets_no_work",
+			test_endpoint_of_unanswered_move_gets_no_work);
 	g_test_add_func("/pools/wave_leaves_idle_machines_to_surge",
 			test_wave_leaves_idle_machines_to_surge);
 	return g_test_run();
