refactor(pools): move orders in a file of their own

What decides stays; orders, their retries and results, and the list of machines are in move_orders.c. No change of behaviour.

--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -7,6 +7,7 @@
 #include "runs/runs.h"
 #include "sched/advice.h"
 #include "sched/machines.h"
+#include "sched/move_orders.h"
 #include "sched/pools.h"
 #include "sched/schedule.h"
 #include "sched/waves.h"
@@ -138,7 +139,7 @@
 		break;
 	case ORDER_MACHINE_LIST:
 	case ORDER_MACHINE_MOVE:
-		pools_handle_result(m, now, p, result);
+		move_orders_handle_result(m, now, p, result);
 		break;
 	}
 	g_hash_table_remove(m->orders, &result->id);
--- a/src/sesamewood/sched/machines.c
+++ b/src/sesamewood/sched/machines.c
@@ -35,6 +35,19 @@
 	return x;
 }
 
+void machines_set_pool(struct machine *x, const char *pool)
+{
+	if (g_str_equal(x->pool, pool))
+		return;
+	g_free(x->pool);
+	x->pool = g_strdup(pool);
+}
+
+struct endpoint *machines_endpoint_on(const struct machine *x, clock_ms_t now)
+{
+	return x->endpoint_seen_at == now ? x->endpoint : NULL;
+}
+
 struct maintenance *machines_get_maintenance(struct manager *m, const char *name)
 {
 	struct maintenance *maint = g_hash_table_lookup(m->maintenance_by_machine, name);
--- a/src/sesamewood/sched/machines.h
+++ b/src/sesamewood/sched/machines.h
@@ -3,7 +3,7 @@
 
 /// @file
 /// The leader's view of each machine: its pool, and any move or maintenance in progress. Moves
-/// (pools.c) and maintenance waves (waves.c) both check it before they send machine orders.
+/// (move_orders.c) and maintenance waves (waves.c) both check it before they send machine orders.
 
 #include "manager/manager_internal.h"
 
@@ -40,6 +40,12 @@
 /// @return the machine with that name, added if it is new; owned by the manager
 struct machine *machines_get(struct manager *m, const char *name);
 
+/// Sets the pool of a machine.
+void machines_set_pool(struct machine *x, const char *pool);
+
+/// @return the endpoint that takes work on a machine in the present pass over the pools, or NULL
+struct endpoint *machines_endpoint_on(const struct machine *x, clock_ms_t now);
+
 /// Frees a struct machine; fits GDestroyNotify.
 void machines_free(void *machine);
 
--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -1,27 +1,16 @@
 #include "sched/pools.h"
 
 #include "base/log.h"
-#include "runs/attempts.h"
-#include "runs/incarnations.h"
 #include "sched/health.h"
 #include "sched/demand.h"
 #include "sched/estimates.h"
 #include "sched/machines.h"
+#include "sched/move_orders.h"
 
 #include <limits.h>
 
-#define POOL_PASS_MS 100     /* a fifteenth of the time of a move */
-#define LIST_PERIOD_MS 10000 /* own moves are tracked; the list finds all others */
-#define LIST_RETRY_MS 1000
-/// Period of the list while it shows machines that will be up again within seconds: those that are
-/// switched off send no heartbeat.
-#define LIST_TRANSIENT_PERIOD_MS 1000
-#define ORDER_TIMEOUT_MS 1500
+#define POOL_PASS_MS 100      /* a fifteenth of the time of a move */
 #define LEADER_SETTLE_MS 2000 /* all endpoints have sent a heartbeat to a new leader by then */
-#define RETRY_MS 400	      /* delay before an unanswered move is sent again */
-/// Delay before a machine is ordered again after a refusal, for example because it is not up.
-#define MACHINE_BUSY_RETRY_MS 1500
-#define MACHINE_ARRIVAL_MAX_MS 2500 /* longest time from a move's answer to the first heartbeat */
 /// Time until an ordered machine starts work: the move and the first heartbeat.
 #define MACHINE_LEAD_MS 1700
 /// Time after the start of a machine within which waiting work should start: about the slack of a
@@ -85,14 +74,6 @@
 
 /* Machines. */
 
-static void set_pool(struct machine *x, const char *pool)
-{
-	if (g_str_equal(x->pool, pool))
-		return;
-	g_free(x->pool);
-	x->pool = g_strdup(pool);
-}
-
 static bool is_usable(const struct manager *m, const struct endpoint *e, clock_ms_t now)
 {
 	return health_is_eligible(e, now,
@@ -101,12 +82,6 @@
 	       !e->cordoned && !e->shutdown_ordered;
 }
 
-/// @return the endpoint that takes work on a machine in the present pass, or NULL
-static struct endpoint *endpoint_on(const struct machine *x, clock_ms_t now)
-{
-	return x->endpoint_seen_at == now ? x->endpoint : NULL;
-}
-
 /// Updates the machines from the endpoints that take work.
 static void update_machines(struct manager *m, clock_ms_t now)
 {
@@ -123,7 +98,7 @@
 		x = machines_get(m, e->machine);
 		x->is_up = true;
 		x->arrives_by = 0;
-		set_pool(x, e->pool);
+		machines_set_pool(x, e->pool);
 		if (e->runs->len)
 			x->idle_since = 0;
 		else if (!x->idle_since)
@@ -151,7 +126,7 @@
 		struct pool *p = pool_of(pools, x->pool);
 
 		x->pool_state = p;
-		if (p && (endpoint_on(x, now) || now < x->arrives_by ||
+		if (p && (machines_endpoint_on(x, now) || now < x->arrives_by ||
 			  (x->is_up && now - m->leader_since < LEADER_SETTLE_MS)))
 			p->load.machines++;
 	}
@@ -250,33 +225,6 @@
 
 /* Moves. */
 
-static void send_move(struct manager *m, clock_ms_t now, struct machine *x, const char *pool,
-		      struct endpoint *e)
-{
-	struct order *o = g_new0(struct order, 1);
-
-	*o = (struct order){
-		.type = ORDER_MACHINE_MOVE,
-		.timeout_ms = ORDER_TIMEOUT_MS,
-		.machine = g_strdup(x->name),
-		.pool = g_strdup(pool),
-		.holder = g_strdup(m->settings.holder),
-		.not_after = now + ORDER_TIMEOUT_MS,
-	};
-	log_info("move ordered", "MACHINE", x->name, "FROM", x->pool, "TO", pool);
-	x->in_flight = true;
-	if (x->target_pool != pool) {
-		g_free(x->target_pool);
-		x->target_pool = g_strdup(pool);
-	}
-	if (e) {
-		e->shutdown_ordered = true;
-		g_free(x->shutdown_endpoint);
-		x->shutdown_endpoint = g_strdup(e->id);
-	}
-	effects_send_machine_order(m, now, o, 0);
-}
-
 /// Tells whether a machine may be moved: it runs nothing and has no open order.
 static bool may_be_moved(const struct machine *x, const struct endpoint *e, clock_ms_t now)
 {
@@ -330,7 +278,7 @@
 
 static enum availability availability_of(struct manager *m, const struct machine *x, clock_ms_t now)
 {
-	const struct endpoint *e = endpoint_on(x, now);
+	const struct endpoint *e = machines_endpoint_on(x, now);
 
 	if (!x->is_up || !x->pool_state)
 		return AVAILABILITY_NOT_UP;
@@ -368,7 +316,7 @@
 		counts[availability]++;
 		if (availability != AVAILABILITY_IDLE)
 			continue;
-		idle.endpoint = endpoint_on(x, now);
+		idle.endpoint = machines_endpoint_on(x, now);
 		idle.from = x->pool_state;
 		if (idle.from->config->standby)
 			idle.idle_since = 0;
@@ -402,7 +350,7 @@
 			return;
 		if (!may_move_to(idle, to))
 			continue;
-		send_move(m, now, idle->machine, to->config->name, idle->endpoint);
+		move_orders_send(m, now, idle->machine, to->config->name, idle->endpoint);
 		idle->from->load.machines--;
 		to->load.machines++;
 	}
@@ -431,7 +379,7 @@
 	while (standby && order_budget_allows(&m->order_budget, now, RESERVE_PERCENT) &&
 	       g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct machine *x = value;
-		struct endpoint *e = endpoint_on(x, now);
+		struct endpoint *e = machines_endpoint_on(x, now);
 		struct pool *from = x->pool_state;
 
 		if (!e || !from || from->config->standby || !x->idle_since ||
@@ -440,66 +388,11 @@
 		    surplus_of(from) <= 0 ||
 		    (x->rejected_by_pool && g_str_equal(x->rejected_by_pool, standby)))
 			continue;
-		send_move(m, now, x, standby, e);
+		move_orders_send(m, now, x, standby, e);
 		from->load.machines--;
 	}
 }
 
-/// @return the endpoint that a move of a machine shuts down, or NULL if it has ended already
-static struct endpoint *endpoint_ended_by_move(struct manager *m, const struct machine *x)
-{
-	struct endpoint *e =
-		x->shutdown_endpoint ? incarnations_find_endpoint(m, x->shutdown_endpoint) : NULL;
-
-	return e && !e->terminated && e->shutdown_ordered && g_str_equal(e->machine, x->name)
-		       ? e
-		       : NULL;
-}
-
-static void clear_move(struct machine *x)
-{
-	g_clear_pointer(&x->target_pool, g_free);
-	g_clear_pointer(&x->shutdown_endpoint, g_free);
-	x->in_doubt = false;
-}
-
-/// Settles an unanswered move, or sends it again. An endpoint that takes work on the machine is a
-/// later one than the move was to shut down: in the target pool, it proves that the move was
-/// executed; in another one, the move must not end its work.
-static void retry_move(struct manager *m, clock_ms_t now, struct machine *x)
-{
-	struct endpoint *e = endpoint_on(x, now);
-	struct endpoint *earlier = endpoint_ended_by_move(m, x);
-	bool is_done = e && g_str_equal(e->pool, x->target_pool);
-
-	if (!is_done && !(e && e->runs->len)) {
-		send_move(m, now, x, x->target_pool, e);
-		return;
-	}
-	log_info(is_done ? "unanswered move was executed" : "unanswered move is abandoned",
-		 "MACHINE", x->name, "TO", x->target_pool, "ENDPOINT", e->id, "RUNS",
-		 log_number(e->runs->len));
-	if (earlier && earlier->incarnation_wall_ms < e->incarnation_wall_ms)
-		attempts_handle_termination(m, now, earlier);
-	clear_move(x);
-}
-
-/// Retries unanswered moves; whether a move was executed is unknown until it is answered.
-static void retry_moves(struct manager *m, clock_ms_t now)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, m->machines);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct machine *x = value;
-
-		if (x->target_pool && !x->in_flight && now >= x->retry_at &&
-		    order_budget_allows(&m->order_budget, now, 0))
-			retry_move(m, now, x);
-	}
-}
-
 /* Logs. */
 
 /// Logs the load of a pool that needs more machines.
@@ -552,22 +445,6 @@
 		 log_number(counts[AVAILABILITY_NO_ENDPOINT]));
 }
 
-static void list_machines(struct manager *m, clock_ms_t now, const char *page)
-{
-	struct order *o = g_new0(struct order, 1);
-
-	*o = (struct order){
-		.type = ORDER_MACHINE_LIST,
-		.timeout_ms = ORDER_TIMEOUT_MS,
-		.page = g_strdup(page),
-		.not_after = now + ORDER_TIMEOUT_MS,
-	};
-	m->list_in_flight = true;
-	if (!*page)
-		m->next_list_at = now + LIST_PERIOD_MS;
-	effects_send_order(m, now, o, NULL, NULL, 0);
-}
-
 bool pools_lack_machines(const struct manager *m, clock_ms_t now)
 {
 	return m->pool_shortage_at && now - m->pool_shortage_at < SHORTAGE_MS;
@@ -587,11 +464,10 @@
 	m->next_pool_pass_at = now + POOL_PASS_MS;
 	if (!m->jobs->config.config_version)
 		return;
-	if (!m->list_in_flight && now >= m->next_list_at)
-		list_machines(m, now, "");
+	move_orders_list_when_due(m, now);
 	update_machines(m, now);
 	pools = measure_pool_loads(m, now, wall_ms);
-	retry_moves(m, now);
+	move_orders_retry(m, now);
 	idle_machines = list_idle_machines(m, now, counts);
 	log_shortages(m, pools, counts, now);
 	g_hash_table_iter_init(&iter, pools);
@@ -600,93 +476,3 @@
 			move_idle_machines(m, idle_machines, value, now);
 	move_to_standby(m, pools, now);
 }
-
-/* Results. */
-
-static void handle_list_result(struct manager *m, clock_ms_t now, const struct order_result *result)
-{
-	m->list_in_flight = false;
-	if (result->status != ORDER_OK) {
-		m->next_list_at = now + LIST_RETRY_MS;
-		return;
-	}
-	for (guint i = 0; i < result->machines->len; i++) {
-		const struct machine_row *row =
-			&g_array_index(result->machines, struct machine_row, i);
-		struct machine *x = machines_get(m, row->machine);
-
-		if (x->target_pool || now < x->arrives_by || machines_is_down(m, x->name, now))
-			continue;
-		set_pool(x, row->pool);
-		x->is_up = row->state == MACHINE_UP;
-		if (row->state == MACHINE_MOVING || row->state == MACHINE_MAINTENANCE)
-			m->next_list_at = MIN(m->next_list_at, now + LIST_TRANSIENT_PERIOD_MS);
-	}
-	if (result->next_page)
-		list_machines(m, now, result->next_page);
-}
-
-static void complete_move(struct manager *m, clock_ms_t now, struct machine *x,
-			  struct endpoint *ended)
-{
-	set_pool(x, x->target_pool);
-	x->idle_since = 0;
-	x->arrives_by = now + m->settings.move_ms + MACHINE_ARRIVAL_MAX_MS;
-	if (ended)
-		attempts_handle_termination(m, now, ended);
-	clear_move(x);
-}
-
-/// Tells whether a move stays open after a result: it will be sent again, or an earlier order of it
-/// may still be executed.
-static bool stays_open(const struct machine *x, enum order_status status)
-{
-	if (status == ORDER_NO_ANSWER || status == ORDER_TRY_LATER)
-		return true;
-	return x->in_doubt && (status == ORDER_NOT_SENT || status == ORDER_MACHINE_BUSY);
-}
-
-/// Withdraws a move that has had no effect.
-static void withdraw_move(struct manager *m, clock_ms_t now, struct machine *x, struct endpoint *e,
-			  enum order_status status)
-{
-	if (status == ORDER_REJECTED || status == ORDER_MACHINE_NOT_IN_WAVE) {
-		g_free(x->rejected_by_pool);
-		x->rejected_by_pool = g_strdup(x->target_pool);
-	}
-	if (e)
-		e->shutdown_ordered = false;
-	clear_move(x);
-	if (status == ORDER_NOT_SENT)
-		return;
-	x->retry_at = now + MACHINE_BUSY_RETRY_MS;
-	m->next_list_at = MIN(m->next_list_at, now + LIST_RETRY_MS);
-}
-
-static void handle_move_result(struct manager *m, clock_ms_t now, struct machine *x,
-			       const struct order_result *result)
-{
-	struct endpoint *e = endpoint_ended_by_move(m, x);
-
-	x->in_flight = false;
-	x->in_doubt |= result->status == ORDER_NO_ANSWER;
-	log_info("move answered", "MACHINE", x->name, "TO", x->target_pool, "STATUS",
-		 log_number(result->status));
-	if (result->status == ORDER_OK)
-		complete_move(m, now, x, e);
-	else if (result->status == ORDER_FENCED)
-		m->fenced_off = true;
-	else if (stays_open(x, result->status))
-		x->retry_at = now + RETRY_MS;
-	else
-		withdraw_move(m, now, x, e, result->status);
-}
-
-void pools_handle_result(struct manager *m, clock_ms_t now, const struct pending_order *p,
-			 const struct order_result *result)
-{
-	if (p->type == ORDER_MACHINE_LIST)
-		handle_list_result(m, now, result);
-	else
-		handle_move_result(m, now, machines_get(m, p->machine), result);
-}
--- a/src/sesamewood/sched/pools.h
+++ b/src/sesamewood/sched/pools.h
@@ -38,10 +38,6 @@
 /// Tells whether a pool has lately needed more machines than it had.
 bool pools_lack_machines(const struct manager *m, clock_ms_t now);
 
-/// Handles the result of a machine list or machine move order.
-void pools_handle_result(struct manager *m, clock_ms_t now, const struct pending_order *p,
-			 const struct order_result *result);
-
 /// Adds an accepted job to the arrival rate of its pool.
 void pools_record_accepted_job(struct manager *m, const struct job *job);
 
