--- a/tests/unit/unit_sched.c
+++ b/tests/unit/unit_sched.c
@@ -29,6 +29,26 @@
 	g_assert_cmpuint(pools_machines_needed(&load), >, 16);
 }
 
+/// A few long tasks are much work, but no more machines can work on them than there are tasks.
+static void test_few_large_tasks_need_few_machines(void)
+{
+	const struct pool_load load = {.machine_cpu_milli = 32000,
+				       .machines = 8,
+				       .waiting_core_us = 1440000000,
+				       .waiting_cpu_milli = 240000};
+
+	g_assert_cmpuint(pools_machines_needed(&load), <=, 10);
+}
+
+/// One job in half a second says little about the next second; forty say a lot.
+static void test_few_jobs_are_no_surge(void)
+{
+	const double rate = 1000000;
+
+	g_assert_cmpint(pools_expected_arrivals(rate, 1), <, (int64_t)rate / 2);
+	g_assert_cmpint(pools_expected_arrivals(rate, 40), >, (int64_t)rate * 9 / 10);
+}
+
 static void test_endpoint_limit_needs_machines(void)
 {
 	struct pool_load load = {.machine_cpu_milli = 32000, .machines = 8, .spread = 6};
@@ -197,6 +217,9 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/sched/surge_needs_more_machines", test_surge_needs_more_machines);
+	g_test_add_func("/sched/few_large_tasks_need_few_machines",
+			test_few_large_tasks_need_few_machines);
+	g_test_add_func("/sched/few_jobs_are_no_surge", test_few_jobs_are_no_surge);
 	g_test_add_func("/sched/endpoint_limit_needs_machines", test_endpoint_limit_needs_machines);
 	g_test_add_func("/sched/unknown_machine_size_keeps_count",
 			test_unknown_machine_size_keeps_count);
