fix(shell): a replica that is cut off refuses at once

Cause: a control replica without a leader held each heartbeat, and each call of an operator, for 900 ms before it answered 503. New endpoints ask one replica after the other; with four of nine replicas on the wrong side of a cut, a third of the machines were not known to the leader seconds after their move (121 moving, 104 without an endpoint of 349). What can't be served is to be refused at once.

A replica that has had no contact with a leader for 1.5 s, longer than an election takes, now refuses at once until it hears one, and logs both.

--- a/src/sesamewood/control/raft.c
+++ b/src/sesamewood/control/raft.c
@@ -778,6 +778,11 @@
 	return r->leader;
 }
 
+clock_ms_t raft_leader_contact_at(const struct raft *r, clock_ms_t now)
+{
+	return r->role == RAFT_LEADER ? quorum_acked_at(r, now) : r->last_leader_contact_at;
+}
+
 const sw_members *raft_members(const struct raft *r)
 {
 	return &r->members;
--- a/src/sesamewood/control/raft.h
+++ b/src/sesamewood/control/raft.h
@@ -135,6 +135,8 @@
 const raft_snapshot *raft_latest_snapshot(const struct raft *r);
 /// @return node of the known leader, or 0
 uint32_t raft_leader(const struct raft *r);
+/// @return when a leader was last heard; a leader itself counts while a quorum follows it
+clock_ms_t raft_leader_contact_at(const struct raft *r, clock_ms_t now);
 /// @return true if the current membership lists this replica with its present identity
 bool raft_is_voter(const struct raft *r);
 /// @return current membership: the latest in the log, committed or not
--- a/src/sesamewood/manager/control_calls.c
+++ b/src/sesamewood/manager/control_calls.c
@@ -72,6 +72,9 @@
 	} else if (strlen(call.method) > 16 || strlen(call.host) > 256 ||
 		   strlen(call.target) > 8192) {
 		http_reply(req, HTTP_BAD_REQUEST, NULL, NULL, 0);
+	} else if (sh->is_cut_off) {
+		metrics_add(sh->leaderless_refusals, 1);
+		http_reply(req, HTTP_UNAVAILABLE, NULL, NULL, 0);
 	} else {
 		relay_set_leader(sh->relay, shell_other_leader(sh));
 		if (!heartbeat_proxy_handle(sh->heartbeat_proxy, raft_term(sh->raft), &call, &args,
--- a/src/sesamewood/manager/control_loop.c
+++ b/src/sesamewood/manager/control_loop.c
@@ -12,7 +12,9 @@
 #define REQUEST_PASS_MS 25
 #define SLOW_COMMIT_MS 300 /* ten times the usual duration */
 #define SLOW_LOOP_MS 150   /* callers notice the delay, and a raft heartbeat is late */
-#define STOP_MIN_MS 1200   /* time that callers need to find the next leader */
+/// Without a leader for longer than an election takes, a replica is probably cut off.
+#define LEADERLESS_MS 1500
+#define STOP_MIN_MS 1200 /* time that callers need to find the next leader */
 #define STOP_MARGIN_MS 800
 
 /* Leadership. */
@@ -284,6 +286,22 @@
 	rpc_stream_set_low_priority_deadline(clock_monotonic() + REQUEST_PASS_MS);
 }
 
+/// Notes whether this replica has had no contact with a leader for so long that callers and
+/// endpoints should ask another replica instead of waiting here.
+static void update_leader_contact(struct shell *sh, clock_ms_t now)
+{
+	clock_ms_t silent_ms = now - raft_leader_contact_at(sh->raft, now);
+	bool is_cut_off = silent_ms > LEADERLESS_MS;
+
+	if (is_cut_off == sh->is_cut_off)
+		return;
+	sh->is_cut_off = is_cut_off;
+	if (is_cut_off)
+		log_warning("no contact with a leader; refusing requests");
+	else
+		log_info("contact with a leader; relaying requests again");
+}
+
 void shell_on_tick(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	struct shell *sh = w->data;
@@ -291,6 +309,7 @@
 
 	(void)revents;
 	raft_tick(sh->raft, now);
+	update_leader_contact(sh, now);
 	agents_tick(sh->agents, now);
 	shell_adapt_round_gap(sh, now);
 	heartbeat_proxy_tick(sh->heartbeat_proxy, now, raft_term(sh->raft), shell_other_leader(sh));
--- a/src/sesamewood/manager/control_shell.c
+++ b/src/sesamewood/manager/control_shell.c
@@ -155,6 +155,9 @@
 					 "commands proposed to the log"),
 		.refusals = metrics_get(METRIC_COUNTER, "sesamewood_overload_refusals_total", "",
 					"callers refused because the leader was too far behind"),
+		.leaderless_refusals =
+			metrics_get(METRIC_COUNTER, "sesamewood_leaderless_refusals_total", "",
+				    "requests refused because no leader was heard for long"),
 		.overload = overload_new(),
 		.round_gap_ms = MANAGER_ROUND_GAP_MS,
 		.commit_ms = metrics_get(METRIC_HISTOGRAM, "sesamewood_commit_ms", "",
--- a/src/sesamewood/manager/control_shell_internal.h
+++ b/src/sesamewood/manager/control_shell_internal.h
@@ -46,6 +46,7 @@
 	GPtrArray *unsent;	  ///< raft effects that wait for the disk
 	struct jobs *state;	  ///< committed job state
 	uint64_t state_index;	  ///< last log record applied to state
+	bool is_cut_off;	  ///< no contact with a leader for longer than an election takes
 	uint64_t recovered_index; ///< last log record found on disk at the start
 	clock_ms_t started_at;
 	clock_ms_t machine_orders_seen_at; ///< when the latest machine order in state was received
@@ -65,6 +66,7 @@
 	ev_signal hangup;
 	clock_ms_t stopping_at; ///< 0: not stopping
 	struct metric *proposals;
+	struct metric *leaderless_refusals;
 	struct metric *refusals;
 	struct metric *commit_ms;
 	struct overload *overload;
--- a/tests/functional/harness.c
+++ b/tests/functional/harness.c
@@ -30,6 +30,11 @@
 	curl_global_init(CURL_GLOBAL_NOTHING);
 }
 
+const char *harness_programs(void)
+{
+	return programs_dir;
+}
+
 static void die_with_parent(gpointer unused)
 {
 	(void)unused;
--- a/tests/functional/harness.h
+++ b/tests/functional/harness.h
@@ -65,6 +65,8 @@
 
 /// Sets the directory of the programs: --programs=DIR, or else that of the test program.
 void harness_init(int *argc, char ***argv);
+/// Returns the directory of the programs.
+const char *harness_programs(void);
 
 /// Starts the control replicas and the entries, and waits until all entries are healthy. Aborts the
 /// test program when the wait times out. The result is released with harness_free().
