test(fakes): callers write their results a line at a time

Traced from the kept results: four processes append to one file in blocks of stdio, which cut lines; 'l2-2' at the end of one block met the rest of another's line. The results hold 'l2-23 1 -' and 'l2-2457 not27.185...' beside it; l2-2 itself ran once and was answered as ran at 313929, 3 s before. It needs many results, as when callers are refused by the thousand. The check is unchanged.

--- a/tests/fakes/load.c
+++ b/tests/fakes/load.c
@@ -371,6 +371,8 @@
 		healthy[i] = true;
 	if (*options_text(options, "log"))
 		results = fopen(options_text(options, "log"), "a");
+	if (results) /* several loads append to the file: a write must hold whole lines */
+		setvbuf(results, NULL, _IOLBF, BUFSIZ);
 	latencies_us = g_array_new(FALSE, FALSE, sizeof(gint64));
 	from = clock_monotonic();
 	end_at_ms = from + options_number(options, "duration");
