--- a/tests/unit/unit_waves.c
+++ b/tests/unit/unit_waves.c
@@ -130,9 +130,10 @@
 	}
 }
 
-/// A status answer that arrives after the maintenance order was accepted lists a completed task.
-/// The completion must be recorded, or the task runs a second time.
-static void test_listed_completion_survives_maintenance(void)
+/// Runs one task at a machine, accepts the machine's maintenance, and answers the status query that
+/// is in flight @p delay_ms later with the task's completion. The completion must be recorded, or
+/// the task runs a second time.
+static void check_listed_completion_survives(clock_ms_t delay_ms)
 {
 	const char *const machines[] = {"m-1"};
 	clock_ms_t now = FIXTURE_START_MS;
@@ -140,6 +141,7 @@
 	struct seen_orders seen = {0};
 	struct order_result *r;
 	struct completion_record end = {.number = 1, .attempt = 1, .outcome = ATTEMPT_DONE};
+	uint64_t status_query;
 
 	now += HOLDER_LEASE_MS + 1000;
 	fixture_put_config(m, now);
@@ -151,13 +153,16 @@
 	put_wave(m, now, machines, 1, 1);
 	run_accepting_starts(m, now, now + 3000, &seen);
 	now += 3000;
-	g_assert_cmpuint(seen.status_query, !=, 0);
+	status_query = seen.status_query;
+	g_assert_cmpuint(status_query, !=, 0);
 	g_assert_cmpuint(seen.maintenance, !=, 0);
 	r = order_result_new(seen.maintenance, ORDER_OK);
 	manager_handle_result(m, now, now, r);
 	order_result_free(r);
 	fixture_heartbeat(m, now, "i-2", "m-2", 2);
-	r = order_result_new(seen.status_query, ORDER_OK);
+	run_accepting_starts(m, now, now + delay_ms, &seen);
+	now += delay_ms;
+	r = order_result_new(status_query, ORDER_OK);
 	end.task = g_strdup("j.0.0.0");
 	end.checkpoint = g_strdup("");
 	g_array_append_val(r->completions, end);
@@ -168,6 +173,17 @@
 	manager_free(m);
 }
 
+static void test_listed_completion_survives_maintenance(void)
+{
+	check_listed_completion_survives(0);
+}
+
+/// The answer to the status query is on its way for longer than usual, through a busy replica.
+static void test_late_listed_completion_survives_maintenance(void)
+{
+	check_listed_completion_survives(600);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -177,5 +193,7 @@
 			test_returned_machine_frees_the_cap);
 	g_test_add_func("/waves/listed_completion_survives_maintenance",
 			test_listed_completion_survives_maintenance);
+	g_test_add_func("/waves/late_listed_completion_survives_maintenance",
+			test_late_listed_completion_survives_maintenance);
 	return g_test_run();
 }
