test(soak): crashed endpoints restart silently, answers to starts tell no incarnation

The stand-in endpoints answered a start with their list of attempts and the start time of their incarnation, which the protocol has only in answers to status queries, and a restarted endpoint sent a heartbeat within half a second. Now they answer as the protocol says, several crash at once, and a crashed one is silent for 0.1 to 3 s. A violation prints the history of its task.

--- a/tests/soak/soak_endpoint.c
+++ b/tests/soak/soak_endpoint.c
@@ -8,6 +8,10 @@
 #define LEASE_MAX_MS 6000
 #define ORDER_DELAY_MIN_MS 1000
 #define ORDER_DELAY_MAX_MS 5000
+#define STATUS_PATH "/api/hold"
+#define START_PATH "/api/run-start"
+#define CRASH_DOWNTIME_MIN_MS 100
+#define CRASH_DOWNTIME_MAX_MS 3000
 
 struct running_attempt {
 	char *task;
@@ -74,14 +78,13 @@
 	g_free(d);
 }
 
-G_GNUC_PRINTF(2, 3)
-static void record_violation(struct soak_state *st, const char *format, ...)
+/// Records a violation by a task, with the history of the task.
+static void record_violation(struct soak_state *st, const char *violation, const char *task)
 {
-	va_list args;
+	const struct soak_task *t = g_hash_table_lookup(st->tasks, task);
 
-	va_start(args, format);
-	g_ptr_array_add(st->violations, g_strdup_vprintf(format, args));
-	va_end(args);
+	g_ptr_array_add(st->violations,
+			g_strdup_printf("%s: %s\n%s", violation, task, t ? t->history->str : ""));
 }
 
 /// @return milliseconds since this incarnation started, the clock that lease ends are stated in
@@ -97,10 +100,22 @@
 	if (t)
 		return t;
 	t = g_new0(struct soak_task, 1);
+	t->history = g_string_new(NULL);
 	g_hash_table_insert(st->tasks, g_strdup(name), t);
 	return t;
 }
 
+/// Adds an event at the endpoint to the history of a task.
+static void record_event(struct soak_endpoint *e, const char *task, gint64 attempt,
+			 const char *event)
+{
+	g_string_append_printf(find_or_add_task(e->state, task)->history,
+			       "#   %" G_GINT64_FORMAT " attempt %" G_GINT64_FORMAT
+			       " at %s (incarnation %u, token %" G_GINT64_FORMAT "): %s\n",
+			       (gint64)clock_monotonic(), attempt, e->id, e->incarnations,
+			       e->fencing_token, event);
+}
+
 static bool step_is_done(struct soak_state *st, const struct soak_job *job, unsigned int step)
 {
 	for (unsigned int i = 0; i < job->tasks; i++) {
@@ -125,19 +140,18 @@
 
 	st->starts++;
 	if (!job || strcmp(job->payload, payload) != 0) {
-		record_violation(st, "started a task of an unknown job or with another payload: %s",
+		record_violation(st, "started a task of an unknown job or with another payload",
 				 name);
 		return;
 	}
 	if (t->running)
-		record_violation(st, "two attempts of a task run at the same time: %s", name);
+		record_violation(st, "two attempts of a task run at the same time", name);
 	if (t->done_acked)
-		record_violation(st, "started after its completion was acknowledged: %s", name);
+		record_violation(st, "started after its completion was acknowledged", name);
 	if (step && !step_is_done(st, job, step - 1))
-		record_violation(st, "started before the previous step was done: %s", name);
+		record_violation(st, "started before the previous step was done", name);
 	if ((g_hash_table_size(e->running) + 1) * SOAK_TASK_CPU > SOAK_ENDPOINT_CPU)
-		record_violation(st, "started beyond the capacity of endpoint %s: %s", e->name,
-				 name);
+		record_violation(st, "started beyond the capacity of its endpoint", name);
 }
 
 /// Records the highest attempt that ended or was stopped; a start up to this number is refused.
@@ -161,6 +175,7 @@
 	*c = (struct completion){++e->last_completion, g_strdup(r->task), r->attempt, outcome,
 				 false};
 	g_ptr_array_add(e->completions, c);
+	record_event(e, r->task, r->attempt, outcome);
 	t->running--;
 	t->done |= strcmp(outcome, "done") == 0;
 	record_ended_attempt(e, r->task, r->attempt);
@@ -196,6 +211,7 @@
 
 	if (refusal || g_hash_table_contains(e->running, task))
 		return refusal;
+	record_event(e, task, json_object_get_int_member(o, "attempt"), "starts");
 	check_start(e, task, json_object_get_string_member(o, "spec"));
 	r = g_new0(struct running_attempt, 1);
 	*r = (struct running_attempt){
@@ -243,6 +259,7 @@
 		struct soak_task *t = find_or_add_task(e->state, c->task);
 
 		t->done_acked |= strcmp(c->outcome, "done") == 0 && !c->lapsed;
+		record_event(e, c->task, c->attempt, "is acknowledged");
 		g_ptr_array_remove_index(e->completions, 0);
 	}
 	return NULL;
@@ -298,22 +315,38 @@
 	if (!json_parser_load_from_data(parser, body, -1, NULL))
 		return "unreadable";
 	o = json_node_get_object(json_parser_get_root(parser));
-	if (g_str_equal(path, "/api/run-start"))
+	if (g_str_equal(path, START_PATH))
 		return start_task(e, o);
 	if (g_str_equal(path, "/api/run-stop"))
 		return stop_task(e, o);
-	return g_str_equal(path, "/api/hold") ? handle_status_query(e, o) : NULL;
+	return g_str_equal(path, STATUS_PATH) ? handle_status_query(e, o) : NULL;
 }
 
-static void send_reply(struct soak_endpoint *e, struct http_request *req, const char *refusal)
+static void record_delayed_start(struct soak_endpoint *e, const char *body)
+{
+	g_autoptr(JsonParser) parser = json_parser_new();
+	JsonObject *o;
+
+	if (!json_parser_load_from_data(parser, body, -1, NULL))
+		return;
+	o = json_node_get_object(json_parser_get_root(parser));
+	record_event(e, json_object_get_string_member(o, "task"),
+		     json_object_get_int_member(o, "attempt"), "its delayed start order arrives");
+}
+
+/// Only the answer to a status query tells the incarnation that gave it.
+static void send_reply(struct soak_endpoint *e, struct http_request *req, const char *path,
+		       const char *refusal)
 {
 	g_autofree char *body = NULL;
 
 	if (refusal)
 		body = g_strdup_printf("{\"clockMs\":%" G_GINT64_FORMAT ",\"reason\":\"%s\"}",
 				       endpoint_clock_ms(e), refusal);
-	else
+	else if (g_str_equal(path, STATUS_PATH))
 		body = format_status(e);
+	else
+		body = g_strdup_printf("{\"clockMs\":%" G_GINT64_FORMAT "}", endpoint_clock_ms(e));
 	reply_json(req, refusal ? 409 : 200, body);
 }
 
@@ -362,12 +395,12 @@
 		return;
 	}
 	refusal = execute_order(e, path, body);
-	if (!refusal && g_str_equal(path, "/api/hold") && !e->completions->len &&
+	if (!refusal && g_str_equal(path, STATUS_PATH) && !e->completions->len &&
 	    parse_wait_ms(body)) {
 		defer_request(e->waiting_queries, req, now + parse_wait_ms(body), NULL, NULL);
 		return;
 	}
-	send_reply(e, req, refusal);
+	send_reply(e, req, path, refusal);
 }
 
 static void end_due_attempts(struct soak_endpoint *e, clock_ms_t now)
@@ -400,8 +433,11 @@
 
 		if (now < d->due_at)
 			continue;
+		if (d->path && g_str_equal(d->path, START_PATH))
+			record_delayed_start(e, d->body);
 		/* A request that arrived while the endpoint was unresponsive is refused. */
-		send_reply(e, d->req, d->path ? execute_order(e, d->path, d->body) : "late");
+		send_reply(e, d->req, d->path,
+			   d->path ? execute_order(e, d->path, d->body) : "late");
 		g_ptr_array_remove_index_fast(e->delayed_requests, i - 1);
 	}
 	for (guint i = e->waiting_queries->len; i > 0 && now >= e->unresponsive_until; i--) {
@@ -409,7 +445,7 @@
 
 		if (now < d->due_at && !e->completions->len)
 			continue;
-		send_reply(e, d->req, NULL);
+		send_reply(e, d->req, STATUS_PATH, NULL);
 		g_ptr_array_remove_index_fast(e->waiting_queries, i - 1);
 	}
 }
@@ -443,14 +479,21 @@
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, e->running);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		find_or_add_task(e->state, ((struct running_attempt *)value)->task)->running--;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct running_attempt *r = value;
+
+		record_event(e, r->task, r->attempt, "is lost in a crash");
+		find_or_add_task(e->state, r->task)->running--;
+	}
 	g_hash_table_remove_all(e->running);
 	g_hash_table_remove_all(e->last_ended);
 	g_ptr_array_set_size(e->completions, 0);
 	reject_deferred_requests(e->waiting_queries);
 	reject_deferred_requests(e->delayed_requests);
 	begin_incarnation(e, same_id);
+	e->unresponsive_until =
+		clock_monotonic() +
+		g_rand_int_range(e->state->random, CRASH_DOWNTIME_MIN_MS, CRASH_DOWNTIME_MAX_MS);
 }
 
 void soak_endpoint_set_unresponsive(struct soak_endpoint *e, clock_ms_t until)
--- a/tests/soak/soak_endpoint.h
+++ b/tests/soak/soak_endpoint.h
@@ -33,6 +33,7 @@
 	unsigned int running; ///< number of attempts running now
 	bool done;	      ///< an attempt completed, acknowledged or not
 	bool done_acked;      ///< the leader acknowledged a completed attempt
+	GString *history;     ///< events of the task, for violations
 };
 
 /// State shared by all simulated endpoints of a test run.
@@ -60,7 +61,7 @@
 void soak_endpoint_tick(struct soak_endpoint *e, clock_ms_t now);
 
 /// Simulates a crash: drops all attempts, completion records and delayed orders, rejects their
-/// requests, and begins a new incarnation.
+/// requests, and begins a new incarnation, which responds after a while.
 ///
 /// @param same_id  keep the instance id; otherwise the new incarnation has a new one
 void soak_endpoint_crash(struct soak_endpoint *e, bool same_id);
--- a/tests/soak/test_soak.c
+++ b/tests/soak/test_soak.c
@@ -230,6 +230,17 @@
 			g_subprocess_send_signal(s->processes[i].process, SIGHUP);
 }
 
+/// Crashes several endpoints, as when a rack loses power.
+static void crash_endpoints(struct soak *s)
+{
+	GRand *r = s->state.random;
+	gint32 n = g_rand_int_range(r, 1, (gint32)s->endpoint_count / 2 + 2);
+
+	for (gint32 i = 0; i < n; i++)
+		soak_endpoint_crash(s->endpoints[g_rand_int_range(r, 0, (gint32)s->endpoint_count)],
+				    g_rand_boolean(r));
+}
+
 /// Injects one random fault and sets the time of the next one.
 static void inject_fault(struct soak *s, clock_ms_t now)
 {
@@ -249,7 +260,7 @@
 								    (gint32)s->process_count)],
 				     now);
 	else if (kind < 65)
-		soak_endpoint_crash(e, g_rand_boolean(r));
+		crash_endpoints(s);
 	else if (kind < 80)
 		soak_endpoint_set_unresponsive(e, now + 2 * random_downtime_ms(s));
 	else if (kind < 90)
