test(soak): endpoints change their capacity

A start beyond a capacity that has shrunk counts as a violation 4.5 s later: three seconds to regain contact, and a heartbeat period of the deployments.

--- a/tests/soak/soak_endpoint.c
+++ b/tests/soak/soak_endpoint.c
@@ -12,6 +12,9 @@
 #define START_PATH "/api/run-start"
 #define CRASH_DOWNTIME_MIN_MS 100
 #define CRASH_DOWNTIME_MAX_MS 3000
+/// From a reduction of the capacity until starts beyond it are violations: time to regain contact,
+/// and a heartbeat period of the deployments.
+#define CAPACITY_GRACE_MS 4500
 
 struct running_attempt {
 	char *task;
@@ -55,6 +58,9 @@
 	GPtrArray *waiting_queries;  ///< of struct deferred_request
 	GPtrArray *delayed_requests; ///< of struct deferred_request
 	clock_ms_t unresponsive_until;
+	unsigned int cpu_milli;		 ///< capacity that it reports
+	unsigned int enforced_cpu_milli; ///< capacity that starts must respect until enforce_at
+	clock_ms_t enforce_at;		 ///< from when on starts must respect the reported capacity
 };
 
 static void running_attempt_free(void *p)
@@ -127,6 +133,11 @@
 	return true;
 }
 
+static unsigned int enforced_cpu_milli(const struct soak_endpoint *e)
+{
+	return clock_monotonic() < e->enforce_at ? e->enforced_cpu_milli : e->cpu_milli;
+}
+
 /// Checks the invariants at the start of a task: it belongs to a submitted job and has that job's
 /// payload, no other attempt of it runs, no completion of it was acknowledged, the step before is
 /// done, and the endpoint has free capacity.
@@ -150,7 +161,7 @@
 		record_violation(st, "started after its completion was acknowledged", name);
 	if (step && !step_is_done(st, job, step - 1))
 		record_violation(st, "started before the previous step was done", name);
-	if ((g_hash_table_size(e->running) + 1) * SOAK_TASK_CPU > SOAK_ENDPOINT_CPU)
+	if ((g_hash_table_size(e->running) + 1) * SOAK_TASK_CPU > enforced_cpu_milli(e))
 		record_violation(st, "started beyond the capacity of its endpoint", name);
 }
 
@@ -501,6 +512,13 @@
 	e->unresponsive_until = until;
 }
 
+void soak_endpoint_set_cpu(struct soak_endpoint *e, unsigned int cpu_milli, clock_ms_t now)
+{
+	e->enforced_cpu_milli = MAX(enforced_cpu_milli(e), cpu_milli);
+	e->cpu_milli = cpu_milli;
+	e->enforce_at = now + CAPACITY_GRACE_MS;
+}
+
 char *soak_endpoint_heartbeat(struct soak_endpoint *e, char **path)
 {
 	if (clock_monotonic() < e->unresponsive_until)
@@ -511,7 +529,7 @@
 		"\"slots\":8,\"state\":\"ready\",\"coldLeftMs\":0,\"capacity\":{\"cpu\":%d,"
 		"\"memMb\":8000,\"gpu\":0},\"labels\":[\"a\",\"r1\"],\"clockMs\":%" G_GINT64_FORMAT
 		",\"born\":%" G_GINT64_FORMAT ",\"sequence\":%" G_GINT64_FORMAT "}",
-		e->address, SOAK_ENDPOINT_CPU, endpoint_clock_ms(e), e->incarnation_wall_ms,
+		e->address, (int)e->cpu_milli, endpoint_clock_ms(e), e->incarnation_wall_ms,
 		++e->sequence);
 }
 
@@ -525,6 +543,7 @@
 	e->state = st;
 	e->name = g_strdup(id);
 	e->address = g_strdup(address);
+	e->cpu_milli = SOAK_ENDPOINT_CPU;
 	e->running = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, running_attempt_free);
 	e->last_ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	e->completions = g_ptr_array_new_with_free_func(completion_free);
--- a/tests/soak/soak_endpoint.h
+++ b/tests/soak/soak_endpoint.h
@@ -3,8 +3,8 @@
 
 /// @file
 /// Simulated endpoint for the soak test. It executes orders to start and stop tasks. On request of
-/// the test it delays orders, stops responding, or crashes and restarts. At each start of a task it
-/// checks the invariants and records a violation in struct soak_state.
+/// the test it delays orders, stops responding, changes its capacity, or crashes and restarts. At
+/// each start of a task it checks the invariants and records a violation in struct soak_state.
 
 #include "base/clock.h"
 #include "base/http_server.h"
@@ -12,8 +12,9 @@
 #include <ev.h>
 #include <glib.h>
 
-#define SOAK_ENDPOINT_CPU 4000 /* thousandths of a core; room for four tasks of SOAK_TASK_CPU */
-#define SOAK_TASK_CPU 1000
+#define SOAK_TASK_CPU 1000 /* thousandths of a core */
+#define SOAK_TASKS_MAX 4   /* at an endpoint of full capacity */
+#define SOAK_ENDPOINT_CPU (SOAK_TASKS_MAX * SOAK_TASK_CPU)
 #define SOAK_TASK_MEM_MB 100
 
 /// A job as its caller knows it. All its tasks request the same resources.
@@ -70,6 +71,10 @@
 /// heartbeats, but its attempts continue.
 void soak_endpoint_set_unresponsive(struct soak_endpoint *e, clock_ms_t until);
 
+/// Sets the processor capacity that the endpoint reports from its next heartbeat on. What runs goes
+/// on.
+void soak_endpoint_set_cpu(struct soak_endpoint *e, unsigned int cpu_milli, clock_ms_t now);
+
 /// Formats the next heartbeat.
 ///
 /// @param[out] path  request path, owned by the caller; not set when NULL is returned
--- a/tests/soak/test_soak.c
+++ b/tests/soak/test_soak.c
@@ -2,8 +2,9 @@
 /// Soak test with random faults. Control replicas and entries run as processes on loopback
 /// addresses; the endpoints, the callers and the operator are simulated in this process. Control
 /// replicas and entries are killed, suspended and terminated; control replicas also lose their
-/// data. Endpoints crash, become unresponsive and execute orders late. Invariants are checked at
-/// each start of a task. After the faults all jobs must be accepted and end.
+/// data. Endpoints crash, become unresponsive, change their capacity and execute orders late.
+/// Invariants are checked at each start of a task. After the faults all jobs must be accepted and
+/// end.
 ///
 /// --seed determines the choice of faults, but not the timing of the processes.
 
@@ -241,6 +242,19 @@
 				    g_rand_boolean(r));
 }
 
+/// Changes the capacity of several endpoints.
+static void resize_endpoints(struct soak *s, clock_ms_t now)
+{
+	GRand *r = s->state.random;
+	gint32 n = g_rand_int_range(r, 1, (gint32)s->endpoint_count / 2 + 2);
+
+	for (gint32 i = 0; i < n; i++)
+		soak_endpoint_set_cpu(
+			s->endpoints[g_rand_int_range(r, 0, (gint32)s->endpoint_count)],
+			SOAK_TASK_CPU * (unsigned int)g_rand_int_range(r, 1, SOAK_TASKS_MAX + 1),
+			now);
+}
+
 /// Injects one random fault and sets the time of the next one.
 static void inject_fault(struct soak *s, clock_ms_t now)
 {
@@ -261,8 +275,10 @@
 				     now);
 	else if (kind < 65)
 		crash_endpoints(s);
-	else if (kind < 80)
+	else if (kind < 74)
 		soak_endpoint_set_unresponsive(e, now + 2 * random_downtime_ms(s));
+	else if (kind < 82)
+		resize_endpoints(s, now);
 	else if (kind < 90)
 		s->state.delay_percent = (unsigned int)g_rand_int_range(r, 0, 15);
 	else if (kind < 95)
@@ -532,8 +548,10 @@
 		if (s->processes[i].recover_at)
 			s->processes[i].recover_at =
 				MIN(s->processes[i].recover_at, now + DOWNTIME_MIN_MS);
-	for (unsigned int i = 0; i < s->endpoint_count; i++)
+	for (unsigned int i = 0; i < s->endpoint_count; i++) {
 		soak_endpoint_set_unresponsive(s->endpoints[i], now);
+		soak_endpoint_set_cpu(s->endpoints[i], SOAK_ENDPOINT_CPU, now);
+	}
 	s->state.delay_percent = 0;
 	s->state.fail_percent = 0;
 	s->recovery_ends_at = now + RECOVERY_TIMEOUT_MS;
