fix(waves): a second wave over the same machines keeps its cap

Cause: the leader keeps the state of a maintenance by machine, and nothing of the first wave's maintenance was cleared when a later wave ordered the machine. machine_returned stayed set, so that the machine counted as back as soon as the second wave's order was answered. begun and begun_at of the first wave also hid that the second order was unanswered.

Fix: the first order of a wave for a machine starts its record anew.

The log line "maintenance ordered" now shows the machines that count as down and the cap (DOWN, CAP), so that a play shows what the leader believed.

--- a/src/sesamewood/sched/machines.c
+++ b/src/sesamewood/sched/machines.c
@@ -59,6 +59,11 @@
 	return maint;
 }
 
+void machines_reset_maintenance(struct maintenance *maint)
+{
+	*maint = (struct maintenance){.next_log_at = maint->next_log_at};
+}
+
 bool machines_maintenance_is_active(const struct manager *m, const struct maintenance *maint,
 				    clock_ms_t now)
 {
--- a/src/sesamewood/sched/machines.h
+++ b/src/sesamewood/sched/machines.h
@@ -25,7 +25,7 @@
 	clock_ms_t idle_since;	 ///< 0: it has work or no endpoint
 };
 
-/// Maintenance of one machine.
+/// Latest maintenance of one machine, of whichever wave.
 struct maintenance {
 	bool in_flight; ///< a maintenance order is in flight
 	bool begun;	///< the machine service accepted an order
@@ -52,6 +52,9 @@
 /// @return the maintenance of that machine, added if there is none; owned by the manager
 struct maintenance *machines_get_maintenance(struct manager *m, const char *name);
 
+/// Forgets an earlier maintenance of the machine when another wave orders one.
+void machines_reset_maintenance(struct maintenance *maint);
+
 /// Tells whether a machine is or may be moving to a pool.
 bool machines_is_moving(const struct manager *m, const char *name, clock_ms_t now);
 
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -194,8 +194,10 @@
 	return n;
 }
 
+/// @param first  no leader has ordered the machine for this wave yet
+/// @param n_down machines of the wave that count as down, for the log
 static void send_maintenance(struct manager *m, clock_ms_t now, const job_wave *wave,
-			     const char *machine, bool first)
+			     const char *machine, bool first, unsigned int n_down)
 {
 	struct maintenance *maint = machines_get_maintenance(m, machine);
 	struct endpoint *e = endpoint_on(m, machine);
@@ -214,16 +216,19 @@
 		.not_after = CLOCK_NEVER,
 	};
 	log_info("maintenance ordered", "MACHINE", machine, "WAVE", log_number(wave->number),
-		 "RUNS", log_number(e ? e->runs->len : 0));
+		 "RUNS", log_number(e ? e->runs->len : 0), "DOWN", log_number(n_down), "CAP",
+		 log_number(wave->cap));
 	if (e)
 		e->shutdown_ordered = true;
 	m->ready_counts_valid = false;
+	if (first)
+		machines_reset_maintenance(maint);
 	maint->in_flight = true;
 	maint->sent_at = now;
 	/* A repeated order also succeeds if an earlier one was executed, so its success does not
 	 * show that the present incarnation has been shut down. */
-	maint->incarnation_wall_ms =
-		first && e ? e->incarnation_wall_ms : maint->incarnation_wall_ms;
+	if (first && e)
+		maint->incarnation_wall_ms = e->incarnation_wall_ms;
 	effects_propose(m, &c);
 	effects_send_machine_order(m, now, o, wave->number);
 }
@@ -385,7 +390,7 @@
 			evacuate(m, e, now);
 		if (w->ordered) {
 			if (!e || !find_blocking_run(m, e, now))
-				send_maintenance(m, now, wave, w->machine, false);
+				send_maintenance(m, now, wave, w->machine, false, n_down);
 			continue;
 		}
 		if (n_down < wave->cap)
@@ -394,7 +399,7 @@
 		    (!e && n_down >= pace && pools_lack_machines(m, now)) ||
 		    !may_start_maintenance(m, e, now, deadline_near))
 			continue;
-		send_maintenance(m, now, wave, w->machine, true);
+		send_maintenance(m, now, wave, w->machine, true, n_down);
 		n_down++;
 		n_cordoned -= n_cordoned > 0;
 	}
--- a/tests/unit/manager_fixture.c
+++ b/tests/unit/manager_fixture.c
@@ -2,10 +2,9 @@
 
 #include <string.h>
 
-struct manager *fixture_next_manager(const struct jobs *state, uint64_t term, clock_ms_t now,
-				     clock_ms_t machine_orders_seen_at)
+struct manager_settings fixture_settings(void)
 {
-	const struct manager_settings settings = {
+	return (struct manager_settings){
 		.holder = "test",
 		.heartbeat_period_ms = 1500,
 		.lease_max_ms = 6000,
@@ -14,6 +13,12 @@
 		.move_ms = FIXTURE_MOVE_MS,
 		.maintenance_ms = FIXTURE_MAINTENANCE_MS,
 	};
+}
+
+struct manager *fixture_next_manager(const struct jobs *state, uint64_t term, clock_ms_t now,
+				     clock_ms_t machine_orders_seen_at)
+{
+	const struct manager_settings settings = fixture_settings();
 
 	return manager_new(&settings, state, term, now, machine_orders_seen_at);
 }
--- a/tests/unit/manager_fixture.h
+++ b/tests/unit/manager_fixture.h
@@ -12,6 +12,9 @@
 #define FIXTURE_MAINTENANCE_MS 2000
 #define FIXTURE_CPU_MILLI 8000 ///< of each endpoint
 
+/// Returns the settings of the fixture's managers; its strings are static.
+struct manager_settings fixture_settings(void);
+
 /// Returns a manager without endpoints, jobs or a configuration; release with manager_free().
 struct manager *fixture_manager(clock_ms_t now);
 
--- a/tests/unit/unit_waves.c
+++ b/tests/unit/unit_waves.c
@@ -4,17 +4,20 @@
 
 #include "manager_fixture.h"
 
+#include "base/codec.h"
+#include "sched/waves.h"
+
 #include <string.h>
 
 #define HOLDER_LEASE_MS FIXTURE_HOLDER_LEASE_MS
 #define MAINTENANCE_MS FIXTURE_MAINTENANCE_MS
 
-static void put_wave(struct manager *m, clock_ms_t now, const char *const *machines, unsigned int n,
-		     uint32_t cap)
+static void put_wave_numbered(struct manager *m, clock_ms_t now, uint64_t number,
+			      const char *const *machines, unsigned int n, uint32_t cap)
 {
 	struct call c = {.type = CALL_WAVE_PUT, .wave_s = 30};
 
-	c.wave.number = 1;
+	c.wave.number = number;
 	c.wave.cap = cap;
 	c.wave.machines.machines_val = calloc(n, sizeof(job_wave_machine));
 	for (unsigned int i = 0; i < n; i++)
@@ -24,6 +27,12 @@
 	call_clear(&c);
 }
 
+static void put_wave(struct manager *m, clock_ms_t now, const char *const *machines, unsigned int n,
+		     uint32_t cap)
+{
+	put_wave_numbered(m, now, 1, machines, n, cap);
+}
+
 /// Runs the manager from @p from to @p until and accepts every maintenance order.
 ///
 /// @return number of maintenance orders sent
@@ -168,6 +177,215 @@
 	manager_free(m);
 }
 
+/* Several waves. */
+
+#define MACHINES 4
+
+/// A machine of a simulated site; its endpoint has the id "i-" and the number of the incarnation.
+struct site_machine {
+	const char *name;
+	clock_ms_t down_until; ///< 0: it is up
+	int64_t incarnation;
+};
+
+/// How the simulated machine service treats the next orders.
+enum service_mode {
+	SERVICE_ANSWERS,
+	SERVICE_LOSES_ANSWERS, ///< executes orders without an answer
+	SERVICE_LOSES_ORDERS,  ///< executes nothing
+};
+
+/// A leader with the machines of a site, the machine service and the committed state.
+struct site {
+	struct manager *m;
+	struct jobs *committed;
+	uint64_t term;
+	clock_ms_t now;
+	clock_ms_t maintenance_ms;
+	struct site_machine machines[MACHINES];
+	GHashTable *maintained; ///< "wave machine" of each executed order
+	enum service_mode mode;
+	int64_t latest_incarnation;
+	unsigned int n_orders;
+	unsigned int n_starts;
+	unsigned int most_down; ///< highest number of machines that were down at once
+};
+
+static struct manager *site_manager(const struct site *s)
+{
+	struct manager_settings settings = fixture_settings();
+
+	settings.maintenance_ms = (uint32_t)s->maintenance_ms;
+	return manager_new(&settings, s->committed, s->term, s->now, s->now);
+}
+
+static void site_start_endpoint(struct site *s, struct site_machine *x)
+{
+	g_autofree char *id = NULL;
+
+	x->down_until = 0;
+	x->incarnation = ++s->latest_incarnation;
+	id = g_strdup_printf("i-%d", (int)x->incarnation);
+	fixture_heartbeat(s->m, s->now, id, x->name, x->incarnation);
+}
+
+static void site_init(struct site *s, clock_ms_t maintenance_ms)
+{
+	static const char *const names[MACHINES] = {"m-1", "m-2", "m-3", "m-4"};
+
+	*s = (struct site){
+		.committed = jobs_new(),
+		.term = 1,
+		.now = FIXTURE_START_MS,
+		.maintenance_ms = maintenance_ms,
+		.maintained = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+	};
+	s->m = site_manager(s);
+	s->now += 2 * maintenance_ms + HOLDER_LEASE_MS + 1000;
+	for (int i = 0; i < MACHINES; i++) {
+		s->machines[i].name = names[i];
+		site_start_endpoint(s, &s->machines[i]);
+	}
+}
+
+static void site_clear(struct site *s)
+{
+	manager_free(s->m);
+	jobs_free(s->committed);
+	g_hash_table_unref(s->maintained);
+}
+
+static struct site_machine *site_find(struct site *s, const char *name)
+{
+	for (int i = 0; i < MACHINES; i++)
+		if (g_str_equal(s->machines[i].name, name))
+			return &s->machines[i];
+	return NULL;
+}
+
+static void site_answer(struct site *s, uint64_t id, enum order_status status)
+{
+	struct order_result *r = order_result_new(id, status);
+
+	manager_handle_result(s->m, s->now, s->now, r);
+	order_result_free(r);
+}
+
+static enum order_status site_execute(struct site *s, const struct order *o)
+{
+	struct site_machine *x = site_find(s, o->machine);
+	g_autofree char *key = g_strdup_printf("%lu %s", (unsigned long)o->wave, o->machine);
+	unsigned int n_down = 0;
+
+	if (g_hash_table_contains(s->maintained, key))
+		return ORDER_OK;
+	if (x->down_until)
+		return ORDER_MACHINE_BUSY;
+	g_hash_table_add(s->maintained, g_steal_pointer(&key));
+	x->down_until = s->now + s->maintenance_ms;
+	for (int i = 0; i < MACHINES; i++)
+		n_down += s->machines[i].down_until > 0;
+	s->most_down = MAX(s->most_down, n_down);
+	return ORDER_OK;
+}
+
+static void site_maintain(struct site *s, const struct order *o)
+{
+	enum order_status status = ORDER_NO_ANSWER;
+
+	s->n_orders++;
+	if (s->mode != SERVICE_LOSES_ORDERS)
+		status = site_execute(s, o);
+	site_answer(s, o->id, s->mode == SERVICE_ANSWERS ? status : ORDER_NO_ANSWER);
+}
+
+static void site_commit(struct site *s, GBytes *command)
+{
+	gsize len;
+	const void *data = g_bytes_get_data(command, &len);
+	sw_command c;
+
+	g_assert_true(codec_decode(CODEC_PROC(sw_command), data, len, &c, sizeof(c)));
+	jobs_apply(s->committed, &c.sw_command_u.job);
+	codec_free(CODEC_PROC(sw_command), &c);
+}
+
+static void site_run(struct site *s, clock_ms_t ms)
+{
+	for (clock_ms_t until = s->now + ms; s->now < until; s->now += MANAGER_TICK_MS) {
+		g_autoptr(GPtrArray) effects = NULL;
+
+		for (int i = 0; i < MACHINES; i++)
+			if (s->machines[i].down_until && s->now >= s->machines[i].down_until)
+				site_start_endpoint(s, &s->machines[i]);
+		manager_tick(s->m, s->now, s->now);
+		effects = manager_take_effects(s->m);
+		for (guint i = 0; i < effects->len; i++) {
+			const struct effect *e = effects->pdata[i];
+
+			if (e->type == EFFECT_PROPOSE)
+				site_commit(s, e->u.command);
+			if (e->type != EFFECT_ORDER)
+				continue;
+			if (e->u.order->type == ORDER_MACHINE_MAINTENANCE)
+				site_maintain(s, e->u.order);
+			if (e->u.order->type != ORDER_START)
+				continue;
+			s->n_starts++;
+			site_answer(s, e->u.order->id, ORDER_OK);
+		}
+	}
+}
+
+static void site_put_wave(struct site *s, uint64_t number, const char *const *machines,
+			  unsigned int n, uint32_t cap)
+{
+	put_wave_numbered(s->m, s->now, number, machines, n, cap);
+	site_run(s, MANAGER_TICK_MS);
+}
+
+static bool site_wave_is_complete(const struct site *s, uint64_t number)
+{
+	return waves_is_complete(jobs_wave(s->committed, number));
+}
+
+/// A second wave takes down machines that returned from the first one. They must count as down
+/// again, or the cap is exceeded.
+static void test_second_wave_over_same_machines_keeps_cap(void)
+{
+	const char *const machines[] = {"m-1", "m-2", "m-3"};
+	struct site s;
+
+	site_init(&s, MAINTENANCE_MS);
+	site_put_wave(&s, 1, machines, 3, 1);
+	site_run(&s, 15000);
+	g_assert_true(site_wave_is_complete(&s, 1));
+	site_put_wave(&s, 2, machines, 3, 1);
+	site_run(&s, 15000);
+	g_assert_true(site_wave_is_complete(&s, 2));
+	g_assert_cmpuint(s.most_down, ==, 1);
+	site_clear(&s);
+}
+
+/// As above, with waves that overlap: machines of the first wave go down for the second one while
+/// others still wait for the first.
+static void test_overlapping_waves_over_same_machines_keep_cap(void)
+{
+	const char *const machines[] = {"m-1", "m-2", "m-3", "m-4"};
+	struct site s;
+
+	site_init(&s, MAINTENANCE_MS);
+	site_put_wave(&s, 1, machines, 4, 1);
+	site_run(&s, 4000);
+	g_assert_false(site_wave_is_complete(&s, 1));
+	site_put_wave(&s, 2, machines, 4, 1);
+	site_run(&s, 25000);
+	g_assert_true(site_wave_is_complete(&s, 1));
+	g_assert_true(site_wave_is_complete(&s, 2));
+	g_assert_cmpuint(s.most_down, ==, 1);
+	site_clear(&s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -177,5 +395,9 @@
 			test_returned_machine_frees_the_cap);
 	g_test_add_func("/waves/listed_completion_survives_maintenance",
 			test_listed_completion_survives_maintenance);
+	g_test_add_func("/waves/second_wave_over_same_machines_keeps_cap",
+			test_second_wave_over_same_machines_keeps_cap);
+	g_test_add_func("/waves/overlapping_waves_over_same_machines_keep_cap",
+			test_overlapping_waves_over_same_machines_keep_cap);
 	return g_test_run();
 }
