fix(waves): a repeated order of another wave ends no work

Cause: both waves shared the record. Wave 2's order was executed, its answer lost; the machine came back and took work; wave 1's first order for it put the new incarnation into the record and had no effect; the repetition of wave 2's order, answered because it was done already, then counted as the end of the new incarnation. The record of a machine that one wave had taken down also passed to the other wave's order while the machine was still down.

Fix: a record belongs to one wave from its first order until the machine has returned; other waves wait for that (an order in between would be refused as busy anyway). It names the endpoint and incarnation at that first order, and only these end when an order of the wave is accepted. The name also covers endpoints whose start times do not follow their order, as clocks jump.

While all waves are handled in their order and with the same conditions, the earlier wave's order must be refused for good to reach the state: repetitions of the later wave otherwise wait behind it.

--- a/src/sesamewood/sched/machines.c
+++ b/src/sesamewood/sched/machines.c
@@ -1,8 +1,5 @@
 #include "sched/machines.h"
 
-/// Margin after the longest maintenance before its machine counts as returned.
-#define RETURN_MARGIN_MS 300
-
 void machines_free(void *p)
 {
 	struct machine *x = p;
@@ -59,24 +56,23 @@
 	return maint;
 }
 
-void machines_reset_maintenance(struct maintenance *maint)
+void machines_end_maintenance(struct maintenance *maint)
 {
+	g_free(maint->shutdown_endpoint);
 	*maint = (struct maintenance){.next_log_at = maint->next_log_at};
 }
 
-bool machines_maintenance_is_active(const struct manager *m, const struct maintenance *maint,
-				    clock_ms_t now)
+void machines_free_maintenance(void *p)
 {
-	if (!maint->begun)
-		return maint->in_flight || maint->retry_at > 0;
-	return !maint->machine_returned &&
-	       now - maint->begun_at <
-		       2 * (clock_ms_t)m->settings.maintenance_ms + RETURN_MARGIN_MS;
+	struct maintenance *maint = p;
+
+	g_free(maint->shutdown_endpoint);
+	g_free(maint);
 }
 
-bool machines_is_down(const struct manager *m, const char *name, clock_ms_t now)
+bool machines_is_down(const struct manager *m, const char *name)
 {
 	const struct maintenance *maint = g_hash_table_lookup(m->maintenance_by_machine, name);
 
-	return maint && machines_maintenance_is_active(m, maint, now);
+	return maint && maint->ordered;
 }
--- a/src/sesamewood/sched/machines.h
+++ b/src/sesamewood/sched/machines.h
@@ -25,16 +25,22 @@
 	clock_ms_t idle_since;	 ///< 0: it has work or no endpoint
 };
 
-/// Latest maintenance of one machine, of whichever wave.
+/// Maintenance of one machine, from the first order until the machine has returned. One wave at a
+/// time orders a machine; another one waits for its return.
 struct maintenance {
+	bool ordered;	///< the machine is or may be down, or will be
+	uint64_t wave;	///< that the machine is ordered for
 	bool in_flight; ///< a maintenance order is in flight
 	bool begun;	///< the machine service accepted an order
 	clock_ms_t begun_at;
-	clock_ms_t retry_at;	     ///< earliest time of the next order
-	int64_t incarnation_wall_ms; ///< incarnation of the machine's endpoint at the first order
-	clock_ms_t next_log_at;	     ///< earliest time to log the blocking condition again
-	clock_ms_t sent_at;	     ///< time of the latest order
-	bool machine_returned;	     ///< a later incarnation has sent a heartbeat
+	clock_ms_t retry_at; ///< earliest time of the next order
+	/// Endpoint on the machine at the wave's first order; NULL: none, or unknown to this
+	/// leader. Any order that is accepted proves that this incarnation has been shut down.
+	char *shutdown_endpoint;
+	int64_t shutdown_incarnation_wall_ms;
+	clock_ms_t next_log_at; ///< earliest time to log the blocking condition again
+	clock_ms_t sent_at;	///< time of the latest order
+	bool machine_returned;	///< a later incarnation has sent a heartbeat
 };
 
 /// @return the machine with that name, added if it is new; owned by the manager
@@ -52,17 +58,16 @@
 /// @return the maintenance of that machine, added if there is none; owned by the manager
 struct maintenance *machines_get_maintenance(struct manager *m, const char *name);
 
-/// Forgets an earlier maintenance of the machine when another wave orders one.
-void machines_reset_maintenance(struct maintenance *maint);
+/// Ends a maintenance: the machine has returned, or does not go down.
+void machines_end_maintenance(struct maintenance *maint);
+
+/// Frees a struct maintenance; fits GDestroyNotify.
+void machines_free_maintenance(void *maint);
 
 /// Tells whether a machine is or may be moving to a pool.
 bool machines_is_moving(const struct manager *m, const char *name, clock_ms_t now);
 
-/// Tells whether maintenance keeps, or may keep, its machine down.
-bool machines_maintenance_is_active(const struct manager *m, const struct maintenance *maint,
-				    clock_ms_t now);
-
 /// Tells whether a machine is or may be down for maintenance.
-bool machines_is_down(const struct manager *m, const char *name, clock_ms_t now);
+bool machines_is_down(const struct manager *m, const char *name);
 
 #endif
--- a/src/sesamewood/sched/move_orders.c
+++ b/src/sesamewood/sched/move_orders.c
@@ -137,7 +137,7 @@
 			&g_array_index(result->machines, struct machine_row, i);
 		struct machine *x = machines_get(m, row->machine);
 
-		if (x->target_pool || now < x->arrives_by || machines_is_down(m, x->name, now))
+		if (x->target_pool || now < x->arrives_by || machines_is_down(m, x->name))
 			continue;
 		machines_set_pool(x, row->pool);
 		x->is_up = row->state == MACHINE_UP;
--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -288,7 +288,7 @@
 		return AVAILABILITY_RETRY_LATER;
 	if (e && e->runs->len)
 		return AVAILABILITY_BUSY;
-	if (machines_is_down(m, x->name, now))
+	if (machines_is_down(m, x->name))
 		return AVAILABILITY_IN_MAINTENANCE;
 	if (cooldown_applies(m->cooldown, x->name, now))
 		return AVAILABILITY_IN_COOLDOWN;
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "runs/attempts.h"
+#include "runs/incarnations.h"
 #include "sched/machines.h"
 #include "sched/pools.h"
 
@@ -13,6 +14,8 @@
 #define DRAIN_WAIT_MS 2500	   /* time for tasks of bounded run time to end first */
 #define HEARTBEAT_DELAY_MAX_MS 300 /* longest time that a heartbeat is in flight */
 #define WAVE_LOG_PERIOD_MS 3000
+/// Margin after the longest maintenance before its machine counts as returned.
+#define RETURN_MARGIN_MS 300
 /// Delay before a task counts as ready, to notice one that fails as soon as it is ready.
 #define READY_MARGIN_MS 200
 /// Time between a machine's return and the order for the next one, on average.
@@ -221,14 +224,15 @@
 	if (e)
 		e->shutdown_ordered = true;
 	m->ready_counts_valid = false;
-	if (first)
-		machines_reset_maintenance(maint);
-	maint->in_flight = true;
+	maint->ordered = maint->in_flight = true;
+	maint->wave = wave->number;
 	maint->sent_at = now;
 	/* A repeated order also succeeds if an earlier one was executed, so its success does not
 	 * show that the present incarnation has been shut down. */
-	if (first && e)
-		maint->incarnation_wall_ms = e->incarnation_wall_ms;
+	if (first && e) {
+		maint->shutdown_endpoint = g_strdup(e->id);
+		maint->shutdown_incarnation_wall_ms = e->incarnation_wall_ms;
+	}
 	effects_propose(m, &c);
 	effects_send_machine_order(m, now, o, wave->number);
 }
@@ -355,13 +359,10 @@
 
 	for (u_int i = 0; i < wave->machines.machines_len; i++) {
 		const job_wave_machine *w = &wave->machines.machines_val[i];
-		const struct maintenance *maint =
-			g_hash_table_lookup(m->maintenance_by_machine, w->machine);
 		const struct endpoint *e = endpoint_on(m, w->machine);
 
 		n_open += !w->settled;
-		if ((maint && machines_maintenance_is_active(m, maint, now)) ||
-		    (w->ordered && !w->settled))
+		if (machines_is_down(m, w->machine) || (w->ordered && !w->settled))
 			n_down++;
 		else if (!w->settled && e && e->cordoned)
 			n_cordoned++;
@@ -376,6 +377,7 @@
 		struct endpoint *e = endpoint_on(m, w->machine);
 
 		if (w->settled || maint->in_flight || now < maint->retry_at ||
+		    (maint->ordered && maint->wave != wave->number) ||
 		    !order_budget_allows(&m->order_budget, now, 0) ||
 		    machines_is_moving(m, w->machine, now) ||
 		    cooldown_applies(m->cooldown, w->machine, now))
@@ -408,12 +410,35 @@
 		cordon_more(m, wave, n_wanted - n_cordoned, now);
 }
 
+static bool has_returned(const struct manager *m, const struct maintenance *maint, clock_ms_t now)
+{
+	return maint->machine_returned ||
+	       now - maint->begun_at >=
+		       2 * (clock_ms_t)m->settings.maintenance_ms + RETURN_MARGIN_MS;
+}
+
+/// Ends the maintenance of the machines that have returned.
+static void end_maintenance(struct manager *m, clock_ms_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, m->maintenance_by_machine);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct maintenance *maint = value;
+
+		if (maint->begun && has_returned(m, maint, now))
+			machines_end_maintenance(maint);
+	}
+}
+
 void waves_tick(struct manager *m, clock_ms_t now, clock_ms_t wall_ms)
 {
 	if (now < m->next_wave_pass_at ||
 	    now < m->leader_since + m->settings.holder_lease_ms + HOLDER_MARGIN_MS)
 		return;
 	m->next_wave_pass_at = now + WAVE_PASS_MS;
+	end_maintenance(m, now);
 	collect_due_machines(m);
 	if (!g_hash_table_size(m->due_machines))
 		return;
@@ -444,10 +469,24 @@
 	effects_propose(m, &c);
 }
 
+/// @return the endpoint that the maintenance has shut down if an order for it was accepted, or NULL
+/// if there is none or it has ended already
+static struct endpoint *endpoint_ended_by(struct manager *m, const struct maintenance *maint)
+{
+	struct endpoint *e = maint->shutdown_endpoint
+				     ? incarnations_find_endpoint(m, maint->shutdown_endpoint)
+				     : NULL;
+
+	return e && !e->terminated && e->incarnation_wall_ms == maint->shutdown_incarnation_wall_ms
+		       ? e
+		       : NULL;
+}
+
 void waves_handle_result(struct manager *m, clock_ms_t now, const struct pending_order *p,
 			 const struct order_result *result)
 {
 	struct maintenance *maint = machines_get_maintenance(m, p->machine);
+	struct endpoint *ended = endpoint_ended_by(m, maint);
 	struct endpoint *e;
 
 	index_endpoints_by_machine(m);
@@ -462,14 +501,14 @@
 		maint->begun = true;
 		maint->begun_at = now;
 		settle_machine(m, p);
-		if (e && e->incarnation_wall_ms == maint->incarnation_wall_ms)
-			attempts_handle_termination(m, now, e);
-		else if (e)
+		if (ended)
+			attempts_handle_termination(m, now, ended);
+		if (e && e != ended)
 			e->alive_proof_after = now + HEARTBEAT_DELAY_MAX_MS;
 		break;
 	case ORDER_REJECTED:
 	case ORDER_MACHINE_NOT_IN_WAVE:
-		maint->retry_at = 0;
+		machines_end_maintenance(maint);
 		settle_machine(m, p);
 		if (e)
 			e->cordoned = e->shutdown_ordered = false;
@@ -488,7 +527,7 @@
 	struct maintenance *maint = g_hash_table_lookup(m->maintenance_by_machine, machine);
 
 	/* An incarnation that sends a heartbeat sooner started before the maintenance. */
-	if (maint && maint->begun && incarnation_wall_ms > maint->incarnation_wall_ms &&
+	if (maint && maint->begun && incarnation_wall_ms > maint->shutdown_incarnation_wall_ms &&
 	    now - maint->sent_at >= (clock_ms_t)m->settings.maintenance_ms)
 		maint->machine_returned = true;
 }
--- a/tests/unit/unit_waves.c
+++ b/tests/unit/unit_waves.c
@@ -180,11 +180,13 @@
 /* Several waves. */
 
 #define MACHINES 4
+#define HEARTBEAT_MS 1500
 
 /// A machine of a simulated site; its endpoint has the id "i-" and the number of the incarnation.
 struct site_machine {
 	const char *name;
 	clock_ms_t down_until; ///< 0: it is up
+	bool stays_down;       ///< after its maintenance it does not return
 	int64_t incarnation;
 };
 
@@ -205,7 +207,11 @@
 	struct site_machine machines[MACHINES];
 	GHashTable *maintained; ///< "wave machine" of each executed order
 	enum service_mode mode;
+	uint64_t impaired_wave; ///< mode applies to this wave only; 0: to all
+	const char *rejected;	///< "wave machine" of orders that are rejected, or NULL
 	int64_t latest_incarnation;
+	uint64_t sequence; ///< of the latest heartbeats
+	clock_ms_t next_beat_at;
 	unsigned int n_orders;
 	unsigned int n_starts;
 	unsigned int most_down; ///< highest number of machines that were down at once
@@ -229,6 +235,26 @@
 	fixture_heartbeat(s->m, s->now, id, x->name, x->incarnation);
 }
 
+/// Sends a heartbeat of each endpoint; a full one where the leader needs it.
+static void site_beat(struct site *s)
+{
+	s->next_beat_at = s->now + HEARTBEAT_MS;
+	s->sequence++;
+	for (int i = 0; i < MACHINES; i++) {
+		const struct site_machine *x = &s->machines[i];
+		g_autofree char *id = g_strdup_printf("i-%d", (int)x->incarnation);
+		struct short_heartbeat hb = {
+			.id = id,
+			.incarnation_wall_ms = x->incarnation,
+			.sequence = s->sequence + 1,
+			.clock_ms = s->now,
+		};
+
+		if (!x->down_until && !manager_handle_short_heartbeat(s->m, s->now, &hb))
+			fixture_heartbeat(s->m, s->now, id, x->name, x->incarnation);
+	}
+}
+
 static void site_init(struct site *s, clock_ms_t maintenance_ms)
 {
 	static const char *const names[MACHINES] = {"m-1", "m-2", "m-3", "m-4"};
@@ -279,6 +305,8 @@
 
 	if (g_hash_table_contains(s->maintained, key))
 		return ORDER_OK;
+	if (g_strcmp0(key, s->rejected) == 0)
+		return ORDER_MACHINE_NOT_IN_WAVE;
 	if (x->down_until)
 		return ORDER_MACHINE_BUSY;
 	g_hash_table_add(s->maintained, g_steal_pointer(&key));
@@ -291,12 +319,14 @@
 
 static void site_maintain(struct site *s, const struct order *o)
 {
+	enum service_mode mode =
+		s->impaired_wave && o->wave != s->impaired_wave ? SERVICE_ANSWERS : s->mode;
 	enum order_status status = ORDER_NO_ANSWER;
 
 	s->n_orders++;
-	if (s->mode != SERVICE_LOSES_ORDERS)
+	if (mode != SERVICE_LOSES_ORDERS)
 		status = site_execute(s, o);
-	site_answer(s, o->id, s->mode == SERVICE_ANSWERS ? status : ORDER_NO_ANSWER);
+	site_answer(s, o->id, mode == SERVICE_ANSWERS ? status : ORDER_NO_ANSWER);
 }
 
 static void site_commit(struct site *s, GBytes *command)
@@ -316,8 +346,11 @@
 		g_autoptr(GPtrArray) effects = NULL;
 
 		for (int i = 0; i < MACHINES; i++)
-			if (s->machines[i].down_until && s->now >= s->machines[i].down_until)
+			if (s->machines[i].down_until && s->now >= s->machines[i].down_until &&
+			    !s->machines[i].stays_down)
 				site_start_endpoint(s, &s->machines[i]);
+		if (s->now >= s->next_beat_at)
+			site_beat(s);
 		manager_tick(s->m, s->now, s->now);
 		effects = manager_take_effects(s->m);
 		for (guint i = 0; i < effects->len; i++) {
@@ -386,6 +419,64 @@
 	site_clear(&s);
 }
 
+/// @return number of tasks of job "j" that are assigned to the present endpoint of a machine
+static unsigned int site_tasks_on(struct site *s, const char *machine)
+{
+	const job_step_state *step = &jobs_find(s->committed, "j")
+					      ->image.occurrences.occurrences_val[0]
+					      .steps.steps_val[0];
+	int64_t incarnation = site_find(s, machine)->incarnation;
+	unsigned int n = 0;
+
+	for (u_int i = 0; i < step->tasks.tasks_len; i++) {
+		const job_task *t = &step->tasks.tasks_val[i];
+		const struct job_incarnation_state *at =
+			jobs_incarnation(s->committed, t->endpoint);
+
+		n += t->phase == JOB_TASK_ASSIGNED && at &&
+		     at->endpoint.incarnation_wall_ms == incarnation;
+	}
+	return n;
+}
+
+/// Wave 2's order for a machine is executed and not answered; the machine returns and takes work.
+/// Wave 1 orders the machine in vain. The repetition of wave 2's order, answered because it is done
+/// already, must not count as the end of the work, or the work runs twice.
+static void test_repeated_order_of_other_wave_keeps_work(void)
+{
+	const char *const first[] = {"m-2", "m-3", "m-1"};
+	const char *const second[] = {"m-1"};
+	struct site s;
+	int64_t before;
+
+	site_init(&s, MAINTENANCE_MS + 150); /* it returns between two repetitions */
+	fixture_put_config(s.m, s.now);
+	s.rejected = "1 m-1";
+	s.machines[1].stays_down = s.machines[2].stays_down = true; /* delays wave 1's order */
+	site_put_wave(&s, 1, first, 3, 2);
+	site_run(&s, 500);
+	g_assert_cmpuint(s.n_orders, ==, 2);
+	s.impaired_wave = 2;
+	s.mode = SERVICE_LOSES_ANSWERS;
+	before = s.machines[0].incarnation;
+	site_put_wave(&s, 2, second, 1, 2);
+	site_run(&s, 300);
+	g_assert_cmpuint(s.n_orders, ==, 3);
+	s.mode = SERVICE_LOSES_ORDERS;
+	while (s.machines[0].incarnation == before)
+		site_run(&s, MANAGER_TICK_MS);
+	fixture_submit_sized(s.m, s.now, "j", 2, FIXTURE_CPU_MILLI, 10);
+	site_run(&s, 50);
+	g_assert_cmpuint(site_tasks_on(&s, "m-1"), ==, 1);
+	site_run(&s, 4000); /* wave 1's order for m-1 is rejected */
+	g_assert_cmpuint(site_tasks_on(&s, "m-1"), ==, 1);
+	s.mode = SERVICE_ANSWERS;
+	site_run(&s, 1000);
+	g_assert_true(site_wave_is_complete(&s, 2));
+	g_assert_cmpuint(site_tasks_on(&s, "m-1"), ==, 1);
+	site_clear(&s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -399,5 +490,7 @@
 			test_second_wave_over_same_machines_keeps_cap);
 	g_test_add_func("/waves/overlapping_waves_over_same_machines_keep_cap",
 			test_overlapping_waves_over_same_machines_keep_cap);
+	g_test_add_func("/waves/repeated_order_of_other_wave_keeps_work",
+			test_repeated_order_of_other_wave_keeps_work);
 	return g_test_run();
 }
