fix(waves): a maintenance lasts from the answer, not from the order

Cause: the return of a machine was inferred from a heartbeat of a later incarnation, maintenance_ms after the latest order was sent. The service may execute an order up to 1.5 s later. An endpoint that restarted between the two and whose heartbeat was late passed for the return, just after its machine had gone down.

Fix: the machine is down for maintenance_ms from the execution, which precedes the answer. It counts as down for that time from the answer, and then until an endpoint other than the one that was shut down has been heard since, or until twice that time has passed. This follows from the endpoints' records at each pass, so that heartbeats need no hook of their own. An order that is executed late, after its repetition was answered, has no effect of its own.

--- a/src/sesamewood/manager/calls.c
+++ b/src/sesamewood/manager/calls.c
@@ -199,8 +199,6 @@
 		reply = config_read(m);
 		break;
 	case CALL_HEARTBEAT:
-		waves_handle_heartbeat(m, now, call->heartbeat.machine,
-				       call->heartbeat.incarnation_wall_ms);
 		incarnations_handle_heartbeat(m, now, &call->heartbeat);
 		reply = (struct reply){.content = REPLY_CONTROL_ADDRESS};
 		break;
--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -57,8 +57,8 @@
 	m->orders = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, pending_order_free);
 	m->advice = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, advice_free);
 	m->ratios = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	m->maintenance_by_machine = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-							  machines_free_maintenance);
+	m->maintenance_by_machine =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, machines_free_maintenance);
 	m->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machines_free);
 	m->arriving = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->due_machines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -110,10 +110,6 @@
 bool manager_handle_short_heartbeat(struct manager *m, clock_ms_t now,
 				    const struct short_heartbeat *s)
 {
-	const struct endpoint *e = incarnations_find_endpoint(m, s->id);
-
-	if (e)
-		waves_handle_heartbeat(m, now - s->age_ms, e->machine, s->incarnation_wall_ms);
 	return incarnations_handle_short_heartbeat(m, now, s);
 }
 
--- a/src/sesamewood/sched/machines.h
+++ b/src/sesamewood/sched/machines.h
@@ -28,19 +28,17 @@
 /// Maintenance of one machine, from the first order until the machine has returned. One wave at a
 /// time orders a machine; another one waits for its return.
 struct maintenance {
-	bool ordered;	///< the machine is or may be down, or will be
-	uint64_t wave;	///< that the machine is ordered for
-	bool in_flight; ///< a maintenance order is in flight
-	bool begun;	///< the machine service accepted an order
-	clock_ms_t begun_at;
+	bool ordered;	     ///< the machine is or may be down, or will be
+	uint64_t wave;	     ///< that the machine is ordered for
+	bool in_flight;	     ///< a maintenance order is in flight
+	bool begun;	     ///< the machine service has executed an order
+	clock_ms_t begun_at; ///< when the order was answered
 	clock_ms_t retry_at; ///< earliest time of the next order
 	/// Endpoint on the machine at the wave's first order; NULL: none, or unknown to this
 	/// leader. Any order that is accepted proves that this incarnation has been shut down.
 	char *shutdown_endpoint;
 	int64_t shutdown_incarnation_wall_ms;
 	clock_ms_t next_log_at; ///< earliest time to log the blocking condition again
-	clock_ms_t sent_at;	///< time of the latest order
-	bool machine_returned;	///< a later incarnation has sent a heartbeat
 };
 
 /// @return the machine with that name, added if it is new; owned by the manager
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -226,7 +226,6 @@
 	m->ready_counts_valid = false;
 	maint->ordered = maint->in_flight = true;
 	maint->wave = wave->number;
-	maint->sent_at = now;
 	/* A repeated order also succeeds if an earlier one was executed, so its success does not
 	 * show that the present incarnation has been shut down. */
 	if (first && e) {
@@ -410,35 +409,60 @@
 		cordon_more(m, wave, n_wanted - n_cordoned, now);
 }
 
-static bool has_returned(const struct manager *m, const struct maintenance *maint, clock_ms_t now)
+/// Tells whether an endpoint is the incarnation that a maintenance shuts down.
+static bool is_shut_down_by(const struct maintenance *maint, const struct endpoint *e)
 {
-	return maint->machine_returned ||
-	       now - maint->begun_at >=
-		       2 * (clock_ms_t)m->settings.maintenance_ms + RETURN_MARGIN_MS;
+	return maint->shutdown_endpoint && g_str_equal(maint->shutdown_endpoint, e->id) &&
+	       maint->shutdown_incarnation_wall_ms == e->incarnation_wall_ms;
+}
+
+/// Tells whether a machine that went down has returned: its maintenance is over, and a later
+/// incarnation has sent a heartbeat since it went down. A machine that shows nothing counts as down
+/// for twice the duration of the maintenance.
+static bool has_returned(const struct manager *m, const char *machine,
+			 const struct maintenance *maint, clock_ms_t now)
+{
+	const clock_ms_t duration = m->settings.maintenance_ms;
+	const clock_ms_t elapsed = now - maint->begun_at;
+	const struct endpoint *e;
+
+	if (elapsed < duration || elapsed >= 2 * duration + RETURN_MARGIN_MS)
+		return elapsed >= duration;
+	e = endpoint_on(m, machine);
+	return e && e->has_heartbeat && !is_shut_down_by(maint, e) &&
+	       e->last_heartbeat_at >= maint->begun_at + HEARTBEAT_DELAY_MAX_MS;
 }
 
 /// Ends the maintenance of the machines that have returned.
 static void end_maintenance(struct manager *m, clock_ms_t now)
 {
 	GHashTableIter iter;
+	gpointer machine;
 	gpointer value;
+	bool indexed = false;
 
 	g_hash_table_iter_init(&iter, m->maintenance_by_machine);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+	while (g_hash_table_iter_next(&iter, &machine, &value)) {
 		struct maintenance *maint = value;
 
-		if (maint->begun && has_returned(m, maint, now))
+		if (!maint->begun)
+			continue;
+		if (!indexed)
+			index_endpoints_by_machine(m);
+		indexed = true;
+		if (has_returned(m, machine, maint, now))
 			machines_end_maintenance(maint);
 	}
 }
 
 void waves_tick(struct manager *m, clock_ms_t now, clock_ms_t wall_ms)
 {
-	if (now < m->next_wave_pass_at ||
-	    now < m->leader_since + m->settings.holder_lease_ms + HOLDER_MARGIN_MS)
+	if (now < m->next_wave_pass_at)
 		return;
 	m->next_wave_pass_at = now + WAVE_PASS_MS;
 	end_maintenance(m, now);
+	if (now < m->leader_since + m->settings.holder_lease_ms + HOLDER_MARGIN_MS)
+		return;
 	collect_due_machines(m);
 	if (!g_hash_table_size(m->due_machines))
 		return;
@@ -477,9 +501,7 @@
 				     ? incarnations_find_endpoint(m, maint->shutdown_endpoint)
 				     : NULL;
 
-	return e && !e->terminated && e->incarnation_wall_ms == maint->shutdown_incarnation_wall_ms
-		       ? e
-		       : NULL;
+	return e && !e->terminated && is_shut_down_by(maint, e) ? e : NULL;
 }
 
 void waves_handle_result(struct manager *m, clock_ms_t now, const struct pending_order *p,
@@ -520,14 +542,3 @@
 		break;
 	}
 }
-
-void waves_handle_heartbeat(struct manager *m, clock_ms_t now, const char *machine,
-			    int64_t incarnation_wall_ms)
-{
-	struct maintenance *maint = g_hash_table_lookup(m->maintenance_by_machine, machine);
-
-	/* An incarnation that sends a heartbeat sooner started before the maintenance. */
-	if (maint && maint->begun && incarnation_wall_ms > maint->shutdown_incarnation_wall_ms &&
-	    now - maint->sent_at >= (clock_ms_t)m->settings.maintenance_ms)
-		maint->machine_returned = true;
-}
--- a/src/sesamewood/sched/waves.h
+++ b/src/sesamewood/sched/waves.h
@@ -15,11 +15,6 @@
 void waves_handle_result(struct manager *m, clock_ms_t now, const struct pending_order *p,
 			 const struct order_result *result);
 
-/// Records a heartbeat from a machine. A later incarnation than the one that was shut down shows,
-/// once the duration of the maintenance has passed, that the machine has returned.
-void waves_handle_heartbeat(struct manager *m, clock_ms_t now, const char *machine,
-			    int64_t incarnation_wall_ms);
-
 /// @param n_open    machines of the wave whose maintenance has not begun
 /// @param left_ms   time to the deadline of the wave
 /// @return number of machines that have to be down at once for the wave to be done before its
--- a/tests/unit/unit_waves.c
+++ b/tests/unit/unit_waves.c
@@ -362,6 +362,8 @@
 				continue;
 			if (e->u.order->type == ORDER_MACHINE_MAINTENANCE)
 				site_maintain(s, e->u.order);
+			if (e->u.order->type == ORDER_MACHINE_MOVE)
+				site_answer(s, e->u.order->id, ORDER_REJECTED);
 			if (e->u.order->type != ORDER_START)
 				continue;
 			s->n_starts++;
@@ -477,6 +479,61 @@
 	site_clear(&s);
 }
 
+/// A machine that does not return from its maintenance takes capacity from the wave for a limited
+/// time only.
+static void test_machine_that_stays_down_frees_the_cap(void)
+{
+	const char *const machines[] = {"m-1", "m-2"};
+	struct site s;
+
+	site_init(&s, MAINTENANCE_MS);
+	s.machines[0].stays_down = true;
+	site_put_wave(&s, 1, machines, 2, 1);
+	site_run(&s, 500);
+	g_assert_cmpuint(s.n_orders, ==, 1);
+	site_run(&s, 10000);
+	g_assert_cmpuint(s.n_orders, ==, 2);
+	g_assert_true(site_wave_is_complete(&s, 1));
+	site_clear(&s);
+}
+
+/// The machine service executes an order long after it was sent. An endpoint that started between
+/// the two sends a heartbeat that arrives late. This must not count as the machine's return, though
+/// the duration of the maintenance has passed since the order was sent.
+static void test_heartbeat_before_late_maintenance_is_no_return(void)
+{
+	const char *const machines[] = {"m-1", "m-2"};
+	clock_ms_t now = FIXTURE_START_MS;
+	struct manager *m = fixture_manager(now);
+	struct seen_orders seen = {0};
+	uint64_t order;
+	struct order_result *r;
+
+	now += HOLDER_LEASE_MS + 1000;
+	fixture_heartbeat(m, now, "i-1", "m-1", 1);
+	fixture_heartbeat(m, now, "i-2", "m-2", 2);
+	put_wave(m, now, machines, 2, 1);
+	run_accepting_starts(m, now, now + 200, &seen);
+	order = seen.maintenance;
+	g_assert_cmpuint(order, !=, 0);
+	run_accepting_starts(m, now + 200, now + 1400, &seen);
+	now += 1400;
+	g_assert_cmpuint(seen.maintenance, ==, order);
+	r = order_result_new(order, ORDER_OK);
+	manager_handle_result(m, now, now, r);
+	order_result_free(r);
+	run_accepting_starts(m, now, now + 800, &seen);
+	fixture_heartbeat(m, now + 800, "i-3", "m-1", 3);
+	run_accepting_starts(m, now + 800, now + MAINTENANCE_MS, &seen);
+	g_assert_cmpuint(seen.maintenance, ==, order);
+	now += MAINTENANCE_MS;
+	fixture_heartbeat(m, now, "i-4", "m-1", 4);
+	fixture_heartbeat(m, now, "i-5", "m-2", 5);
+	run_accepting_starts(m, now, now + 500, &seen);
+	g_assert_cmpuint(seen.maintenance, !=, order);
+	manager_free(m);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -492,5 +549,9 @@
 			test_overlapping_waves_over_same_machines_keep_cap);
 	g_test_add_func("/waves/repeated_order_of_other_wave_keeps_work",
 			test_repeated_order_of_other_wave_keeps_work);
+	g_test_add_func("/waves/machine_that_stays_down_frees_the_cap",
+			test_machine_that_stays_down_frees_the_cap);
+	g_test_add_func("/waves/heartbeat_before_late_maintenance_is_no_return",
+			test_heartbeat_before_late_maintenance_is_no_return);
 	return g_test_run();
 }
