fix(waves): a new leader counts the machines that are down

After a change of leader more machines of a wave were down than its cap where the maintenance takes longer than 3.5 s (LIMIT).

Cause: which machines are down was the leader's own memory. A machine that an earlier leader had settled counted as up for its successor. The 3.5 s that a new leader waits before its first machine order hid this for a maintenance of 2 s only.

Fix: what is down follows from the log. A new leader counts each machine that is ordered or settled in any wave; a settled one went down before the leadership began, so it counts from then: for maintenance_ms and until an endpoint on it has been heard, or for twice that time at most, as for machines that this leader has taken down itself. The machine service's list, requested after the machine went down, ends it sooner: a new leader requests it at once. With a maintenance of 2 s all of this ends within the 3.5 s.

The list had to count: a machine of a past wave that is switched off sends no heartbeat, and would not take part in moves for seconds.

Tests: /waves/new_leader_counts_machines_down, on the code before: assertion failed (s.n_orders == 2): (3 == 2); passes now, with a maintenance of 5 s and two changes of leader. /waves/heard_machine_frees_cap_of_new_leader and /waves/listed_machine_frees_ cap_of_new_leader (10 s) guard that a machine that has returned costs a new leader no capacity; both passed before as nothing was counted. 300 cases of property-jobs pass, wave_over_one_step_meets_deadline among them.

--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -71,6 +71,7 @@
 	m->failed_at = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->active = g_ptr_array_new();
 	incarnations_inherit(m, now);
+	waves_inherit(m, now);
 	log_info("leadership taken", "TERM", log_number(term), "JOBS",
 		 log_number(g_hash_table_size(m->jobs->by_id)), "RUNS",
 		 log_number(g_hash_table_size(m->runs)));
--- a/src/sesamewood/sched/machines.c
+++ b/src/sesamewood/sched/machines.c
@@ -62,6 +62,14 @@
 	*maint = (struct maintenance){.next_log_at = maint->next_log_at};
 }
 
+void machines_handle_listed_up(struct manager *m, const char *name, clock_ms_t requested_at)
+{
+	struct maintenance *maint = g_hash_table_lookup(m->maintenance_by_machine, name);
+
+	if (maint && maint->begun && requested_at >= maint->begun_at)
+		machines_end_maintenance(maint);
+}
+
 void machines_free_maintenance(void *p)
 {
 	struct maintenance *maint = p;
--- a/src/sesamewood/sched/machines.h
+++ b/src/sesamewood/sched/machines.h
@@ -32,7 +32,7 @@
 	uint64_t wave;	     ///< that the machine is ordered for
 	bool in_flight;	     ///< a maintenance order is in flight
 	bool begun;	     ///< the machine service has executed an order
-	clock_ms_t begun_at; ///< when the order was answered
+	clock_ms_t begun_at; ///< latest time at which the machine can have gone down
 	clock_ms_t retry_at; ///< earliest time of the next order
 	/// Endpoint on the machine at the wave's first order; NULL: none, or unknown to this
 	/// leader. Any order that is accepted proves that this incarnation has been shut down.
@@ -59,6 +59,10 @@
 /// Ends a maintenance: the machine has returned, or does not go down.
 void machines_end_maintenance(struct maintenance *maint);
 
+/// Ends the maintenance of a machine that the machine service lists as up, unless the list was
+/// requested before the machine went down.
+void machines_handle_listed_up(struct manager *m, const char *name, clock_ms_t requested_at);
+
 /// Frees a struct maintenance; fits GDestroyNotify.
 void machines_free_maintenance(void *maint);
 
--- a/src/sesamewood/sched/move_orders.c
+++ b/src/sesamewood/sched/move_orders.c
@@ -125,7 +125,8 @@
 
 /* Results. */
 
-static void handle_list_result(struct manager *m, clock_ms_t now, const struct order_result *result)
+static void handle_list_result(struct manager *m, clock_ms_t now, const struct pending_order *p,
+			       const struct order_result *result)
 {
 	m->list_in_flight = false;
 	if (result->status != ORDER_OK) {
@@ -137,6 +138,8 @@
 			&g_array_index(result->machines, struct machine_row, i);
 		struct machine *x = machines_get(m, row->machine);
 
+		if (row->state == MACHINE_UP)
+			machines_handle_listed_up(m, x->name, p->sent_at);
 		if (x->target_pool || now < x->arrives_by || machines_is_down(m, x->name))
 			continue;
 		machines_set_pool(x, row->pool);
@@ -208,7 +211,7 @@
 			       const struct order_result *result)
 {
 	if (p->type == ORDER_MACHINE_LIST)
-		handle_list_result(m, now, result);
+		handle_list_result(m, now, p, result);
 	else
 		handle_move_result(m, now, machines_get(m, p->machine), result);
 }
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -455,6 +455,28 @@
 	}
 }
 
+void waves_inherit(struct manager *m, clock_ms_t now)
+{
+	for (guint i = 0; i < m->jobs->waves->len; i++) {
+		const job_wave *wave = m->jobs->waves->pdata[i];
+
+		for (u_int k = 0; k < wave->machines.machines_len; k++) {
+			const job_wave_machine *w = &wave->machines.machines_val[k];
+			struct maintenance *maint;
+
+			if (!w->ordered && !w->settled)
+				continue;
+			maint = machines_get_maintenance(m, w->machine);
+			if (maint->ordered && !maint->begun)
+				continue; /* another wave's order is open */
+			maint->ordered = true;
+			maint->wave = wave->number;
+			maint->begun = w->settled;
+			maint->begun_at = now;
+		}
+	}
+}
+
 void waves_tick(struct manager *m, clock_ms_t now, clock_ms_t wall_ms)
 {
 	if (now < m->next_wave_pass_at)
--- a/src/sesamewood/sched/waves.h
+++ b/src/sesamewood/sched/waves.h
@@ -8,6 +8,10 @@
 
 #include "manager/manager_internal.h"
 
+/// Takes over the maintenance that earlier leaders ordered. When a machine went down is not
+/// recorded: it counts as down since the start of this leadership until it has shown that it is up.
+void waves_inherit(struct manager *m, clock_ms_t now);
+
 /// Evaluates the waves when a pass is due: sends maintenance orders and cordons the next machines.
 void waves_tick(struct manager *m, clock_ms_t now, clock_ms_t wall_ms);
 
--- a/tests/unit/unit_waves.c
+++ b/tests/unit/unit_waves.c
@@ -329,6 +329,25 @@
 	site_answer(s, o->id, mode == SERVICE_ANSWERS ? status : ORDER_NO_ANSWER);
 }
 
+static void site_list(struct site *s, const struct order *o)
+{
+	struct order_result *r = order_result_new(o->id, ORDER_OK);
+
+	for (int i = 0; i < MACHINES; i++) {
+		const struct site_machine *x = &s->machines[i];
+		struct machine_row row = {
+			.machine = g_strdup(x->name),
+			.pool = g_strdup("p"),
+			.endpoint = g_strdup(""),
+			.state = x->down_until ? MACHINE_MAINTENANCE : MACHINE_UP,
+		};
+
+		g_array_append_val(r->machines, row);
+	}
+	manager_handle_result(s->m, s->now, s->now, r);
+	order_result_free(r);
+}
+
 static void site_commit(struct site *s, GBytes *command)
 {
 	gsize len;
@@ -362,6 +381,8 @@
 				continue;
 			if (e->u.order->type == ORDER_MACHINE_MAINTENANCE)
 				site_maintain(s, e->u.order);
+			if (e->u.order->type == ORDER_MACHINE_LIST)
+				site_list(s, e->u.order);
 			if (e->u.order->type == ORDER_MACHINE_MOVE)
 				site_answer(s, e->u.order->id, ORDER_REJECTED);
 			if (e->u.order->type != ORDER_START)
@@ -421,6 +442,15 @@
 	site_clear(&s);
 }
 
+static void site_change_leader(struct site *s)
+{
+	manager_free(s->m);
+	s->now += 100;
+	s->term++;
+	s->m = site_manager(s);
+	s->next_beat_at = s->now;
+}
+
 /// @return number of tasks of job "j" that are assigned to the present endpoint of a machine
 static unsigned int site_tasks_on(struct site *s, const char *machine)
 {
@@ -479,8 +509,62 @@
 	site_clear(&s);
 }
 
+/// Machines that an earlier leader took down stay down for longer than a new leader waits before
+/// its first order. They must count, or the cap is exceeded.
+static void test_new_leader_counts_machines_down(void)
+{
+	const char *const machines[] = {"m-1", "m-2", "m-3", "m-4"};
+	struct site s;
+
+	site_init(&s, 5000);
+	site_put_wave(&s, 1, machines, 4, 1);
+	site_run(&s, 500);
+	g_assert_cmpuint(s.n_orders, ==, 1);
+	site_change_leader(&s);
+	site_run(&s, 9000);
+	g_assert_cmpuint(s.n_orders, ==, 2);
+	site_change_leader(&s);
+	site_run(&s, 40000);
+	g_assert_true(site_wave_is_complete(&s, 1));
+	g_assert_cmpuint(s.most_down, ==, 1);
+	site_clear(&s);
+}
+
+/// A machine that has returned when the leader changes takes no capacity from the wave: the new
+/// leader goes on as soon as it may send orders.
+static void check_new_leader_goes_on(clock_ms_t maintenance_ms, bool lists_machines)
+{
+	const char *const machines[] = {"m-1", "m-2"};
+	struct site s;
+
+	site_init(&s, maintenance_ms);
+	if (lists_machines)
+		fixture_put_config(s.m, s.now);
+	site_put_wave(&s, 1, machines, 2, 1);
+	s.machines[0].stays_down = true;
+	while (!s.machines[0].down_until || s.now < s.machines[0].down_until)
+		site_run(&s, MANAGER_TICK_MS);
+	g_assert_cmpuint(s.n_orders, ==, 1);
+	s.machines[0].stays_down = false;
+	site_change_leader(&s);
+	site_run(&s, HOLDER_LEASE_MS + 1000);
+	g_assert_cmpuint(s.n_orders, ==, 2);
+	g_assert_cmpuint(s.most_down, ==, 1);
+	site_clear(&s);
+}
+
+static void test_heard_machine_frees_cap_of_new_leader(void)
+{
+	check_new_leader_goes_on(MAINTENANCE_MS, false);
+}
+
+static void test_listed_machine_frees_cap_of_new_leader(void)
+{
+	check_new_leader_goes_on(10000, true);
+}
+
 /// A machine that does not return from its maintenance takes capacity from the wave for a limited
-/// time only.
+/// time only, also from later leaders.
 static void test_machine_that_stays_down_frees_the_cap(void)
 {
 	const char *const machines[] = {"m-1", "m-2"};
@@ -491,6 +575,7 @@
 	site_put_wave(&s, 1, machines, 2, 1);
 	site_run(&s, 500);
 	g_assert_cmpuint(s.n_orders, ==, 1);
+	site_change_leader(&s);
 	site_run(&s, 10000);
 	g_assert_cmpuint(s.n_orders, ==, 2);
 	g_assert_true(site_wave_is_complete(&s, 1));
@@ -549,6 +634,12 @@
 			test_overlapping_waves_over_same_machines_keep_cap);
 	g_test_add_func("/waves/repeated_order_of_other_wave_keeps_work",
 			test_repeated_order_of_other_wave_keeps_work);
+	g_test_add_func("/waves/new_leader_counts_machines_down",
+			test_new_leader_counts_machines_down);
+	g_test_add_func("/waves/heard_machine_frees_cap_of_new_leader",
+			test_heard_machine_frees_cap_of_new_leader);
+	g_test_add_func("/waves/listed_machine_frees_cap_of_new_leader",
+			test_listed_machine_frees_cap_of_new_leader);
 	g_test_add_func("/waves/machine_that_stays_down_frees_the_cap",
 			test_machine_that_stays_down_frees_the_cap);
 	g_test_add_func("/waves/heartbeat_before_late_maintenance_is_no_return",
