--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "runs/attempts.h"
+#include "runs/incarnations.h"
 #include "sched/machines.h"
 #include "sched/pools.h"
 
@@ -13,6 +14,8 @@
 #define DRAIN_WAIT_MS 2500	   /* time for tasks of bounded run time to end first */
 #define HEARTBEAT_DELAY_MAX_MS 300 /* longest time that a heartbeat is in flight */
 #define WAVE_LOG_PERIOD_MS 3000
+/// Margin after the longest maintenance before its machine counts as returned.
+#define RETURN_MARGIN_MS 300
 /// Delay before a task counts as ready, to notice one that fails as soon as it is ready.
 #define READY_MARGIN_MS 200
 /// Time between a machine's return and the order for the next one, on average.
@@ -194,8 +197,10 @@
 	return n;
 }
 
+/// @param first  no leader has ordered the machine for this wave yet
+/// @param n_down machines of the wave that count as down, for the log
 static void send_maintenance(struct manager *m, clock_ms_t now, const job_wave *wave,
-			     const char *machine, bool first)
+			     const char *machine, bool first, unsigned int n_down)
 {
 	struct maintenance *maint = machines_get_maintenance(m, machine);
 	struct endpoint *e = endpoint_on(m, machine);
@@ -214,16 +219,19 @@
 		.not_after = CLOCK_NEVER,
 	};
 	log_info("maintenance ordered", "MACHINE", machine, "WAVE", log_number(wave->number),
-		 "RUNS", log_number(e ? e->runs->len : 0));
+		 "RUNS", log_number(e ? e->runs->len : 0), "DOWN", log_number(n_down), "CAP",
+		 log_number(wave->cap));
 	if (e)
 		e->shutdown_ordered = true;
 	m->ready_counts_valid = false;
-	maint->in_flight = true;
-	maint->sent_at = now;
+	maint->ordered = maint->in_flight = true;
+	maint->wave = wave->number;
 	/* A repeated order also succeeds if an earlier one was executed, so its success does not
 	 * show that the present incarnation has been shut down. */
-	maint->incarnation_wall_ms =
-		first && e ? e->incarnation_wall_ms : maint->incarnation_wall_ms;
+	if (first && e) {
+		maint->shutdown_endpoint = g_strdup(e->id);
+		maint->shutdown_incarnation_wall_ms = e->incarnation_wall_ms;
+	}
 	effects_propose(m, &c);
 	effects_send_machine_order(m, now, o, wave->number);
 }
@@ -350,13 +358,10 @@
 
 	for (u_int i = 0; i < wave->machines.machines_len; i++) {
 		const job_wave_machine *w = &wave->machines.machines_val[i];
-		const struct maintenance *maint =
-			g_hash_table_lookup(m->maintenance_by_machine, w->machine);
 		const struct endpoint *e = endpoint_on(m, w->machine);
 
 		n_open += !w->settled;
-		if ((maint && machines_maintenance_is_active(m, maint, now)) ||
-		    (w->ordered && !w->settled))
+		if (machines_is_down(m, w->machine) || (w->ordered && !w->settled))
 			n_down++;
 		else if (!w->settled && e && e->cordoned)
 			n_cordoned++;
@@ -371,6 +376,7 @@
 		struct endpoint *e = endpoint_on(m, w->machine);
 
 		if (w->settled || maint->in_flight || now < maint->retry_at ||
+		    (maint->ordered && maint->wave != wave->number) ||
 		    !order_budget_allows(&m->order_budget, now, 0) ||
 		    machines_is_moving(m, w->machine, now) ||
 		    cooldown_applies(m->cooldown, w->machine, now))
@@ -385,7 +391,7 @@
 			evacuate(m, e, now);
 		if (w->ordered) {
 			if (!e || !find_blocking_run(m, e, now))
-				send_maintenance(m, now, wave, w->machine, false);
+				send_maintenance(m, now, wave, w->machine, false, n_down);
 			continue;
 		}
 		if (n_down < wave->cap)
@@ -394,7 +400,7 @@
 		    (!e && n_down >= pace && pools_lack_machines(m, now)) ||
 		    !may_start_maintenance(m, e, now, deadline_near))
 			continue;
-		send_maintenance(m, now, wave, w->machine, true);
+		send_maintenance(m, now, wave, w->machine, true, n_down);
 		n_down++;
 		n_cordoned -= n_cordoned > 0;
 	}
@@ -403,12 +409,82 @@
 		cordon_more(m, wave, n_wanted - n_cordoned, now);
 }
 
+/// Tells whether an endpoint is the incarnation that a maintenance shuts down.
+static bool is_shut_down_by(const struct maintenance *maint, const struct endpoint *e)
+{
+	return maint->shutdown_endpoint && g_str_equal(maint->shutdown_endpoint, e->id) &&
+	       maint->shutdown_incarnation_wall_ms == e->incarnation_wall_ms;
+}
+
+/// Tells whether a machine that went down has returned: its maintenance is over, and a later
+/// incarnation has sent a heartbeat since it went down. A machine that shows nothing counts as down
+/// for twice the duration of the maintenance.
+static bool has_returned(const struct manager *m, const char *machine,
+			 const struct maintenance *maint, clock_ms_t now)
+{
+	const clock_ms_t duration = m->settings.maintenance_ms;
+	const clock_ms_t elapsed = now - maint->begun_at;
+	const struct endpoint *e;
+
+	if (elapsed < duration || elapsed >= 2 * duration + RETURN_MARGIN_MS)
+		return elapsed >= duration;
+	e = endpoint_on(m, machine);
+	return e && e->has_heartbeat && !is_shut_down_by(maint, e) &&
+	       e->last_heartbeat_at >= maint->begun_at + HEARTBEAT_DELAY_MAX_MS;
+}
+
+/// Ends the maintenance of the machines that have returned.
+static void end_maintenance(struct manager *m, clock_ms_t now)
+{
+	GHashTableIter iter;
+	gpointer machine;
+	gpointer value;
+	bool indexed = false;
+
+	g_hash_table_iter_init(&iter, m->maintenance_by_machine);
+	while (g_hash_table_iter_next(&iter, &machine, &value)) {
+		struct maintenance *maint = value;
+
+		if (!maint->begun)
+			continue;
+		if (!indexed)
+			index_endpoints_by_machine(m);
+		indexed = true;
+		if (has_returned(m, machine, maint, now))
+			machines_end_maintenance(maint);
+	}
+}
+
+void waves_inherit(struct manager *m, clock_ms_t now)
+{
+	for (guint i = 0; i < m->jobs->waves->len; i++) {
+		const job_wave *wave = m->jobs->waves->pdata[i];
+
+		for (u_int k = 0; k < wave->machines.machines_len; k++) {
+			const job_wave_machine *w = &wave->machines.machines_val[k];
+			struct maintenance *maint;
+
+			if (!w->ordered && !w->settled)
+				continue;
+			maint = machines_get_maintenance(m, w->machine);
+			if (maint->ordered && !maint->begun)
+				continue; /* another wave's order is open */
+			maint->ordered = true;
+			maint->wave = wave->number;
+			maint->begun = w->settled;
+			maint->begun_at = now;
+		}
+	}
+}
+
 void waves_tick(struct manager *m, clock_ms_t now, clock_ms_t wall_ms)
 {
-	if (now < m->next_wave_pass_at ||
-	    now < m->leader_since + m->settings.holder_lease_ms + HOLDER_MARGIN_MS)
+	if (now < m->next_wave_pass_at)
 		return;
 	m->next_wave_pass_at = now + WAVE_PASS_MS;
+	end_maintenance(m, now);
+	if (now < m->leader_since + m->settings.holder_lease_ms + HOLDER_MARGIN_MS)
+		return;
 	collect_due_machines(m);
 	if (!g_hash_table_size(m->due_machines))
 		return;
@@ -439,10 +515,22 @@
 	effects_propose(m, &c);
 }
 
+/// @return the endpoint that the maintenance has shut down if an order for it was accepted, or NULL
+/// if there is none or it has ended already
+static struct endpoint *endpoint_ended_by(struct manager *m, const struct maintenance *maint)
+{
+	struct endpoint *e = maint->shutdown_endpoint
+				     ? incarnations_find_endpoint(m, maint->shutdown_endpoint)
+				     : NULL;
+
+	return e && !e->terminated && is_shut_down_by(maint, e) ? e : NULL;
+}
+
 void waves_handle_result(struct manager *m, clock_ms_t now, const struct pending_order *p,
 			 const struct order_result *result)
 {
 	struct maintenance *maint = machines_get_maintenance(m, p->machine);
+	struct endpoint *ended = endpoint_ended_by(m, maint);
 	struct endpoint *e;
 
 	index_endpoints_by_machine(m);
@@ -457,14 +545,14 @@
 		maint->begun = true;
 		maint->begun_at = now;
 		settle_machine(m, p);
-		if (e && e->incarnation_wall_ms == maint->incarnation_wall_ms)
-			attempts_handle_termination(m, now, e);
-		else if (e)
+		if (ended)
+			attempts_handle_termination(m, now, ended);
+		if (e && e != ended)
 			e->alive_proof_after = now + HEARTBEAT_DELAY_MAX_MS;
 		break;
 	case ORDER_REJECTED:
 	case ORDER_MACHINE_NOT_IN_WAVE:
-		maint->retry_at = 0;
+		machines_end_maintenance(maint);
 		settle_machine(m, p);
 		if (e)
 			e->cordoned = e->shutdown_ordered = false;
@@ -476,14 +564,3 @@
 		break;
 	}
 }
-
-void waves_handle_heartbeat(struct manager *m, clock_ms_t now, const char *machine,
-			    int64_t incarnation_wall_ms)
-{
-	struct maintenance *maint = g_hash_table_lookup(m->maintenance_by_machine, machine);
-
-	/* An incarnation that sends a heartbeat sooner started before the maintenance. */
-	if (maint && maint->begun && incarnation_wall_ms > maint->incarnation_wall_ms &&
-	    now - maint->sent_at >= (clock_ms_t)m->settings.maintenance_ms)
-		maint->machine_returned = true;
-}
