test(soak): tasks that crash the endpoints that start them

Some jobs hold a task under which each endpoint crashes 10 ms after its start; it is silent for 0.1 to 3 s and returns under the same or another id. A sixth start after five such crashes is a violation, and so is a failed job without a task under which two endpoints have crashed.

--- a/tests/soak/soak_endpoint.c
+++ b/tests/soak/soak_endpoint.c
@@ -12,6 +12,10 @@
 #define START_PATH "/api/run-start"
 #define CRASH_DOWNTIME_MIN_MS 100
 #define CRASH_DOWNTIME_MAX_MS 3000
+#define TASK_CRASH_DELAY_MS 10 /* from the start of a task that crashes its endpoint */
+/// Endpoints that may crash under a task before it must be given up, and starts after that.
+#define CRASHES_MAX 3
+#define STARTS_AFTER_CRASHES_MAX 2
 /// From a reduction of the capacity until starts beyond it are violations: time to regain contact,
 /// and a heartbeat period of the deployments.
 #define CAPACITY_GRACE_MS 4500
@@ -58,6 +62,7 @@
 	GPtrArray *waiting_queries;  ///< of struct deferred_request
 	GPtrArray *delayed_requests; ///< of struct deferred_request
 	clock_ms_t unresponsive_until;
+	clock_ms_t crash_at;		 ///< when a task crashes it; 0: none does
 	unsigned int cpu_milli;		 ///< capacity that it reports
 	unsigned int enforced_cpu_milli; ///< capacity that starts must respect until enforce_at
 	clock_ms_t enforce_at;		 ///< from when on starts must respect the reported capacity
@@ -161,6 +166,8 @@
 		record_violation(st, "started after its completion was acknowledged", name);
 	if (step && !step_is_done(st, job, step - 1))
 		record_violation(st, "started before the previous step was done", name);
+	if (t->crashes >= CRASHES_MAX + STARTS_AFTER_CRASHES_MAX)
+		record_violation(st, "started again after it has crashed too many endpoints", name);
 	if ((g_hash_table_size(e->running) + 1) * SOAK_TASK_CPU > enforced_cpu_milli(e))
 		record_violation(st, "started beyond the capacity of its endpoint", name);
 }
@@ -214,6 +221,15 @@
 	return NULL;
 }
 
+/// @return whether a task is the first one of a job that crashes endpoints
+static bool crashes_endpoints(const struct soak_state *st, const char *task)
+{
+	g_auto(GStrv) parts = g_strsplit(task, ".", 2);
+	const struct soak_job *job = g_hash_table_lookup(st->jobs, parts[0]);
+
+	return job && job->crashes_endpoints && g_str_equal(parts[1], "0.0.0");
+}
+
 static const char *start_task(struct soak_endpoint *e, JsonObject *o)
 {
 	const char *task = json_object_get_string_member(o, "task");
@@ -233,6 +249,8 @@
 	};
 	g_hash_table_insert(e->running, r->task, r);
 	find_or_add_task(e->state, task)->running++;
+	if (crashes_endpoints(e->state, task))
+		e->crash_at = clock_monotonic() + TASK_CRASH_DELAY_MS;
 	return NULL;
 }
 
@@ -435,6 +453,8 @@
 
 void soak_endpoint_tick(struct soak_endpoint *e, clock_ms_t now)
 {
+	if (e->crash_at && now >= e->crash_at)
+		soak_endpoint_crash(e, g_rand_boolean(e->state->random));
 	end_due_attempts(e, now);
 	for (guint i = 0; i < e->completions->len; i++)
 		((struct completion *)e->completions->pdata[i])->lapsed |=
@@ -494,6 +514,9 @@
 		const struct running_attempt *r = value;
 
 		record_event(e, r->task, r->attempt, "is lost in a crash");
+		find_or_add_task(e->state, r->task)->losses++;
+		if (e->crash_at && crashes_endpoints(e->state, r->task))
+			find_or_add_task(e->state, r->task)->crashes++;
 		find_or_add_task(e->state, r->task)->running--;
 	}
 	g_hash_table_remove_all(e->running);
@@ -501,6 +524,7 @@
 	g_ptr_array_set_size(e->completions, 0);
 	reject_deferred_requests(e->waiting_queries);
 	reject_deferred_requests(e->delayed_requests);
+	e->crash_at = 0;
 	begin_incarnation(e, same_id);
 	e->unresponsive_until =
 		clock_monotonic() +
--- a/tests/soak/soak_endpoint.h
+++ b/tests/soak/soak_endpoint.h
@@ -3,8 +3,9 @@
 
 /// @file
 /// Simulated endpoint for the soak test. It executes orders to start and stop tasks. On request of
-/// the test it delays orders, stops responding, changes its capacity, or crashes and restarts. At
-/// each start of a task it checks the invariants and records a violation in struct soak_state.
+/// the test it delays orders, stops responding, changes its capacity, or crashes and restarts; some
+/// tasks crash it as well. At each start of a task it checks the invariants and records a violation
+/// in struct soak_state.
 
 #include "base/clock.h"
 #include "base/http_server.h"
@@ -21,12 +22,13 @@
 struct soak_job {
 	char *id;
 	char *payload;
-	unsigned int steps;   ///< each step starts after the previous one is done
-	unsigned int tasks;   ///< number of tasks in each step
-	clock_ms_t submit_at; ///< earliest time to submit it again after a refusal
-	bool accepted;	      ///< a submission was answered with 200
-	bool request_pending; ///< a submission or state request is unanswered
-	bool ended;	      ///< the job was reported as completed or failed
+	unsigned int steps;	///< each step starts after the previous one is done
+	unsigned int tasks;	///< number of tasks in each step
+	clock_ms_t submit_at;	///< earliest time to submit it again after a refusal
+	bool accepted;		///< a submission was answered with 200
+	bool request_pending;	///< a submission or state request is unanswered
+	bool crashes_endpoints; ///< its first task crashes each endpoint that starts it
+	bool ended;		///< the job was reported as completed or failed
 };
 
 /// State of one task across all endpoints.
@@ -34,6 +36,8 @@
 	unsigned int running; ///< number of attempts running now
 	bool done;	      ///< an attempt completed, acknowledged or not
 	bool done_acked;      ///< the leader acknowledged a completed attempt
+	unsigned int crashes; ///< endpoints that it has crashed
+	unsigned int losses;  ///< endpoints that have crashed while it ran there
 	GString *history;     ///< events of the task, for violations
 };
 
--- a/tests/soak/test_soak.c
+++ b/tests/soak/test_soak.c
@@ -2,9 +2,9 @@
 /// Soak test with random faults. Control replicas and entries run as processes on loopback
 /// addresses; the endpoints, the callers and the operator are simulated in this process. Control
 /// replicas and entries are killed, suspended and terminated; control replicas also lose their
-/// data. Endpoints crash, become unresponsive, change their capacity and execute orders late.
-/// Invariants are checked at each start of a task. After the faults all jobs must be accepted and
-/// end.
+/// data. Endpoints crash, some of them under a task that crashes each one that starts it, become
+/// unresponsive, change their capacity and execute orders late. Invariants are checked at each
+/// start of a task. After the faults all jobs must be accepted and end.
 ///
 /// --seed determines the choice of faults, but not the timing of the processes.
 
@@ -49,6 +49,7 @@
 #define DOWNTIME_MIN_MS 200
 #define DOWNTIME_MAX_MS 3000
 #define RECOVERY_TIMEOUT_MS 30000
+#define FAILED_LOSSES_MIN 2 /* crashes under a task after which its job may fail */
 #define DEFAULT_SECONDS 20
 #define DEFAULT_SEED 20261204
 
@@ -84,7 +85,9 @@
 	clock_ms_t faults_end_at;
 	clock_ms_t recovery_ends_at;
 	unsigned int job_count;
+	unsigned int failed_count; ///< failed jobs of which no task crashes endpoints
 	unsigned int fault_count;
+	unsigned int crashing_percent; ///< share of new jobs that crash endpoints
 	bool kill_at_ack; ///< kill all control replicas at the next acknowledged job or
 			  ///< configuration
 	gint64 sent_version;
@@ -279,8 +282,10 @@
 		soak_endpoint_set_unresponsive(e, now + 2 * random_downtime_ms(s));
 	else if (kind < 82)
 		resize_endpoints(s, now);
-	else if (kind < 90)
+	else if (kind < 88)
 		s->state.delay_percent = (unsigned int)g_rand_int_range(r, 0, 15);
+	else if (kind < 92)
+		s->crashing_percent = (unsigned int)g_rand_int_range(r, 0, 10);
 	else if (kind < 95)
 		s->state.fail_percent = (unsigned int)g_rand_int_range(r, 0, 10);
 	else
@@ -374,11 +379,32 @@
 		.payload = g_strdup_printf("payload-%u", s->job_count),
 		.steps = (unsigned int)g_rand_int_range(r, 1, 4),
 		.tasks = (unsigned int)g_rand_int_range(r, 1, 4),
+		.crashes_endpoints = (guint32)g_rand_int_range(r, 0, 100) < s->crashing_percent,
 	};
 	g_hash_table_insert(s->state.jobs, job->id, job);
 	submit_job(s, job);
 }
 
+/// A job may fail once two endpoints have crashed under one of its tasks; otherwise, max_attempts
+/// is too high for it.
+static void on_job_failed(struct soak *s, struct soak_job *job)
+{
+	unsigned int losses = 0;
+
+	job->ended = true;
+	s->failed_count += !job->crashes_endpoints;
+	for (unsigned int i = 0; i < job->steps * job->tasks; i++) {
+		g_autofree char *name =
+			g_strdup_printf("%s.0.%u.%u", job->id, i / job->tasks, i % job->tasks);
+		const struct soak_task *t = g_hash_table_lookup(s->state.tasks, name);
+
+		losses = MAX(losses, t ? t->losses : 0);
+	}
+	if (losses < FAILED_LOSSES_MIN)
+		g_ptr_array_add(s->state.violations,
+				g_strdup_printf("a job failed without cause: %s", job->id));
+}
+
 static void on_job_state(void *ctx, const struct http_async_result *r)
 {
 	g_autofree struct pending_request *c = ctx;
@@ -402,7 +428,8 @@
 		}
 		c->job->ended = true;
 	}
-	c->job->ended |= r->status == 200 && g_strstr_len(r->body, (gssize)r->len, "failed");
+	if (r->status == 200 && g_strstr_len(r->body, (gssize)r->len, "failed"))
+		on_job_failed(c->soak, c->job);
 }
 
 /// Submits again the jobs whose acceptance is not known.
@@ -554,6 +581,7 @@
 	}
 	s->state.delay_percent = 0;
 	s->state.fail_percent = 0;
+	s->crashing_percent = 0;
 	s->recovery_ends_at = now + RECOVERY_TIMEOUT_MS;
 	s->acked_config_read = false;
 	g_print("# faults ended: %u faults, %u jobs, %u started attempts\n", s->fault_count,
@@ -660,6 +688,9 @@
 
 	for (unsigned int i = 0; i < s->process_count; i++)
 		kill_process(&s->processes[i], SIGKILL);
+	if (s->failed_count)
+		g_print("# %u of %u jobs failed beside those that crash endpoints\n",
+			s->failed_count, s->job_count);
 	for (guint i = 0; i < s->state.violations->len; i++)
 		g_print("# violated: %s\n", (char *)s->state.violations->pdata[i]);
 	g_hash_table_iter_init(&iter, s->state.jobs);
