fix(runs): acknowledge nothing while an unseen end may be among it

Callers saw: a task started again after a run of it had ended as done and that end had been acknowledged.

Cause: a status query acknowledges completions up to a number, and each incarnation numbers anew. An endpoint restarted under its id, unnoticed, ran an attempt and counted its end as number 1; the next query, meant for the earlier incarnation, acknowledged up to its number, so the end was forgotten before any answer had listed it. The answer showed the restart, the attempt was not listed, and the task started again.

Change: while an attempt was started more than 50 ms ago and the known incarnation has not listed it, a status query acknowledges nothing. The query that follows a start within 25 ms still acknowledges, so that endpoints with many starts need no further queries; tasks run for longer than that.

Evidence: /runs/unlisted_end_is_not_acknowledged on the code before: "assertion failed (w.ack_through == 0): (1 == 0)".

--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -15,6 +15,7 @@
 /// Added to the wait; an answer takes under 10 ms on healthy links.
 #define STATUS_TIMEOUT_MS 700
 #define STATUS_INTERVAL_MS 25  /* one status query collects completions that are close together */
+#define RUN_TIME_MIN_MS 50     /* above STATUS_INTERVAL_MS, below the run time of tasks */
 #define FINAL_ACK_DELAY_MS 150 /* a new start at the endpoint often acknowledges them sooner */
 #define CALL_TIMEOUT_MS 900
 #define START_SEND_MAX_MS 1500 /* a start not sent within this time is placed again */
@@ -121,6 +122,20 @@
 	return e->latency_sensitive && e->best_effort;
 }
 
+/// @return number up to which the endpoint may forget its completions. A later incarnation counts
+/// anew: while an attempt may have run and ended there, nothing is acknowledged, or it would forget
+/// that completion before an answer has listed it.
+static uint64_t ack_through(const struct endpoint *e, clock_ms_t now)
+{
+	for (guint i = 0; i < e->runs->len; i++) {
+		const struct run *r = e->runs->pdata[i];
+
+		if (!r->listed_by && now - r->started_at > RUN_TIME_MIN_MS)
+			return 0;
+	}
+	return e->last_completion;
+}
+
 static void send_status_query(struct manager *m, clock_ms_t now, struct endpoint *e)
 {
 	struct order *o;
@@ -129,7 +144,7 @@
 	if (e->runs->len && e->fenced && !e->unanswered_calls)
 		wait_ms = is_shared(e) ? STATUS_WAIT_SHARED_MS : STATUS_WAIT_MS;
 	o = order_to(e, ORDER_STATUS_QUERY, wait_ms + STATUS_TIMEOUT_MS);
-	o->ack_through = e->last_completion;
+	o->ack_through = ack_through(e, now);
 	o->wait_ms = wait_ms;
 	/* No lease after an unanswered call: the lease of an unresponsive endpoint must expire. */
 	if (e->runs->len && e->clock_ms >= 0 && !e->unanswered_calls)
--- a/tests/unit/unit_runs.c
+++ b/tests/unit/unit_runs.c
@@ -24,7 +24,10 @@
 	int64_t clock_offset_ms;     ///< of that endpoint's clock
 	uint32_t other_attempt;	     ///< the attempt that the other endpoint runs; 0: none
 	uint64_t sequence;	     ///< of the latest heartbeat
-	uint64_t ack_through;	     ///< highest acknowledgement that it received
+	bool done;		     ///< status answers of that endpoint list the attempt's end
+	unsigned int accepted;	     ///< start orders that it accepted
+	unsigned int queries;	     ///< status queries that it answered
+	uint64_t ack_through;	     ///< acknowledgement in the latest of them
 };
 
 static void world_init(struct world *w)
@@ -83,6 +86,19 @@
 	g_array_append_val(r->runs, row);
 }
 
+static void add_completion(const struct world *w, struct order_result *r)
+{
+	struct completion_record row = {
+		.number = 1,
+		.task = g_strdup(w->start->task),
+		.attempt = w->start->attempt,
+		.outcome = ATTEMPT_DONE,
+		.checkpoint = g_strdup(""),
+	};
+
+	g_array_append_val(r->completions, row);
+}
+
 static struct order_result *other_result(struct world *w, const struct order *o)
 {
 	struct order_result *r = order_result_new(o->id, ORDER_OK);
@@ -106,12 +122,16 @@
 		return order_result_new(o->id, ORDER_NO_ANSWER);
 	r = order_result_new(o->id, ORDER_OK);
 	r->clock_ms = w->now + w->clock_offset_ms;
+	w->accepted += o->type == ORDER_START;
 	if (o->type != ORDER_STATUS_QUERY)
 		return r;
-	w->ack_through = MAX(w->ack_through, o->ack_through);
+	w->queries++;
+	w->ack_through = o->ack_through;
 	r->incarnation_wall_ms = w->incarnation_wall_ms;
 	if (w->listed)
 		add_listed_attempt(w, r, w->start->attempt);
+	if (w->done)
+		add_completion(w, r);
 	return r;
 }
 
@@ -213,6 +233,37 @@
 	world_clear(&w);
 }
 
+/// An endpoint restarts under its id, unnoticed, and runs an attempt whose end it counts as its
+/// first. A status query meant for the earlier incarnation must not acknowledge that end, which no
+/// answer has listed: it would be forgotten, and the task started again.
+static void test_unlisted_end_is_not_acknowledged(void)
+{
+	struct world w;
+
+	world_init(&w);
+	w.start_is_answered = true;
+	w.listed = true;
+	start_task(&w);
+	run_for(&w, 100);
+	w.listed = false;
+	w.done = true;
+	run_for(&w, 400);
+	w.done = false;
+	g_assert_cmpuint(w.ack_through, ==, 1);
+	fixture_submit(w.m, w.now, "k", 16); /* fills both endpoints */
+	w.accepted = 0;
+	w.mute = true;
+	run_for(&w, 200);
+	w.mute = false;
+	w.queries = 0;
+	for (int i = 0; i < 1000 && !w.queries; i++)
+		run_for(&w, 1);
+	g_assert_cmpuint(w.accepted, >, 0);
+	g_assert_cmpuint(w.queries, ==, 1);
+	g_assert_cmpuint(w.ack_through, ==, 0);
+	world_clear(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -223,5 +274,7 @@
 			test_unlisted_attempt_outlives_longest_lease);
 	g_test_add_func("/runs/attempt_in_doubt_outlives_restart",
 			test_attempt_in_doubt_outlives_restart);
+	g_test_add_func("/runs/unlisted_end_is_not_acknowledged",
+			test_unlisted_end_is_not_acknowledged);
 	return g_test_run();
 }
