fix(runs): a deregistration does not end an unlisted attempt

An attempt whose start the endpoint accepted under its id after it had started again, before any heartbeat of the later incarnation, was started elsewhere while it ran.

Evidence: /runs/deregistration_does_not_end_unlisted_attempt on the code before: "assertion failed (w.starts == 1): (2 == 1)"; passes now.

--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -560,10 +560,29 @@
 			"ENDPOINT", e->id, "RUNS", log_number(runs - e->runs->len));
 }
 
+/// Tells whether this leader started an attempt that the known incarnation has not listed.
+static bool has_unlisted_run(const struct endpoint *e)
+{
+	for (guint i = 0; i < e->runs->len; i++) {
+		const struct run *r = e->runs->pdata[i];
+
+		if (!r->listed_by && r->state != RUN_INHERITED)
+			return true;
+	}
+	return false;
+}
+
+/// Tells whether a deregistered endpoint has terminated. An attempt that it has not listed may run
+/// at a later incarnation, which a status query finds.
+static bool has_left(const struct endpoint *e, clock_ms_t now)
+{
+	return e->deregistered && now - e->last_heartbeat_at > DEREGISTRATION_DELAY_MS &&
+	       !has_unlisted_run(e);
+}
+
 static void check_endpoint(struct manager *m, clock_ms_t now, struct endpoint *e)
 {
-	if (e->terminated_at ||
-	    (e->deregistered && now - e->last_heartbeat_at > DEREGISTRATION_DELAY_MS)) {
+	if (e->terminated_at || has_left(e, now)) {
 		attempts_handle_termination(m, now, e);
 		return;
 	}
--- a/tests/unit/unit_runs.c
+++ b/tests/unit/unit_runs.c
@@ -317,6 +317,30 @@
 	world_clear(&w);
 }
 
+/// The earlier incarnation's deregistration arrives after the later one, which has not sent a
+/// heartbeat yet, accepted a start. The task must not start elsewhere: it runs.
+static void test_deregistration_does_not_end_unlisted_attempt(void)
+{
+	struct world w;
+
+	world_init(&w);
+	w.start_is_answered = true;
+	w.listed = true;
+	w.mute = true;
+	start_task(&w);
+	fixture_deregister(w.m, w.now, w.start->instance, w.start->instance[2] - '0');
+	run_for(&w, 1000);
+	w.mute = false;
+	w.incarnation_wall_ms = LATER_INCARNATION;
+	run_for(&w, 500);
+	g_assert_cmpuint(w.starts, ==, 1);
+	g_assert_cmpuint(w.queries, >, 0);
+	send_heartbeat(&w, w.start->instance, LATER_INCARNATION, w.now);
+	run_for(&w, 500);
+	g_assert_cmpuint(w.starts, ==, 1);
+	world_clear(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -333,5 +357,7 @@
 			test_held_up_heartbeat_does_not_shorten_earlier_lease);
 	g_test_add_func("/runs/held_up_heartbeat_does_not_shorten_lease_after_restart",
 			test_held_up_heartbeat_does_not_shorten_lease_after_restart);
+	g_test_add_func("/runs/deregistration_does_not_end_unlisted_attempt",
+			test_deregistration_does_not_end_unlisted_attempt);
 	return g_test_run();
 }
