--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -15,6 +15,7 @@
 /// Added to the wait; an answer takes under 10 ms on healthy links.
 #define STATUS_TIMEOUT_MS 700
 #define STATUS_INTERVAL_MS 25  /* one status query collects completions that are close together */
+#define RUN_TIME_MIN_MS 50     /* above STATUS_INTERVAL_MS, below the run time of tasks */
 #define FINAL_ACK_DELAY_MS 150 /* a new start at the endpoint often acknowledges them sooner */
 #define CALL_TIMEOUT_MS 900
 #define START_SEND_MAX_MS 1500 /* a start not sent within this time is placed again */
@@ -121,6 +122,20 @@
 	return e->latency_sensitive && e->best_effort;
 }
 
+/// @return number up to which the endpoint may forget its completions. A later incarnation counts
+/// anew: while an attempt may have run and ended there, nothing is acknowledged, or it would forget
+/// that completion before an answer has listed it.
+static uint64_t ack_through(const struct endpoint *e, clock_ms_t now)
+{
+	for (guint i = 0; i < e->runs->len; i++) {
+		const struct run *r = e->runs->pdata[i];
+
+		if (!r->listed_by && now - r->started_at > RUN_TIME_MIN_MS)
+			return 0;
+	}
+	return e->last_completion;
+}
+
 static void send_status_query(struct manager *m, clock_ms_t now, struct endpoint *e)
 {
 	struct order *o;
@@ -129,7 +144,7 @@
 	if (e->runs->len && e->fenced && !e->unanswered_calls)
 		wait_ms = is_shared(e) ? STATUS_WAIT_SHARED_MS : STATUS_WAIT_MS;
 	o = order_to(e, ORDER_STATUS_QUERY, wait_ms + STATUS_TIMEOUT_MS);
-	o->ack_through = e->last_completion;
+	o->ack_through = ack_through(e, now);
 	o->wait_ms = wait_ms;
 	/* No lease after an unanswered call: the lease of an unresponsive endpoint must expire. */
 	if (e->runs->len && e->clock_ms >= 0 && !e->unanswered_calls)
@@ -154,8 +169,6 @@
 static void record_response(struct manager *m, clock_ms_t now, struct endpoint *e,
 			    enum order_type type, const struct order_result *result)
 {
-	bool first = e->clock_ms < 0;
-
 	if (result->status == ORDER_FENCED) {
 		m->fenced_off = true;
 		return;
@@ -175,8 +188,6 @@
 	if (result->clock_ms < 0 || result->incarnation_wall_ms != e->incarnation_wall_ms)
 		return;
 	endpoint_record_clock(e, result->clock_ms, now);
-	if (first)
-		incarnations_bound_earlier_lease(m, e);
 }
 
 static void handle_start_result(struct manager *m, clock_ms_t now, struct run *r,
@@ -509,6 +520,13 @@
 	return now - m->last_lag_at > LAG_RECOVERY_MS;
 }
 
+/// Tells whether every lease has ended, on any endpoint's clock, that an order granted which was
+/// sent no later than @p sent_by.
+static bool longest_lease_has_ended(const struct manager *m, clock_ms_t sent_by, clock_ms_t now)
+{
+	return now - sent_by > m->settings.lease_max_ms + m->settings.lease_max_ms / 20;
+}
+
 /// Tells whether an endpoint is unresponsive and its lease has expired.
 static bool is_lost(const struct manager *m, const struct endpoint *e, clock_ms_t now)
 {
@@ -518,18 +536,10 @@
 	    now - e->last_heartbeat_at <
 		    MISSED_HEARTBEATS_MAX * (clock_ms_t)m->settings.heartbeat_period_ms)
 		return false;
-	if (e->clock_ms < 0)
-		return now - m->leader_since >
-		       m->settings.lease_max_ms + m->settings.lease_max_ms / 20;
-	return endpoint_lease_has_ended(e, now);
-}
-
-/// Tells whether every lease has ended that an incarnation other than the known one may have taken
-/// from an order of this leader. The end is not known on its clock, only the longest duration.
-static bool unseen_lease_has_ended(const struct manager *m, const struct endpoint *e,
-				   clock_ms_t now)
-{
-	return now - e->lease_sent_by > m->settings.lease_max_ms + m->settings.lease_max_ms / 20;
+	if (!longest_lease_has_ended(m, e->known_since, now))
+		return false;
+	return e->clock_ms < 0 ? longest_lease_has_ended(m, e->lease_sent_by, now)
+			       : endpoint_lease_has_ended(e, now);
 }
 
 /// Releases the attempts of a lost endpoint. One that the known incarnation has not listed may run
@@ -541,7 +551,7 @@
 	for (guint i = runs; i > 0; i--) {
 		struct run *r = e->runs->pdata[i - 1];
 
-		if (r->listed_by || unseen_lease_has_ended(m, e, now))
+		if (r->listed_by || longest_lease_has_ended(m, e->lease_sent_by, now))
 			attempts_release(m, r, JOB_ATTEMPT_RELEASED, r->checkpoint);
 	}
 	if (e->runs->len < runs)
@@ -550,10 +560,29 @@
 			"ENDPOINT", e->id, "RUNS", log_number(runs - e->runs->len));
 }
 
+/// Tells whether this leader started an attempt that the known incarnation has not listed.
+static bool has_unlisted_run(const struct endpoint *e)
+{
+	for (guint i = 0; i < e->runs->len; i++) {
+		const struct run *r = e->runs->pdata[i];
+
+		if (!r->listed_by && r->state != RUN_INHERITED)
+			return true;
+	}
+	return false;
+}
+
+/// Tells whether a deregistered endpoint has terminated. An attempt that it has not listed may run
+/// at a later incarnation, which a status query finds.
+static bool has_left(const struct endpoint *e, clock_ms_t now)
+{
+	return e->deregistered && now - e->last_heartbeat_at > DEREGISTRATION_DELAY_MS &&
+	       !has_unlisted_run(e);
+}
+
 static void check_endpoint(struct manager *m, clock_ms_t now, struct endpoint *e)
 {
-	if (e->terminated_at ||
-	    (e->deregistered && now - e->last_heartbeat_at > DEREGISTRATION_DELAY_MS)) {
+	if (e->terminated_at || has_left(e, now)) {
 		attempts_handle_termination(m, now, e);
 		return;
 	}
