fix(heartbeats): the leader notices that it holds other content

An endpoint whose capacity shrank, grew and shrank again got tasks over its capacity for as long as it ran (LIMIT).

Cause: a replica that does not lead repeats a heartbeat to the leader in short if its content is the same as in the last one that this replica forwarded. The endpoint had reported the larger capacity through another replica in between, so that the leader kept the larger one.

Fix: the short heartbeat carries a digest of the content that it repeats. A leader that holds other content takes the sign of life and asks for a full heartbeat, as it does for unknown endpoints. A digest and not the sequence number of the full heartbeat, so that an endpoint that changes replicas does not need a full one each time. The digest has 64 bits and separates the fields: the former sum of products was the same for some pairs of processor and memory, and for labels in other splits.

Test /scale/capacity_reported_through_two_replicas, on the code before: assertion failed (schedule_round(m, now, now) == 0): (1 == 0).

--- a/src/sesamewood/manager/heartbeat_cache.c
+++ b/src/sesamewood/manager/heartbeat_cache.c
@@ -9,7 +9,7 @@
 struct cached_heartbeat {
 	char *id;
 	int64_t incarnation_wall_ms;
-	uint32_t digest;	///< of the content that rarely changes
+	uint64_t digest;	///< of the content that rarely changes
 	uint64_t known_to_term; ///< term of the leader that knows the content; 0: none
 	bool batch_pending;	///< to be sent in the next batch
 	uint64_t sequence;
@@ -47,22 +47,6 @@
 	g_free(c);
 }
 
-/// Returns a digest of the content that does not change with each heartbeat.
-static uint32_t digest_of(const struct endpoint_heartbeat *hb)
-{
-	uint32_t digest = g_str_hash(hb->address);
-
-	digest = digest * 31 + g_str_hash(hb->pool);
-	digest = digest * 31 + g_str_hash(hb->zone);
-	digest = digest * 31 + g_str_hash(hb->machine);
-	for (guint i = 0; i < hb->labels->len; i++)
-		digest = digest * 31 + g_str_hash(hb->labels->pdata[i]);
-	digest = digest * 31 + hb->cpu_milli;
-	digest = digest * 31 + hb->mem_mb;
-	digest = digest * 31 + hb->gpu;
-	return digest * 31 + hb->draining;
-}
-
 static bool has_leader_contact(const struct heartbeat_cache *c, clock_ms_t now, uint64_t term)
 {
 	return c->term == term && now - c->leader_contact_at < LEADER_CONTACT_MS;
@@ -74,7 +58,8 @@
 	struct cached_heartbeat *h = g_hash_table_lookup(c->by_id, hb->id);
 
 	if (!h || !has_leader_contact(c, now, term) || h->known_to_term != term ||
-	    h->incarnation_wall_ms != hb->incarnation_wall_ms || h->digest != digest_of(hb))
+	    h->incarnation_wall_ms != hb->incarnation_wall_ms ||
+	    h->digest != endpoint_heartbeat_digest(hb))
 		return false;
 	if (hb->sequence <= h->sequence)
 		return true;
@@ -97,7 +82,7 @@
 		g_hash_table_insert(c->by_id, h->id, h);
 	}
 	h->incarnation_wall_ms = hb->incarnation_wall_ms;
-	h->digest = digest_of(hb);
+	h->digest = endpoint_heartbeat_digest(hb);
 	h->known_to_term = term;
 	h->sequence = hb->sequence;
 	h->last_heartbeat_at = now;
@@ -135,6 +120,7 @@
 			.clock_ms = h->clock_ms,
 			.cold_ms = h->cold_ms,
 			.age_ms = (uint32_t)(now - h->last_heartbeat_at),
+			.digest = h->digest,
 		};
 
 		if (!h->batch_pending)
--- a/src/sesamewood/manager/heartbeat_proxy.c
+++ b/src/sesamewood/manager/heartbeat_proxy.c
@@ -119,6 +119,7 @@
 			.clock_ms = s->clock_ms,
 			.cold_ms = s->cold_ms,
 			.age_ms = s->age_ms,
+			.digest = s->digest,
 		};
 	}
 	args.short_heartbeats.short_heartbeats_val = rows;
@@ -147,6 +148,7 @@
 			.clock_ms = from->clock_ms,
 			.cold_ms = from->cold_ms,
 			.age_ms = from->age_ms,
+			.digest = from->digest,
 		};
 
 		if (!manager_handle_short_heartbeat(m, now, &s))
--- a/src/sesamewood/manager/manager.h
+++ b/src/sesamewood/manager/manager.h
@@ -43,7 +43,8 @@
 
 /// Handles a short heartbeat that another replica received.
 ///
-/// @return false if the leader does not know the endpoint and needs a full heartbeat
+/// @return false if the leader does not know the endpoint or its present content, and needs a full
+/// heartbeat
 bool manager_handle_short_heartbeat(struct manager *m, clock_ms_t now,
 				    const struct short_heartbeat *s);
 
--- a/src/sesamewood/manager/manager_defs.c
+++ b/src/sesamewood/manager/manager_defs.c
@@ -3,6 +3,7 @@
 #include "base/codec.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 void endpoint_heartbeat_clear(struct endpoint_heartbeat *hb)
 {
@@ -16,6 +17,30 @@
 	memset(hb, 0, sizeof(*hb));
 }
 
+static void add_text(GByteArray *bytes, const char *text)
+{
+	g_byte_array_append(bytes, (const guint8 *)text, (guint)strlen(text) + 1);
+}
+
+uint64_t endpoint_heartbeat_digest(const struct endpoint_heartbeat *hb)
+{
+	const uint32_t numbers[] = {hb->cpu_milli, hb->mem_mb, hb->gpu, hb->draining};
+	g_autoptr(GByteArray) bytes = g_byte_array_new();
+
+	add_text(bytes, hb->address);
+	add_text(bytes, hb->pool);
+	add_text(bytes, hb->zone);
+	add_text(bytes, hb->machine);
+	for (guint i = 0; i < hb->labels->len; i++)
+		add_text(bytes, hb->labels->pdata[i]);
+	for (guint i = 0; i < G_N_ELEMENTS(numbers); i++) {
+		const uint32_t n = GUINT32_TO_BE(numbers[i]);
+
+		g_byte_array_append(bytes, (const guint8 *)&n, sizeof(n));
+	}
+	return XXH64(bytes->data, bytes->len, hb->labels->len);
+}
+
 void call_clear(struct call *c)
 {
 	g_free(c->host);
--- a/src/sesamewood/manager/manager_defs.h
+++ b/src/sesamewood/manager/manager_defs.h
@@ -54,6 +54,7 @@
 	int64_t clock_ms;
 	uint32_t cold_ms;
 	uint32_t age_ms; ///< time since the replica received it
+	uint64_t digest; ///< endpoint_heartbeat_digest() of the full heartbeat that it repeats
 };
 
 /// A decoded API request. The comment of a field names the types that set it. Release with
@@ -241,6 +242,9 @@
 /// Frees the contents of a heartbeat and zeroes it.
 void endpoint_heartbeat_clear(struct endpoint_heartbeat *hb);
 
+/// Returns a digest of the content that does not change with each heartbeat.
+uint64_t endpoint_heartbeat_digest(const struct endpoint_heartbeat *hb);
+
 /// Frees an order; @p o may be NULL.
 void order_free(struct order *o);
 
--- a/src/sesamewood/rpc/sesamewood.x
+++ b/src/sesamewood/rpc/sesamewood.x
@@ -722,6 +722,7 @@
 	hyper clock_ms;
 	unsigned int cold_ms;     /* remaining time of the cold start */
 	unsigned int age_ms;      /* time since the replica received the heartbeat */
+	unsigned hyper digest;    /* of the content of the full heartbeat that it repeats */
 };
 
 struct sw_heartbeat_batch {
--- a/src/sesamewood/runs/endpoint.c
+++ b/src/sesamewood/runs/endpoint.c
@@ -77,6 +77,7 @@
 	e->has_heartbeat = true;
 	e->draining |= hb->draining;
 	e->sequence = hb->sequence;
+	e->digest = endpoint_heartbeat_digest(hb);
 	e->last_heartbeat_at = now;
 	e->cold_until = now + hb->cold_ms;
 	if (hb->clock_ms >= 0)
--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -84,6 +84,7 @@
 	bool deregistered;
 	bool terminated;   ///< certainly terminated: it runs no attempt
 	uint64_t sequence; ///< of the latest heartbeat
+	uint64_t digest;   ///< of the latest full heartbeat
 	clock_ms_t last_heartbeat_at;
 	clock_ms_t cold_until; ///< end of its cold start, during which it runs slowly
 	/* Clock and lease. */
--- a/src/sesamewood/runs/incarnations.c
+++ b/src/sesamewood/runs/incarnations.c
@@ -140,7 +140,7 @@
 	if (s->clock_ms >= 0)
 		endpoint_record_clock(e, s->clock_ms, at);
 	record_alive_proof(e, at);
-	return true;
+	return e->digest == s->digest;
 }
 
 void incarnations_handle_heartbeat(struct manager *m, clock_ms_t now,
--- a/src/sesamewood/runs/incarnations.h
+++ b/src/sesamewood/runs/incarnations.h
@@ -25,7 +25,7 @@
 /// Handles a short heartbeat, forwarded by another replica for an endpoint whose details this
 /// leader has.
 ///
-/// @return false if the leader lacks the details and needs a full heartbeat
+/// @return false if the leader lacks the details, or holds others, and needs a full heartbeat
 bool incarnations_handle_short_heartbeat(struct manager *m, clock_ms_t now,
 					 const struct short_heartbeat *s);
 
--- a/tests/unit/manager_fixture.c
+++ b/tests/unit/manager_fixture.c
@@ -49,12 +49,11 @@
 	call_clear(&c);
 }
 
-void fixture_heartbeat_sized(struct manager *m, clock_ms_t now, const char *id, const char *machine,
-			     int64_t incarnation_wall_ms, uint32_t cpu_milli, uint32_t mem_mb)
+static struct endpoint_heartbeat make_heartbeat(clock_ms_t now, const char *id, const char *machine,
+						int64_t incarnation_wall_ms, uint32_t cpu_milli,
+						uint32_t mem_mb)
 {
-	struct call c = {.type = CALL_HEARTBEAT};
-
-	c.heartbeat = (struct endpoint_heartbeat){
+	return (struct endpoint_heartbeat){
 		.id = g_strdup(id),
 		.incarnation_wall_ms = incarnation_wall_ms,
 		.address = g_strdup_printf("10.1.0.%d:80", (int)incarnation_wall_ms),
@@ -67,6 +66,24 @@
 		.sequence = 1,
 		.clock_ms = now,
 	};
+}
+
+uint64_t fixture_digest(const char *machine, int64_t incarnation_wall_ms)
+{
+	struct endpoint_heartbeat hb =
+		make_heartbeat(0, "", machine, incarnation_wall_ms, FIXTURE_CPU_MILLI, 8000);
+	uint64_t digest = endpoint_heartbeat_digest(&hb);
+
+	endpoint_heartbeat_clear(&hb);
+	return digest;
+}
+
+void fixture_heartbeat_sized(struct manager *m, clock_ms_t now, const char *id, const char *machine,
+			     int64_t incarnation_wall_ms, uint32_t cpu_milli, uint32_t mem_mb)
+{
+	struct call c = {.type = CALL_HEARTBEAT};
+
+	c.heartbeat = make_heartbeat(now, id, machine, incarnation_wall_ms, cpu_milli, mem_mb);
 	manager_handle_call(m, now, now, 1, &c);
 	call_clear(&c);
 }
--- a/tests/unit/manager_fixture.h
+++ b/tests/unit/manager_fixture.h
@@ -26,6 +26,9 @@
 void fixture_heartbeat(struct manager *m, clock_ms_t now, const char *id, const char *machine,
 		       int64_t incarnation_wall_ms);
 
+/// Returns the digest of the heartbeats that fixture_heartbeat() sends.
+uint64_t fixture_digest(const char *machine, int64_t incarnation_wall_ms);
+
 /// Sends a full heartbeat of an endpoint with the given capacity.
 void fixture_heartbeat_sized(struct manager *m, clock_ms_t now, const char *id, const char *machine,
 			     int64_t incarnation_wall_ms, uint32_t cpu_milli, uint32_t mem_mb);
--- a/tests/unit/unit_scale.c
+++ b/tests/unit/unit_scale.c
@@ -299,6 +299,61 @@
 	g_ptr_array_unref(hb.labels);
 }
 
+/// Reports the present content of an endpoint through a replica that does not lead.
+static void report_through(struct heartbeat_cache *cache, struct manager *m, clock_ms_t now,
+			   const struct endpoint_heartbeat *hb)
+{
+	struct call c = {.type = CALL_HEARTBEAT, .heartbeat = *hb};
+	g_autoptr(GArray) list = NULL;
+
+	heartbeat_cache_record_batch_reply(cache, now, TERM, NULL, 0);
+	if (!heartbeat_cache_accept(cache, now, TERM, hb)) {
+		manager_handle_call(m, now, now, 1, &c);
+		heartbeat_cache_record_forwarded(cache, now, TERM, hb);
+		return;
+	}
+	list = heartbeat_cache_take_batch(cache, now);
+	for (guint i = 0; i < list->len; i++) {
+		const struct short_heartbeat *s = &g_array_index(list, struct short_heartbeat, i);
+		char *unknown[] = {s->id};
+
+		if (!manager_handle_short_heartbeat(m, now, s))
+			heartbeat_cache_record_batch_reply(cache, now, TERM, unknown, 1);
+	}
+}
+
+/// An endpoint's capacity shrinks, grows and shrinks again, and the reports reach the leader
+/// through two replicas. The first one takes the third report for known. The leader must notice
+/// that it holds other content, or it starts tasks over the capacity.
+static void test_capacity_reported_through_two_replicas(void)
+{
+	clock_ms_t now = FIXTURE_START_MS;
+	struct manager *m = fixture_manager(now);
+	struct heartbeat_cache *a = heartbeat_cache_new();
+	struct heartbeat_cache *b = heartbeat_cache_new();
+	struct endpoint_heartbeat hb = make_heartbeat("i-1", 1, 1);
+
+	fixture_put_config(m, now);
+	hb.mem_mb = 8000;
+	hb.clock_ms = -1;
+	report_through(a, m, now, &hb);
+	hb.sequence++;
+	hb.cpu_milli = 8000;
+	report_through(b, m, now + 1500, &hb);
+	for (int i = 2; i < 4; i++) {
+		hb.sequence++;
+		hb.cpu_milli = 1000;
+		report_through(a, m, now + (clock_ms_t)i * 1500, &hb);
+	}
+	now += 4500;
+	fixture_submit_sized(m, now, "j", 1, 4000, 10);
+	g_assert_cmpuint(schedule_round(m, now, now), ==, 0);
+	heartbeat_cache_free(a);
+	heartbeat_cache_free(b);
+	g_ptr_array_unref(hb.labels);
+	manager_free(m);
+}
+
 /// Short heartbeats received by other replicas keep an endpoint usable. The leader asks for a full
 /// heartbeat of an unknown endpoint, and a short heartbeat of an earlier incarnation must not keep
 /// the later one usable.
@@ -307,7 +362,12 @@
 	clock_ms_t now = FIXTURE_START_MS;
 	struct manager *m = fixture_manager(now);
 	struct short_heartbeat s = {
-		.id = (char *)"i-1", .incarnation_wall_ms = 1, .clock_ms = now, .sequence = 2};
+		.id = (char *)"i-1",
+		.incarnation_wall_ms = 1,
+		.clock_ms = now,
+		.sequence = 2,
+		.digest = fixture_digest("m-1", 1),
+	};
 
 	fixture_put_config(m, now);
 	g_assert_false(manager_handle_short_heartbeat(m, now, &s));
@@ -372,6 +432,8 @@
 	g_test_add_func("/scale/cost_of_moves_is_linear", test_cost_of_moves_is_linear);
 	g_test_add_func("/scale/changed_heartbeat_is_forwarded",
 			test_changed_heartbeat_is_forwarded);
+	g_test_add_func("/scale/capacity_reported_through_two_replicas",
+			test_capacity_reported_through_two_replicas);
 	g_test_add_func("/scale/short_heartbeats_keep_endpoints_in_use",
 			test_short_heartbeats_keep_endpoints_in_use);
 	g_test_add_func("/scale/refused_callers_retry_in_order",
--- a/tests/unit/unit_waves.c
+++ b/tests/unit/unit_waves.c
@@ -248,6 +248,7 @@
 			.incarnation_wall_ms = x->incarnation,
 			.sequence = s->sequence + 1,
 			.clock_ms = s->now,
+			.digest = fixture_digest(x->name, x->incarnation),
 		};
 
 		if (!x->down_until && !manager_handle_short_heartbeat(s->m, s->now, &hb))
