fix(heartbeats): a delayed first report is no ground for starts

Right after a change of leader an endpoint whose capacity had shrunk could get tasks over it (LIMIT).

Cause: a heartbeat that was held up, such as by a replica that was frozen or cut off, carries the larger capacity of before. The sequence number shows that it is old, but not to a leader that has not heard of the endpoint before.

Fix: the endpoint's clock tells. An endpoint keeps the offset between its clock and the arrival of the report of its content; once a later reading shows that the report was under way for more than 1.5 s (endpoints send the next one by then), it gets no work until its next report. A new leader queries the status of each endpoint that it hears of, for the sake of the fence; before the answer, which carries the clock, it places nothing there. Endpoints that restarted under this leader are not held back by that, as before.

runs/endpoint.* gets the field and two functions, runs/incarnations.c two lines.

Test /scale/delayed_report_after_change_of_leader, on the code before: assertion failed (run_answering_status_queries(m, now) == expected_starts): (1 == 0). It passes now.

--- a/src/sesamewood/runs/endpoint.c
+++ b/src/sesamewood/runs/endpoint.c
@@ -5,6 +5,8 @@
 /// Maximum lag of an endpoint's clock rate behind the local one, percent: 2 by contract and 1 for
 /// the local clock's own error.
 #define CLOCK_SLOW_PERCENT 3
+/// Delay from which on a heartbeat may be older than the endpoint's next one.
+#define REPORT_DELAY_MAX_MS 1500
 /// Allowance for rounding of clock readings to whole milliseconds.
 #define CLOCK_ROUNDING_MS 50
 
@@ -80,6 +82,7 @@
 	e->digest = endpoint_heartbeat_digest(hb);
 	e->last_heartbeat_at = now;
 	e->cold_until = now + hb->cold_ms;
+	endpoint_record_report(e, hb->clock_ms, now);
 	if (hb->clock_ms >= 0)
 		endpoint_record_clock(e, hb->clock_ms, now);
 }
@@ -93,6 +96,17 @@
 	e->clock_at = now;
 }
 
+void endpoint_record_report(struct endpoint *e, int64_t clock_ms, clock_ms_t arrived_at)
+{
+	e->report_offset_ms = clock_ms < 0 ? G_MAXINT64 : clock_ms - arrived_at;
+}
+
+bool endpoint_report_was_delayed(const struct endpoint *e)
+{
+	return e->clock_ms >= 0 && e->report_offset_ms != G_MAXINT64 &&
+	       e->clock_ms - e->clock_at - e->report_offset_ms > REPORT_DELAY_MAX_MS;
+}
+
 int64_t endpoint_clock_now_ms(const struct endpoint *e, clock_ms_t now)
 {
 	return e->clock_ms < 0 ? -1 : e->clock_ms + (now - e->clock_at);
--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -90,6 +90,8 @@
 	/* Clock and lease. */
 	int64_t clock_ms; ///< steady clock reading, taken no later than clock_at; -1: unknown
 	clock_ms_t clock_at;
+	int64_t report_offset_ms; ///< reading of its clock in the latest report of its content,
+				  ///< less the time of arrival
 	int64_t lease_end_ms; ///< latest end of any lease that an order may have granted, on the
 			      ///< endpoint's clock
 	/* Status queries and completions. */
@@ -140,6 +142,14 @@
 /// Records a reading of the endpoint's clock, taken no later than @p now.
 void endpoint_record_clock(struct endpoint *e, int64_t clock_ms, clock_ms_t now);
 
+/// Records when the endpoint reported its present content, from the reading of its clock in the
+/// heartbeat (-1: unknown) and the time of arrival.
+void endpoint_record_report(struct endpoint *e, int64_t clock_ms, clock_ms_t arrived_at);
+
+/// Tells whether later readings of the endpoint's clock show that the report of its content was
+/// delayed for long, so that the content may have changed since.
+bool endpoint_report_was_delayed(const struct endpoint *e);
+
 /// @return estimated present reading of the endpoint's clock, ms, or -1 when unknown
 int64_t endpoint_clock_now_ms(const struct endpoint *e, clock_ms_t now);
 
--- a/src/sesamewood/runs/incarnations.c
+++ b/src/sesamewood/runs/incarnations.c
@@ -140,7 +140,10 @@
 	if (s->clock_ms >= 0)
 		endpoint_record_clock(e, s->clock_ms, at);
 	record_alive_proof(e, at);
-	return e->digest == s->digest;
+	if (e->digest != s->digest)
+		return false;
+	endpoint_record_report(e, s->clock_ms, at);
+	return true;
 }
 
 void incarnations_handle_heartbeat(struct manager *m, clock_ms_t now,
--- a/src/sesamewood/sched/health.c
+++ b/src/sesamewood/sched/health.c
@@ -39,6 +39,9 @@
 
 bool health_is_eligible(const struct endpoint *e, clock_ms_t now, clock_ms_t max_silence_ms)
 {
+	/* The answer that shows whether its report was delayed comes with the fence. */
+	if ((e->needs_fencing && !e->fenced && !e->restart_count) || endpoint_report_was_delayed(e))
+		return false;
 	return e->has_heartbeat && !e->draining && !e->deregistered && !e->terminated &&
 	       !e->terminated_at && !e->unanswered_calls &&
 	       now - e->last_heartbeat_at < max_silence_ms;
--- a/tests/unit/unit_scale.c
+++ b/tests/unit/unit_scale.c
@@ -354,6 +354,75 @@
 	manager_free(m);
 }
 
+/// Runs the manager for 300 ms and answers status queries.
+///
+/// @return number of starts ordered
+static unsigned int run_answering_status_queries(struct manager *m, clock_ms_t now)
+{
+	unsigned int starts = 0;
+
+	for (clock_ms_t until = now + 300; now < until; now += MANAGER_TICK_MS) {
+		g_autoptr(GPtrArray) effects = NULL;
+
+		manager_tick(m, now, now);
+		effects = manager_take_effects(m);
+		for (guint i = 0; i < effects->len; i++) {
+			const struct effect *e = effects->pdata[i];
+			struct order_result *r;
+
+			if (e->type != EFFECT_ORDER)
+				continue;
+			starts += e->u.order->type == ORDER_START;
+			if (e->u.order->type != ORDER_STATUS_QUERY)
+				continue;
+			r = order_result_new(e->u.order->id, ORDER_OK);
+			r->clock_ms = now;
+			r->incarnation_wall_ms = 1;
+			manager_handle_result(m, now, now, r);
+			order_result_free(r);
+		}
+	}
+	return starts;
+}
+
+/// A new leader first hears of an endpoint by a heartbeat that was held up since before the
+/// capacity shrank. It must not place work by it; by a prompt one it must.
+static void check_first_report(clock_ms_t delay_ms, unsigned int expected_starts)
+{
+	clock_ms_t now = FIXTURE_START_MS;
+	struct jobs *state = jobs_new();
+	struct manager *m = fixture_next_manager(state, 2, now, now);
+	struct endpoint_heartbeat hb = make_heartbeat("i-1", 1, 1);
+	struct call c = {.type = CALL_HEARTBEAT};
+
+	fixture_put_config(m, now);
+	fixture_submit_sized(m, now, "j", 1, 4000, 10);
+	hb.cpu_milli = 8000;
+	hb.mem_mb = 8000;
+	hb.clock_ms = now - delay_ms;
+	c.heartbeat = hb;
+	manager_handle_call(m, now, now, 1, &c);
+	g_assert_cmpuint(run_answering_status_queries(m, now), ==, expected_starts);
+	/* The next heartbeat. */
+	now += 1500;
+	fixture_submit_sized(m, now, "j2", 1, 500, 10);
+	hb.cpu_milli = expected_starts ? 8000 : 1000;
+	hb.clock_ms = now;
+	hb.sequence = 9;
+	c.heartbeat = hb;
+	manager_handle_call(m, now, now, 1, &c);
+	g_assert_cmpuint(run_answering_status_queries(m, now), ==, 1);
+	jobs_free(state);
+	g_ptr_array_unref(hb.labels);
+	manager_free(m);
+}
+
+static void test_delayed_report_after_change_of_leader(void)
+{
+	check_first_report(5000, 0);
+	check_first_report(100, 1);
+}
+
 /// Short heartbeats received by other replicas keep an endpoint usable. The leader asks for a full
 /// heartbeat of an unknown endpoint, and a short heartbeat of an earlier incarnation must not keep
 /// the later one usable.
@@ -434,6 +503,8 @@
 			test_changed_heartbeat_is_forwarded);
 	g_test_add_func("/scale/capacity_reported_through_two_replicas",
 			test_capacity_reported_through_two_replicas);
+	g_test_add_func("/scale/delayed_report_after_change_of_leader",
+			test_delayed_report_after_change_of_leader);
 	g_test_add_func("/scale/short_heartbeats_keep_endpoints_in_use",
 			test_short_heartbeats_keep_endpoints_in_use);
 	g_test_add_func("/scale/refused_callers_retry_in_order",
