fix(endpoints): changed labels replace earlier ones

A task that asks for a label could start on an endpoint that no longer has it, and not on one that has got it.

Cause: the labels of a heartbeat replaced the earlier ones only if their number was another one. Heartbeats with other labels did reach the leader, as their digest covers the labels.

Test /scale/changed_labels_replace_earlier_ones, on the code before: 'endpoint_has_label(e, "small")' should be TRUE. It passes now.

--- a/src/sesamewood/runs/endpoint.c
+++ b/src/sesamewood/runs/endpoint.c
@@ -60,6 +60,16 @@
 	*field = g_strdup(value);
 }
 
+static bool same_labels(const GPtrArray *a, const GPtrArray *b)
+{
+	if (a->len != b->len)
+		return false;
+	for (guint i = 0; i < a->len; i++)
+		if (!g_str_equal(a->pdata[i], b->pdata[i]))
+			return false;
+	return true;
+}
+
 void endpoint_update(struct endpoint *e, const struct endpoint_heartbeat *hb, clock_ms_t now)
 {
 	replace(&e->address, hb->address);
@@ -68,7 +78,7 @@
 	replace(&e->zone, hb->zone);
 	if (*hb->machine)
 		replace(&e->machine, hb->machine);
-	if (hb->labels->len != e->labels->len || !e->has_heartbeat) {
+	if (!same_labels(hb->labels, e->labels)) {
 		g_ptr_array_set_size(e->labels, 0);
 		for (guint i = 0; i < hb->labels->len; i++)
 			g_ptr_array_add(e->labels, g_strdup(hb->labels->pdata[i]));
--- a/tests/unit/unit_scale.c
+++ b/tests/unit/unit_scale.c
@@ -5,6 +5,7 @@
 #include "manager/overload.h"
 #include "manager/heartbeat_cache.h"
 #include "manager_fixture.h"
+#include "runs/endpoint.h"
 #include "sched/schedule.h"
 
 #include <time.h>
@@ -423,6 +424,24 @@
 	check_first_report(100, 1);
 }
 
+/// Labels say where a task may run. A heartbeat with as many labels as before replaces them, too.
+static void test_changed_labels_replace_earlier_ones(void)
+{
+	struct endpoint *e = endpoint_new("i-1");
+	struct endpoint_heartbeat hb = make_heartbeat("i-1", 1, 1);
+
+	g_ptr_array_add(hb.labels, (char *)"large");
+	endpoint_update(e, &hb, FIXTURE_START_MS);
+	g_assert_true(endpoint_has_label(e, "large"));
+	hb.sequence++;
+	hb.labels->pdata[0] = (char *)"small";
+	endpoint_update(e, &hb, FIXTURE_START_MS + 1500);
+	g_assert_true(endpoint_has_label(e, "small"));
+	g_assert_false(endpoint_has_label(e, "large"));
+	endpoint_free(e);
+	g_ptr_array_unref(hb.labels);
+}
+
 /// Short heartbeats received by other replicas keep an endpoint usable. The leader asks for a full
 /// heartbeat of an unknown endpoint, and a short heartbeat of an earlier incarnation must not keep
 /// the later one usable.
@@ -505,6 +524,8 @@
 			test_capacity_reported_through_two_replicas);
 	g_test_add_func("/scale/delayed_report_after_change_of_leader",
 			test_delayed_report_after_change_of_leader);
+	g_test_add_func("/scale/changed_labels_replace_earlier_ones",
+			test_changed_labels_replace_earlier_ones);
 	g_test_add_func("/scale/short_heartbeats_keep_endpoints_in_use",
 			test_short_heartbeats_keep_endpoints_in_use);
 	g_test_add_func("/scale/refused_callers_retry_in_order",
