--- a/src/sesamewood/runs/endpoint.c
+++ b/src/sesamewood/runs/endpoint.c
@@ -5,6 +5,8 @@
 /// Maximum lag of an endpoint's clock rate behind the local one, percent: 2 by contract and 1 for
 /// the local clock's own error.
 #define CLOCK_SLOW_PERCENT 3
+/// Delay from which on a heartbeat may be older than the endpoint's next one.
+#define REPORT_DELAY_MAX_MS 1500
 /// Allowance for rounding of clock readings to whole milliseconds.
 #define CLOCK_ROUNDING_MS 50
 
@@ -58,6 +60,16 @@
 	*field = g_strdup(value);
 }
 
+static bool same_labels(const GPtrArray *a, const GPtrArray *b)
+{
+	if (a->len != b->len)
+		return false;
+	for (guint i = 0; i < a->len; i++)
+		if (!g_str_equal(a->pdata[i], b->pdata[i]))
+			return false;
+	return true;
+}
+
 void endpoint_update(struct endpoint *e, const struct endpoint_heartbeat *hb, clock_ms_t now)
 {
 	replace(&e->address, hb->address);
@@ -66,7 +78,7 @@
 	replace(&e->zone, hb->zone);
 	if (*hb->machine)
 		replace(&e->machine, hb->machine);
-	if (hb->labels->len != e->labels->len || !e->has_heartbeat) {
+	if (!same_labels(hb->labels, e->labels)) {
 		g_ptr_array_set_size(e->labels, 0);
 		for (guint i = 0; i < hb->labels->len; i++)
 			g_ptr_array_add(e->labels, g_strdup(hb->labels->pdata[i]));
@@ -77,8 +89,10 @@
 	e->has_heartbeat = true;
 	e->draining |= hb->draining;
 	e->sequence = hb->sequence;
+	e->digest = endpoint_heartbeat_digest(hb);
 	e->last_heartbeat_at = now;
 	e->cold_until = now + hb->cold_ms;
+	endpoint_record_report(e, hb->clock_ms, now);
 	if (hb->clock_ms >= 0)
 		endpoint_record_clock(e, hb->clock_ms, now);
 }
@@ -92,6 +106,17 @@
 	e->clock_at = now;
 }
 
+void endpoint_record_report(struct endpoint *e, int64_t clock_ms, clock_ms_t arrived_at)
+{
+	e->report_offset_ms = clock_ms < 0 ? G_MAXINT64 : clock_ms - arrived_at;
+}
+
+bool endpoint_report_was_delayed(const struct endpoint *e)
+{
+	return e->clock_ms >= 0 && e->report_offset_ms != G_MAXINT64 &&
+	       e->clock_ms - e->clock_at - e->report_offset_ms > REPORT_DELAY_MAX_MS;
+}
+
 int64_t endpoint_clock_now_ms(const struct endpoint *e, clock_ms_t now)
 {
 	return e->clock_ms < 0 ? -1 : e->clock_ms + (now - e->clock_at);
--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -86,11 +86,14 @@
 	bool deregistered;
 	bool terminated;   ///< certainly terminated: it runs no attempt
 	uint64_t sequence; ///< of the latest heartbeat
+	uint64_t digest;   ///< of the latest full heartbeat
 	clock_ms_t last_heartbeat_at;
 	clock_ms_t cold_until; ///< end of its cold start, during which it runs slowly
 	/* Clock and lease. */
 	int64_t clock_ms; ///< steady clock reading, taken no later than clock_at; -1: unknown
 	clock_ms_t clock_at;
+	int64_t report_offset_ms; ///< reading of its clock in the latest report of its content,
+				  ///< less the time of arrival
 	int64_t lease_end_ms; ///< latest end of any lease that an order made for this incarnation
 			      ///< may have granted, on the endpoint's clock
 	clock_ms_t known_since;	  ///< orders sent before this time may have been made by an earlier
@@ -146,6 +149,14 @@
 /// Records a reading of the endpoint's clock, taken no later than @p now.
 void endpoint_record_clock(struct endpoint *e, int64_t clock_ms, clock_ms_t now);
 
+/// Records when the endpoint reported its present content, from the reading of its clock in the
+/// heartbeat (-1: unknown) and the time of arrival.
+void endpoint_record_report(struct endpoint *e, int64_t clock_ms, clock_ms_t arrived_at);
+
+/// Tells whether later readings of the endpoint's clock show that the report of its content was
+/// delayed for long, so that the content may have changed since.
+bool endpoint_report_was_delayed(const struct endpoint *e);
+
 /// @return estimated present reading of the endpoint's clock, ms, or -1 when unknown
 int64_t endpoint_clock_now_ms(const struct endpoint *e, clock_ms_t now);
 
--- a/tests/unit/unit_scale.c
+++ b/tests/unit/unit_scale.c
@@ -5,6 +5,7 @@
 #include "manager/overload.h"
 #include "manager/heartbeat_cache.h"
 #include "manager_fixture.h"
+#include "runs/endpoint.h"
 #include "sched/schedule.h"
 
 #include <time.h>
@@ -299,6 +300,148 @@
 	g_ptr_array_unref(hb.labels);
 }
 
+/// Reports the present content of an endpoint through a replica that does not lead.
+static void report_through(struct heartbeat_cache *cache, struct manager *m, clock_ms_t now,
+			   const struct endpoint_heartbeat *hb)
+{
+	struct call c = {.type = CALL_HEARTBEAT, .heartbeat = *hb};
+	g_autoptr(GArray) list = NULL;
+
+	heartbeat_cache_record_batch_reply(cache, now, TERM, NULL, 0);
+	if (!heartbeat_cache_accept(cache, now, TERM, hb)) {
+		manager_handle_call(m, now, now, 1, &c);
+		heartbeat_cache_record_forwarded(cache, now, TERM, hb);
+		return;
+	}
+	list = heartbeat_cache_take_batch(cache, now);
+	for (guint i = 0; i < list->len; i++) {
+		const struct short_heartbeat *s = &g_array_index(list, struct short_heartbeat, i);
+		char *unknown[] = {s->id};
+
+		if (!manager_handle_short_heartbeat(m, now, s))
+			heartbeat_cache_record_batch_reply(cache, now, TERM, unknown, 1);
+	}
+}
+
+/// An endpoint's capacity shrinks, grows and shrinks again, and the reports reach the leader
+/// through two replicas. The first one takes the third report for known. The leader must notice
+/// that it holds other content, or it starts tasks over the capacity.
+static void test_capacity_reported_through_two_replicas(void)
+{
+	clock_ms_t now = FIXTURE_START_MS;
+	struct manager *m = fixture_manager(now);
+	struct heartbeat_cache *a = heartbeat_cache_new();
+	struct heartbeat_cache *b = heartbeat_cache_new();
+	struct endpoint_heartbeat hb = make_heartbeat("i-1", 1, 1);
+
+	fixture_put_config(m, now);
+	hb.mem_mb = 8000;
+	hb.clock_ms = -1;
+	report_through(a, m, now, &hb);
+	hb.sequence++;
+	hb.cpu_milli = 8000;
+	report_through(b, m, now + 1500, &hb);
+	for (int i = 2; i < 4; i++) {
+		hb.sequence++;
+		hb.cpu_milli = 1000;
+		report_through(a, m, now + (clock_ms_t)i * 1500, &hb);
+	}
+	now += 4500;
+	fixture_submit_sized(m, now, "j", 1, 4000, 10);
+	g_assert_cmpuint(schedule_round(m, now, now), ==, 0);
+	heartbeat_cache_free(a);
+	heartbeat_cache_free(b);
+	g_ptr_array_unref(hb.labels);
+	manager_free(m);
+}
+
+/// Runs the manager for 300 ms and answers status queries.
+///
+/// @return number of starts ordered
+static unsigned int run_answering_status_queries(struct manager *m, clock_ms_t now)
+{
+	unsigned int starts = 0;
+
+	for (clock_ms_t until = now + 300; now < until; now += MANAGER_TICK_MS) {
+		g_autoptr(GPtrArray) effects = NULL;
+
+		manager_tick(m, now, now);
+		effects = manager_take_effects(m);
+		for (guint i = 0; i < effects->len; i++) {
+			const struct effect *e = effects->pdata[i];
+			struct order_result *r;
+
+			if (e->type != EFFECT_ORDER)
+				continue;
+			starts += e->u.order->type == ORDER_START;
+			if (e->u.order->type != ORDER_STATUS_QUERY)
+				continue;
+			r = order_result_new(e->u.order->id, ORDER_OK);
+			r->clock_ms = now;
+			r->incarnation_wall_ms = 1;
+			manager_handle_result(m, now, now, r);
+			order_result_free(r);
+		}
+	}
+	return starts;
+}
+
+/// A new leader first hears of an endpoint by a heartbeat that was held up since before the
+/// capacity shrank. It must not place work by it; by a prompt one it must.
+static void check_first_report(clock_ms_t delay_ms, unsigned int expected_starts)
+{
+	clock_ms_t now = FIXTURE_START_MS;
+	struct jobs *state = jobs_new();
+	struct manager *m = fixture_next_manager(state, 2, now, now);
+	struct endpoint_heartbeat hb = make_heartbeat("i-1", 1, 1);
+	struct call c = {.type = CALL_HEARTBEAT};
+
+	fixture_put_config(m, now);
+	fixture_submit_sized(m, now, "j", 1, 4000, 10);
+	hb.cpu_milli = 8000;
+	hb.mem_mb = 8000;
+	hb.clock_ms = now - delay_ms;
+	c.heartbeat = hb;
+	manager_handle_call(m, now, now, 1, &c);
+	g_assert_cmpuint(run_answering_status_queries(m, now), ==, expected_starts);
+	/* The next heartbeat. */
+	now += 1500;
+	fixture_submit_sized(m, now, "j2", 1, 500, 10);
+	hb.cpu_milli = expected_starts ? 8000 : 1000;
+	hb.clock_ms = now;
+	hb.sequence = 9;
+	c.heartbeat = hb;
+	manager_handle_call(m, now, now, 1, &c);
+	g_assert_cmpuint(run_answering_status_queries(m, now), ==, 1);
+	jobs_free(state);
+	g_ptr_array_unref(hb.labels);
+	manager_free(m);
+}
+
+static void test_delayed_report_after_change_of_leader(void)
+{
+	check_first_report(5000, 0);
+	check_first_report(100, 1);
+}
+
+/// Labels say where a task may run. A heartbeat with as many labels as before replaces them, too.
+static void test_changed_labels_replace_earlier_ones(void)
+{
+	struct endpoint *e = endpoint_new("i-1");
+	struct endpoint_heartbeat hb = make_heartbeat("i-1", 1, 1);
+
+	g_ptr_array_add(hb.labels, (char *)"large");
+	endpoint_update(e, &hb, FIXTURE_START_MS);
+	g_assert_true(endpoint_has_label(e, "large"));
+	hb.sequence++;
+	hb.labels->pdata[0] = (char *)"small";
+	endpoint_update(e, &hb, FIXTURE_START_MS + 1500);
+	g_assert_true(endpoint_has_label(e, "small"));
+	g_assert_false(endpoint_has_label(e, "large"));
+	endpoint_free(e);
+	g_ptr_array_unref(hb.labels);
+}
+
 /// Short heartbeats received by other replicas keep an endpoint usable. The leader asks for a full
 /// heartbeat of an unknown endpoint, and a short heartbeat of an earlier incarnation must not keep
 /// the later one usable.
@@ -307,7 +450,12 @@
 	clock_ms_t now = FIXTURE_START_MS;
 	struct manager *m = fixture_manager(now);
 	struct short_heartbeat s = {
-		.id = (char *)"i-1", .incarnation_wall_ms = 1, .clock_ms = now, .sequence = 2};
+		.id = (char *)"i-1",
+		.incarnation_wall_ms = 1,
+		.clock_ms = now,
+		.sequence = 2,
+		.digest = fixture_digest("m-1", 1),
+	};
 
 	fixture_put_config(m, now);
 	g_assert_false(manager_handle_short_heartbeat(m, now, &s));
@@ -372,6 +520,12 @@
 	g_test_add_func("/scale/cost_of_moves_is_linear", test_cost_of_moves_is_linear);
 	g_test_add_func("/scale/changed_heartbeat_is_forwarded",
 			test_changed_heartbeat_is_forwarded);
+	g_test_add_func("/scale/capacity_reported_through_two_replicas",
+			test_capacity_reported_through_two_replicas);
+	g_test_add_func("/scale/delayed_report_after_change_of_leader",
+			test_delayed_report_after_change_of_leader);
+	g_test_add_func("/scale/changed_labels_replace_earlier_ones",
+			test_changed_labels_replace_earlier_ones);
 	g_test_add_func("/scale/short_heartbeats_keep_endpoints_in_use",
 			test_short_heartbeats_keep_endpoints_in_use);
 	g_test_add_func("/scale/refused_callers_retry_in_order",
