test(model): only lists of attempts tell an incarnation; heartbeats get lost

The fleet model hid faults of the class "an answer attributed to the incarnation that the order was meant for": answers to starts carried the start time of the incarnation, and a restarted endpoint sent a heartbeat at once.

Now, as in the protocol: answers to starts and stops carry a clock reading, but no start time; a restarted endpoint, under its id or another, sends no heartbeat for up to 3 s in half of the crashes; a status query that waits when its endpoint restarts gets no answer; heartbeats are lost, or arrive 1.5 to 6.5 s late, at the rates of orders, also after a later incarnation is known or another leader was elected.

"Late order to an incarnation that has executed no order made for it" (docs/findings.md, 1) was read from the fencing token, which no longer tells it: a new leader may not know of the restart either. The model now records which incarnation the leader had been told of when it sent the order. The case that the other properties leave out contains late acknowledgements beside late starts, for the same reason; the strict property contains both.

--- a/tests/model/fleet_model.cc
+++ b/tests/model/fleet_model.cc
@@ -23,6 +23,8 @@
 constexpr clock_ms_t kCancelMs = 3000;
 constexpr clock_ms_t kMaintenanceMs = 2000; ///< a maintained machine is down for this time
 constexpr clock_ms_t kMoveMs = 1500;
+/// Longest time from the start of an incarnation to its first heartbeat.
+constexpr clock_ms_t kSilentMaxMs = 3000;
 constexpr clock_ms_t kHolderLeaseMs = 3000;
 constexpr const char *kStandbyPool = "standby";
 /// Time until the leader must know that a task has become unavailable without an order, after a
@@ -111,8 +113,6 @@
 
 void Fleet::start_incarnation(Endpoint &e, bool same_id)
 {
-	e.previous_fencing_token =
-		same_id ? std::max(e.previous_fencing_token, e.fencing_token) : 0;
 	if (!same_id || e.id.empty())
 		e.id = "i-" + std::to_string(next_endpoint_id++);
 	e.incarnation_wall_ms = next_incarnation_wall_ms++;
@@ -125,11 +125,26 @@
 	e.next_completion_number = 1;
 	e.lease_until_ms = 0;
 	e.draining = false;
+	e.silent_until = 0;
 	e.drain_reported_at = 0;
 	e.up = true;
 	e.clock_offset_ms = static_cast<clock_ms_t>(random() % 50000) - now;
 }
 
+void Fleet::record_known_incarnation(const std::string &id, int64_t incarnation_wall_ms)
+{
+	int64_t &known = known_incarnations[id];
+
+	known = std::max(known, incarnation_wall_ms);
+}
+
+int64_t Fleet::known_incarnation(const struct order &o) const
+{
+	auto known = known_incarnations.find(o.instance ? o.instance : "");
+
+	return known == known_incarnations.end() ? 0 : known->second;
+}
+
 void Fleet::elect_leader()
 {
 	struct manager_settings s = {};
@@ -150,6 +165,7 @@
 	for (auto &h : held_effects)
 		effect_free(h.effect);
 	held_effects.clear();
+	known_incarnations.clear();
 	request_tokens.clear();
 	if (manager)
 		manager_free(manager);
@@ -382,12 +398,34 @@
 	return e.up && !e.cut && now >= e.down_until && e.pool != kStandbyPool;
 }
 
+/// Returns the delay of a late order or heartbeat.
+clock_ms_t Fleet::random_delay()
+{
+	return 1500 + static_cast<clock_ms_t>(random() % 5000);
+}
+
 void Fleet::send_heartbeat(Endpoint &e)
+{
+	if (!is_reachable(e) || now < e.silent_until)
+		return;
+	e.sequence++;
+	if (e.draining && !e.drain_reported_at)
+		e.drain_reported_at = now;
+	if (chance(fault.lost_percent))
+		return;
+	if (chance(fault.late_percent))
+		late_heartbeats.emplace(now + random_delay(), LateHeartbeat{e, clock_of(e)});
+	else
+		deliver_heartbeat(e, clock_of(e));
+}
+
+/// Passes a heartbeat to the leader, if there is one that reads it in time.
+void Fleet::deliver_heartbeat(const Endpoint &e, clock_ms_t clock_ms)
 {
 	struct call c = {};
 	struct endpoint_heartbeat &a = c.heartbeat;
 
-	if (!is_reachable(e) || !manager || lag_ms > kHeartbeatTimeoutMs)
+	if (!manager || lag_ms > kHeartbeatTimeoutMs)
 		return;
 	c.type = CALL_HEARTBEAT;
 	a.id = g_strdup(e.id.c_str());
@@ -400,12 +438,11 @@
 	a.cpu_milli = e.cpu;
 	a.mem_mb = e.mem;
 	a.draining = e.draining;
-	a.sequence = ++e.sequence;
-	a.clock_ms = clock_of(e);
+	a.sequence = e.sequence;
+	a.clock_ms = clock_ms;
+	record_known_incarnation(e.id, e.incarnation_wall_ms);
 	manager_handle_call(manager, now, now, ++next_token, &c);
 	call_clear(&c);
-	if (e.draining && !e.drain_reported_at)
-		e.drain_reported_at = now;
 }
 
 void Fleet::crash(unsigned int i, bool same_id)
@@ -419,6 +456,8 @@
 		task_history[run.first].record_end(now, false);
 	}
 	start_incarnation(e, same_id);
+	if (chance(50))
+		e.silent_until = now + static_cast<clock_ms_t>(random() % kSilentMaxMs);
 	send_heartbeat(e);
 	process_effects();
 }
@@ -506,7 +545,7 @@
 	if (!plan || std::string(o.payload) != "payload of " + plan->id)
 		throw RuleViolation(std::string("no such job, or not its payload: ") + o.task);
 	/* A late order for an earlier incarnation with the same id can't be told from a
-	 * current one until this incarnation has executed an order sent to it: docs/findings.md,
+	 * current one until this incarnation has executed an order made for it: docs/findings.md,
 	 * finding 1. */
 	if (late && !e.executed_current_order && !strict)
 		return make_result(o, ORDER_NO_CAPACITY);
@@ -684,7 +723,8 @@
 	return make_result(o, ORDER_REJECTED);
 }
 
-std::shared_ptr<struct order_result> Fleet::execute_order(const struct order &o, bool late)
+std::shared_ptr<struct order_result> Fleet::execute_order(const struct order &o, bool late,
+							  int64_t made_for)
 {
 	Endpoint *e;
 
@@ -704,16 +744,16 @@
 	if (o.fencing_token < e->fencing_token)
 		return make_result(o, ORDER_FENCED);
 	e->fencing_token = o.fencing_token;
-	e->executed_current_order |= o.fencing_token > e->previous_fencing_token;
+	e->executed_current_order |= made_for == e->incarnation_wall_ms;
 	switch (o.type) {
 	case ORDER_START: {
 		auto r = start(*e, o, late);
 
-		r->clock_ms = clock_of(*e);
-		r->incarnation_wall_ms = e->incarnation_wall_ms;
+		r->clock_ms = clock_of(*e); /* but no start time: only lists of attempts carry it */
 		return r;
 	}
 	case ORDER_STOP: {
+		auto r = make_result(o, ORDER_OK);
 		auto it = e->running.find(o.task);
 
 		if (it != e->running.end() && it->second.attempt == o.attempt && !late)
@@ -722,14 +762,18 @@
 			finish_attempt(*e, o.task, ATTEMPT_INTERRUPTED);
 		e->highest_ended_attempt[o.task] =
 			std::max(e->highest_ended_attempt[o.task], o.attempt);
-		return make_result(o, ORDER_OK);
+		r->clock_ms = clock_of(*e);
+		return r;
 	}
-	case ORDER_STATUS_QUERY:
+	case ORDER_STATUS_QUERY: {
+		bool hits_unfenced = late && !e->executed_current_order && !strict;
+		uint64_t ack_through = hits_unfenced ? 0 : o.ack_through;
+
 		if (o.lease_until_ms)
 			e->lease_until_ms =
 				std::max(e->lease_until_ms,
 					 std::min(o.lease_until_ms, clock_of(*e) + kLeaseMaxMs));
-		while (!e->completions.empty() && e->completions.front().number <= o.ack_through) {
+		while (!e->completions.empty() && e->completions.front().number <= ack_through) {
 			const CompletionRecord &end = e->completions.front();
 			TaskHistory &f = task_history[end.task];
 
@@ -745,6 +789,7 @@
 			e->completions.erase(e->completions.begin());
 		}
 		return list_attempts(*e, o);
+	}
 	default:
 		return make_result(o, ORDER_OK);
 	}
@@ -772,8 +817,10 @@
 void Fleet::schedule_order(std::shared_ptr<struct order> order, clock_ms_t when,
 			   bool leader_gets_answer, bool late)
 {
+	int64_t made_for = known_incarnation(*order);
+
 	orders_in_flight.emplace(when, InFlightOrder{when, term, std::move(order), false,
-						     leader_gets_answer, late, nullptr});
+						     leader_gets_answer, late, nullptr, made_for});
 }
 
 /// Throws RuleViolation if two leaders order the same machine within the lease of a holder.
@@ -817,8 +864,7 @@
 
 		orders_in_flight.emplace(no_answer.due_at, no_answer);
 		if (late)
-			schedule_order(o, now + 1500 + static_cast<clock_ms_t>(random() % 5000),
-				       false, true);
+			schedule_order(o, now + random_delay(), false, true);
 		else if (chance(50))
 			schedule_order(o, now + answer_ms, false, false);
 		return;
@@ -838,15 +884,17 @@
 	}
 	if (!f.executed) {
 		f.executed = true;
-		f.result = execute_order(*f.order, f.late);
+		f.result = execute_order(*f.order, f.late, f.made_for);
 		if (!f.leader_gets_answer)
 			return;
 		if (f.result->status == ORDER_NO_ANSWER || f.result->status == ORDER_NOT_SENT)
 			f.due_at = now + f.order->timeout_ms;
 		else if (f.order->type == ORDER_STATUS_QUERY && f.order->wait_ms &&
 			 f.result->status == ORDER_OK && !f.result->completions->len) {
+			Endpoint *e = find_endpoint(f.order->address);
+
 			pending_status_queries.push_back({now + f.order->wait_ms, f.term, f.order,
-							  find_endpoint(f.order->address)});
+							  e, e->incarnation_wall_ms});
 			return;
 		} else
 			f.due_at = now + answer_ms;
@@ -867,19 +915,22 @@
 		unread_results.pop_front();
 		if (waited > kResultMarginMs)
 			f.result = make_result(*f.order, ORDER_NO_ANSWER);
-		if (manager && f.term == term)
-			manager_handle_result(manager, now, now, f.result.get());
+		if (!manager || f.term != term)
+			continue;
+		if (f.result->incarnation_wall_ms)
+			record_known_incarnation(f.order->instance, f.result->incarnation_wall_ms);
+		manager_handle_result(manager, now, now, f.result.get());
 	}
 }
 
 /// Answers status queries that have a completion to list or whose wait time has passed. A query
-/// whose endpoint is cut off, down or has another id by then counts as unanswered or not sent.
+/// whose endpoint is cut off, down or has restarted by then counts as unanswered or not sent.
 void Fleet::answer_status_queries()
 {
 	for (size_t i = pending_status_queries.size(); i > 0; i--) {
 		PendingStatusQuery l = pending_status_queries[i - 1];
-		bool reachable = l.endpoint->id == l.order->instance && !l.endpoint->cut &&
-				 now >= l.endpoint->down_until;
+		bool reachable = l.endpoint->incarnation_wall_ms == l.incarnation_wall_ms &&
+				 !l.endpoint->cut && now >= l.endpoint->down_until;
 
 		if (reachable && l.endpoint->completions.empty() && now < l.until)
 			continue;
@@ -916,6 +967,12 @@
 		}
 		if (!pending_status_queries.empty())
 			answer_status_queries();
+		while (!late_heartbeats.empty() && late_heartbeats.begin()->first <= now) {
+			LateHeartbeat h = late_heartbeats.begin()->second;
+
+			late_heartbeats.erase(late_heartbeats.begin());
+			deliver_heartbeat(h.sender, h.clock_ms);
+		}
 		while (!orders_in_flight.empty() && orders_in_flight.begin()->first <= now) {
 			InFlightOrder f = orders_in_flight.begin()->second;
 
--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -67,13 +67,13 @@
 	/// Partitioned from the leader: sends no heartbeats and answers no orders, but goes on
 	/// executing its attempts until its lease expires.
 	bool cut = false;
+	/// Sends no heartbeats until this time, but executes orders.
+	clock_ms_t silent_until = 0;
 	/// Clock of the endpoint minus the clock of the model.
 	clock_ms_t clock_offset_ms = 0;
-	/// An order with a fencing token above `previous_fencing_token` was executed, so it was
-	/// sent to this incarnation and not to an earlier one with the same id.
+	/// An order was executed that the leader made for this incarnation, not for an earlier one
+	/// with the same id.
 	bool executed_current_order = false;
-	/// Highest fencing token that earlier incarnations with this id received.
-	uint64_t previous_fencing_token = 0;
 	uint64_t fencing_token = 0, sequence = 0, next_completion_number = 1;
 	/// End of the lease on the endpoint's clock.
 	int64_t lease_until_ms = 0;
@@ -87,9 +87,10 @@
 
 /// Faults that the model injects; percentages are chances for each order or attempt.
 struct FaultInjection {
-	/// Orders whose answer is lost; half of them are executed.
+	/// Orders whose answer is lost, half of which are executed, and heartbeats that are lost.
 	int lost_percent = 0;
-	/// Orders executed 1.5 to 6.5 s late and whose answer is lost.
+	/// Orders executed 1.5 to 6.5 s late and whose answer is lost, and heartbeats that arrive
+	/// that late.
 	int late_percent = 0;
 	/// Attempts that fail at the end of their execution time.
 	int task_fail_percent = 0;
@@ -130,7 +131,8 @@
 	/// next leader is elected after 300 to 800 ms.
 	void depose_leader();
 	/// Restarts an endpoint as a new incarnation, which loses its attempts and completion
-	/// records; does nothing while its machine is down.
+	/// records; does nothing while its machine is down. It may send no heartbeat for some
+	/// seconds.
 	/// @param same_id keeps the endpoint's id; otherwise it gets a new one
 	void crash(unsigned int endpoint, bool same_id);
 	/// Marks an endpoint as draining and sends a heartbeat that reports it.
@@ -148,9 +150,9 @@
 	bool settled() const;
 
 	FaultInjection fault;
-	/// Also executes late start orders at an incarnation that has not executed an order sent to
-	/// it. The endpoint can't tell them from orders to itself, so a task may run twice:
-	/// docs/findings.md, finding 1, open.
+	/// Also executes late start orders, and late acknowledgements, at an incarnation that has
+	/// not executed an order made for it. The endpoint can't tell them from orders to itself,
+	/// so a task may run twice: docs/findings.md, finding 1, open.
 	bool strict = false;
 	std::vector<std::unique_ptr<Endpoint>> endpoints;
 	clock_ms_t now = 100000;
@@ -196,6 +198,13 @@
 		/// Delayed by fault injection.
 		bool late;
 		std::shared_ptr<struct order_result> result;
+		/// The incarnation that the leader knew when it sent the order, or 0.
+		int64_t made_for = 0;
+	};
+	/// A heartbeat that is held up on its way.
+	struct LateHeartbeat {
+		Endpoint sender; ///< as it was when it sent the heartbeat
+		clock_ms_t clock_ms;
 	};
 	/// A status query that the endpoint answers at the next completion or at `until`.
 	struct PendingStatusQuery {
@@ -203,6 +212,7 @@
 		uint64_t term;
 		std::shared_ptr<struct order> order;
 		Endpoint *endpoint;
+		int64_t incarnation_wall_ms;
 	};
 	/// What happened to a task at all endpoints; rules are checked against it.
 	struct TaskHistory {
@@ -247,10 +257,13 @@
 	uint64_t proposed_index = 0, applied_index = 0;
 	std::deque<HeldEffect> held_effects;
 	std::multimap<clock_ms_t, InFlightOrder> orders_in_flight;
+	std::multimap<clock_ms_t, LateHeartbeat> late_heartbeats; ///< by their time of arrival
 	/// Results that the leader has not read yet, with the time of their arrival.
 	std::deque<std::pair<clock_ms_t, InFlightOrder>> unread_results;
 	std::vector<PendingStatusQuery> pending_status_queries;
 	uint64_t term = 0;
+	/// By endpoint id: the latest incarnation that the present leader has been told of.
+	std::map<std::string, int64_t> known_incarnations;
 	uint64_t next_token = 0;
 	/// By token: the job id of a submission or cancellation; true for cancellations.
 	std::map<uint64_t, std::pair<std::string, bool>> request_tokens;
@@ -265,9 +278,13 @@
 	unsigned int next_endpoint_id = 0;
 
 	bool chance(int percent);
+	void record_known_incarnation(const std::string &id, int64_t incarnation_wall_ms);
+	int64_t known_incarnation(const struct order &o) const;
 	clock_ms_t clock_of(const Endpoint &e) const;
 	void elect_leader();
 	void send_heartbeat(Endpoint &e);
+	void deliver_heartbeat(const Endpoint &e, clock_ms_t clock_ms);
+	clock_ms_t random_delay();
 	void process_effects();
 	void drop_leader();
 	void commit();
@@ -276,7 +293,8 @@
 			    bool leader_gets_answer, bool late);
 	void process_order_in_flight(InFlightOrder &f);
 	void read_results();
-	std::shared_ptr<struct order_result> execute_order(const struct order &o, bool late);
+	std::shared_ptr<struct order_result> execute_order(const struct order &o, bool late,
+							   int64_t made_for);
 	std::shared_ptr<struct order_result> start(Endpoint &e, const struct order &o, bool late);
 	std::shared_ptr<struct order_result> list_attempts(Endpoint &e, const struct order &o);
 	std::shared_ptr<struct order_result> machine_order(const struct order &o, bool late);
