fix(runs): a stop in doubt is sent again only after a fresh status answer

Callers saw: a stop ended a ready long-running task while another of its step was unavailable (AVAIL).

Cause: the stop for an unanswered start is sent again if a status answer is newer than the last stop. That answer may be a second old: the next query waits at the endpoint. A start that was held up arrived in between, the task became ready, and the repeated stop ended it.

Change: the answer must also be at most 50 ms old. The check follows each status answer.

--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -16,6 +16,7 @@
 #define STATUS_TIMEOUT_MS 700
 #define STATUS_INTERVAL_MS 25  /* one status query collects completions that are close together */
 #define RUN_TIME_MIN_MS 50     /* above STATUS_INTERVAL_MS, below the run time of tasks */
+#define STATUS_FRESH_MS 50     /* a few passes over the endpoints */
 #define FINAL_ACK_DELAY_MS 150 /* a new start at the endpoint often acknowledges them sooner */
 #define CALL_TIMEOUT_MS 900
 #define START_SEND_MAX_MS 1500 /* a start not sent within this time is placed again */
@@ -476,11 +477,16 @@
 }
 
 /// Tells whether a stop may be sent again. For a long-running attempt in doubt this requires a
-/// status query newer than the last stop, since the start may have arrived and the task be ready.
-static bool may_stop_again(const struct run *r)
+/// status answer that is newer than the last stop and fresh, since the start may have arrived and
+/// the task be ready.
+static bool may_stop_again(const struct run *r, clock_ms_t now)
 {
-	return r->state != RUN_IN_DOUBT || !r->long_running || !r->stop_sent_at ||
-	       r->endpoint->last_status_at > r->stop_sent_at || job_has_ended(r->job);
+	const struct endpoint *e = r->endpoint;
+
+	if (r->state != RUN_IN_DOUBT || !r->long_running || !r->stop_sent_at ||
+	    job_has_ended(r->job))
+		return true;
+	return e->last_status_at > r->stop_sent_at && now - e->last_status_at <= STATUS_FRESH_MS;
 }
 
 static void check_run(struct manager *m, clock_ms_t now, struct run *r)
@@ -494,7 +500,7 @@
 		health_record_failure(r->endpoint, now, r->name, false);
 	}
 	if (r->stop_wanted && !r->stopped_at && !r->stop_in_flight && now >= r->stop_at &&
-	    may_stop_again(r)) {
+	    may_stop_again(r, now)) {
 		r->stop_in_flight = true;
 		r->stop_sent_at = now;
 		send_stop(m, now, r->endpoint, r->name, r->attempt);
--- a/tests/unit/unit_runs.c
+++ b/tests/unit/unit_runs.c
@@ -26,6 +26,10 @@
 	uint64_t sequence;	     ///< of the latest heartbeat
 	bool done;		     ///< status answers of that endpoint list the attempt's end
 	unsigned int accepted;	     ///< start orders that it accepted
+	bool stops_are_lost;	     ///< stops get no answer
+	bool queries_wait;	     ///< status queries are not answered yet
+	uint64_t waiting_query;	     ///< id of the latest of them
+	unsigned int stops;	     ///< stop orders that it got
 	unsigned int queries;	     ///< status queries that it answered
 	uint64_t ack_through;	     ///< acknowledgement in the latest of them
 };
@@ -110,6 +114,7 @@
 	return r;
 }
 
+/// @return result of an order, or NULL if it has none yet
 static struct order_result *result_of(struct world *w, const struct order *o)
 {
 	struct order_result *r;
@@ -118,8 +123,15 @@
 		return order_result_new(o->id, ORDER_TRY_LATER); /* the machine service */
 	if (!w->start || g_strcmp0(o->instance, w->start->instance) != 0)
 		return other_result(w, o);
+	w->stops += o->type == ORDER_STOP;
 	if (o->type == ORDER_START ? !w->start_is_answered : w->mute)
 		return order_result_new(o->id, ORDER_NO_ANSWER);
+	if (o->type == ORDER_STOP && w->stops_are_lost)
+		return order_result_new(o->id, ORDER_NO_ANSWER);
+	if (o->type == ORDER_STATUS_QUERY && w->queries_wait) {
+		w->waiting_query = o->id;
+		return NULL;
+	}
 	r = order_result_new(o->id, ORDER_OK);
 	r->clock_ms = w->now + w->clock_offset_ms;
 	w->accepted += o->type == ORDER_START;
@@ -156,6 +168,8 @@
 			if (o->type == ORDER_START && !w->starts++)
 				w->start = g_steal_pointer(&e->u.order);
 			r = result_of(w, o);
+			if (!r)
+				continue;
 			manager_handle_result(w->m, w->now + 1, w->now + 1, r);
 			order_result_free(r);
 		}
@@ -341,6 +355,40 @@
 	world_clear(&w);
 }
 
+/// The start of a long-running task was not answered, nor is the stop for it. The start may arrive
+/// while a status query waits; the stop must not be sent again before that one is answered, or it
+/// could end a ready task.
+static void test_late_start_is_not_stopped_unseen(void)
+{
+	struct order query = {.type = ORDER_STATUS_QUERY};
+	struct order_result *r;
+	struct world w;
+
+	world_init(&w);
+	w.stops_are_lost = true;
+	fixture_submit_long_running(w.m, w.now, "j", 1000);
+	for (int i = 0; i < 1000 && !w.stops; i++)
+		run_for(&w, 1);
+	g_assert_cmpuint(w.stops, ==, 1);
+	w.incarnation_wall_ms = w.start->instance[2] - '0';
+	run_for(&w, 40); /* one more status query without the attempt */
+	w.queries_wait = true;
+	run_for(&w, 1000);
+	g_assert_cmpuint(w.stops, ==, 1);
+	w.queries_wait = false;
+	w.stops_are_lost = false;
+	w.listed = true;
+	query.instance = w.start->instance;
+	query.id = w.waiting_query;
+	r = result_of(&w, &query);
+	manager_handle_result(w.m, w.now, w.now, r);
+	order_result_free(r);
+	run_for(&w, 500);
+	g_assert_cmpuint(w.stops, ==, 1);
+	g_assert_cmpuint(w.starts, ==, 1);
+	world_clear(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -359,5 +407,7 @@
 			test_held_up_heartbeat_does_not_shorten_lease_after_restart);
 	g_test_add_func("/runs/deregistration_does_not_end_unlisted_attempt",
 			test_deregistration_does_not_end_unlisted_attempt);
+	g_test_add_func("/runs/late_start_is_not_stopped_unseen",
+			test_late_start_is_not_stopped_unseen);
 	return g_test_run();
 }
