fix(waves): an order keeps the caps of all waves of its machine

With waves that overlap, one wave could take down a machine of another one whose own order was in doubt. When that order was repeated and executed, more machines of its wave were down than its cap.

Cause: the cap of the order's own wave was checked only. Machines that are down for another wave counted for the next order, but an order that has been sent is repeated regardless, and may be executed late.

Fix: a machine goes down only if no other wave that holds it, and is not complete, is at its cap.

Test /waves/order_of_one_wave_keeps_cap_of_another, on the code before: assertion failed (s.most_down == 1): (2 == 1). It passes now.

--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -347,9 +347,44 @@
 	return (unsigned int)MIN((n_open * each + left - 1) / left, (clock_ms_t)wave->cap);
 }
 
+/// @return number of machines of a wave that are or may be down for maintenance, of whichever wave
+static unsigned int count_down(const struct manager *m, const job_wave *wave)
+{
+	unsigned int n = 0;
+
+	for (u_int i = 0; i < wave->machines.machines_len; i++) {
+		const job_wave_machine *w = &wave->machines.machines_val[i];
+
+		n += machines_is_down(m, w->machine) || (w->ordered && !w->settled);
+	}
+	return n;
+}
+
+static bool has_machine(const job_wave *wave, const char *machine)
+{
+	for (u_int i = 0; i < wave->machines.machines_len; i++)
+		if (g_str_equal(wave->machines.machines_val[i].machine, machine))
+			return true;
+	return false;
+}
+
+/// Tells whether taking a machine down would exceed the cap of another wave that it belongs to: an
+/// order of that wave may be repeated at any time.
+static bool exceeds_other_cap(const struct manager *m, const job_wave *wave, const char *machine)
+{
+	for (guint i = 0; i < m->jobs->waves->len; i++) {
+		const job_wave *other = m->jobs->waves->pdata[i];
+
+		if (other != wave && other->cap && !waves_is_complete(other) &&
+		    has_machine(other, machine) && count_down(m, other) >= other->cap)
+			return true;
+	}
+	return false;
+}
+
 static void tick_wave(struct manager *m, clock_ms_t now, clock_ms_t wall_ms, const job_wave *wave)
 {
-	unsigned int n_down = 0;
+	unsigned int n_down = count_down(m, wave);
 	unsigned int n_cordoned = 0;
 	unsigned int n_open = 0;
 	unsigned int n_wanted;
@@ -361,10 +396,8 @@
 		const struct endpoint *e = endpoint_on(m, w->machine);
 
 		n_open += !w->settled;
-		if (machines_is_down(m, w->machine) || (w->ordered && !w->settled))
-			n_down++;
-		else if (!w->settled && e && e->cordoned)
-			n_cordoned++;
+		n_cordoned += !w->settled && !w->ordered && !machines_is_down(m, w->machine) && e &&
+			      e->cordoned;
 	}
 	deadline_near = wall_ms + (clock_ms_t)(n_open / MAX(wave->cap, 1) + 1) *
 					  (m->settings.maintenance_ms + MAINTENANCE_GAP_MS) >
@@ -398,7 +431,8 @@
 			log_blocking_condition(m, maint, w->machine, e, now);
 		if (n_down >= wave->cap || (e && !e->cordoned) ||
 		    (!e && n_down >= pace && pools_lack_machines(m, now)) ||
-		    !may_start_maintenance(m, e, now, deadline_near))
+		    !may_start_maintenance(m, e, now, deadline_near) ||
+		    exceeds_other_cap(m, wave, w->machine))
 			continue;
 		send_maintenance(m, now, wave, w->machine, true, n_down);
 		n_down++;
