fix(pools): a restarted endpoint of an unanswered move gets no work

Cause: an endpoint whose machine is ordered away gets no work. A restart under its id cleared that mark, though the order was not settled: tasks were started there, and the order, or its repetition, ended them.

The mark now outlives a restart until the order is settled.

Test /pools/restarted_endpoint_of_unanswered_move_gets_no_work on the code before: "assertion failed (g_hash_table_size(w.starts) == 0): (1 == 0)".

--- a/src/sesamewood/runs/incarnations.c
+++ b/src/sesamewood/runs/incarnations.c
@@ -54,11 +54,12 @@
 	e->sequence = 0;
 	e->draining = false;
 	e->deregistered = false;
-	e->terminated = false;
 	e->has_heartbeat = false;
 	e->cordoned = false;
-	e->shutdown_ordered = false;
+	/* An order for its machine that is not settled may still shut the new incarnation down. */
+	e->shutdown_ordered &= !e->terminated && !e->alive_proof_after;
 	e->alive_proof_after = 0;
+	e->terminated = false;
 	e->failures = 0;
 	e->quarantined_until = 0;
 	e->unanswered_calls = 0;
--- a/tests/unit/unit_pools.c
+++ b/tests/unit/unit_pools.c
@@ -378,6 +378,25 @@
 	world_clear(&w);
 }
 
+/// The endpoint restarts under its id while a move of its machine is unanswered: the move may still
+/// end it, so it must get no work.
+static void test_restarted_endpoint_of_unanswered_move_gets_no_work(void)
+{
+	struct world w;
+
+	world_init(&w);
+	w.holds_moves = true;
+	fixture_heartbeat(w.m, w.now, "i-1", "m-1", 1);
+	while (!w.held_moves->len && w.now < FIXTURE_START_MS + IDLE_MAX_MS)
+		run_for(&w, MANAGER_TICK_MS);
+	g_assert_cmpuint(w.held_moves->len, ==, 1);
+	fixture_heartbeat(w.m, w.now, "i-1", "m-1", 2);
+	fixture_submit(w.m, w.now, "j", 1);
+	run_for(&w, PASSES_MS);
+	g_assert_cmpuint(g_hash_table_size(w.starts), ==, 0);
+	world_clear(&w);
+}
+
 #define WAVE_S 30
 
 static void put_wave(struct world *w, uint32_t cap)
@@ -431,6 +450,8 @@
 	g_test_add_func("/pools/unsent_move_is_ordered_again", test_unsent_move_is_ordered_again);
 	g_test_add_func("/pools/endpoint_of_unanswered_move_gets_no_work",
 			test_endpoint_of_unanswered_move_gets_no_work);
+	g_test_add_func("/pools/restarted_endpoint_of_unanswered_move_gets_no_work",
+			test_restarted_endpoint_of_unanswered_move_gets_no_work);
 	g_test_add_func("/pools/wave_leaves_idle_machines_to_surge",
 			test_wave_leaves_idle_machines_to_surge);
 	return g_test_run();
