fix(waves): no work where a maintenance order is open

Cause: a machine whose maintenance was ordered and not answered may go down at any time, also by an order of an earlier leader that is executed late. The mark that keeps work away was the leader's own and the endpoint's: a new leader placed tasks there, or counted those that ran there as available, and took down another machine of the step.

Now an endpoint gets no work, and its tasks don't count as available, while the log has an open maintenance order for its machine.

--- a/src/sesamewood/sched/capacity.c
+++ b/src/sesamewood/sched/capacity.c
@@ -1,6 +1,7 @@
 #include "sched/capacity.h"
 
 #include "sched/health.h"
+#include "sched/machines.h"
 
 #define QUARANTINED_DIVISOR 3 /* at most 1/3 of a pool is left out as quarantined */
 /// Full rebuild period. Finds changes without an event, such as missing heartbeats and expired
@@ -88,7 +89,8 @@
 	clock_ms_t max_silence_ms =
 		MISSED_HEARTBEATS_MAX * (clock_ms_t)m->settings.heartbeat_period_ms;
 
-	return health_is_eligible(e, now, max_silence_ms) && !e->cordoned && !e->shutdown_ordered;
+	return health_is_eligible(e, now, max_silence_ms) && !e->cordoned && !e->shutdown_ordered &&
+	       !machines_has_open_maintenance(m, e->machine);
 }
 
 static struct place_candidate make_candidate(const struct manager *m, struct endpoint *e,
--- a/src/sesamewood/sched/machines.c
+++ b/src/sesamewood/sched/machines.c
@@ -84,3 +84,13 @@
 
 	return maint && maint->ordered;
 }
+
+bool machines_has_open_maintenance(const struct manager *m, const char *name)
+{
+	const struct maintenance *maint =
+		g_hash_table_size(m->maintenance_by_machine)
+			? g_hash_table_lookup(m->maintenance_by_machine, name)
+			: NULL;
+
+	return maint && maint->ordered && !maint->begun;
+}
--- a/src/sesamewood/sched/machines.h
+++ b/src/sesamewood/sched/machines.h
@@ -72,4 +72,8 @@
 /// Tells whether a machine is or may be down for maintenance.
 bool machines_is_down(const struct manager *m, const char *name);
 
+/// Tells whether maintenance of a machine has been ordered, by any leader, and not answered: it may
+/// shut down whatever runs there at any time.
+bool machines_has_open_maintenance(const struct manager *m, const char *name);
+
 #endif
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -72,11 +72,12 @@
 
 /* Availability. */
 
-static bool is_ready_run(const struct run *r, clock_ms_t now)
+static bool is_ready_run(const struct manager *m, const struct run *r, clock_ms_t now)
 {
 	return r->state == RUN_CONFIRMED && r->ready_since &&
 	       now - r->ready_since >= READY_MARGIN_MS && !r->stop_wanted &&
-	       !r->endpoint->unanswered_calls && !r->endpoint->shutdown_ordered;
+	       !r->endpoint->unanswered_calls && !r->endpoint->shutdown_ordered &&
+	       !machines_has_open_maintenance(m, r->endpoint->machine);
 }
 
 static job_step_state *step_of(const struct run *r)
@@ -98,7 +99,7 @@
 		gpointer step;
 		guint n;
 
-		if (!r->long_running || !is_ready_run(r, now))
+		if (!r->long_running || !is_ready_run(m, r, now))
 			continue;
 		step = step_of(r);
 		n = GPOINTER_TO_UINT(g_hash_table_lookup(m->ready_counts, step));
@@ -127,11 +128,11 @@
 	unavailable = step->tasks.tasks_len -
 		      GPOINTER_TO_UINT(g_hash_table_lookup(m->ready_counts, step));
 	if (!e)
-		return unavailable - !is_ready_run(of, now);
+		return unavailable - !is_ready_run(m, of, now);
 	for (guint i = 0; i < e->runs->len; i++) {
 		const struct run *r = e->runs->pdata[i];
 
-		unavailable -= same_step(r, of) && !is_ready_run(r, now);
+		unavailable -= same_step(r, of) && !is_ready_run(m, r, now);
 	}
 	return unavailable;
 }
