fix(waves): short tasks are stopped before their machine goes down

The task ended at 37.591 s, the maintenance of its machine was ordered at 37.603 s, the status query that would have listed the end was cut off by the shutdown at 37.611 s, the order was answered at 37.624 s and all 16 attempts were released; the task started again at 38.054 s. With the machine gone nobody can list the end again, so no wait mends it. Class of fault: an order that destroys the record of what it ends.

Now such attempts are stopped first, and the order is sent once each has ended with a completion record; an unresponsive endpoint is bounded by its lease. A machine that is being emptied takes its share of the cap.

Evidence: /waves/short_task_ends_before_maintenance on the code before: "assertion failed (seen.stop != 0): (0 != 0)".

--- a/src/sesamewood/runs/attempts.c
+++ b/src/sesamewood/runs/attempts.c
@@ -107,12 +107,10 @@
 
 void attempts_handle_termination(struct manager *m, clock_ms_t now, struct endpoint *e)
 {
-	/* The outstanding status answer may list attempts that completed before termination. An
-	 * ordered shutdown breaks the connection, so that the query is settled soon. */
+	/* The outstanding status answer may list attempts that completed before termination. */
 	if (!e->terminated_at)
 		e->terminated_at = now;
-	if (e->status_query_open &&
-	    (e->shutdown_ordered || now - e->terminated_at < TERMINATION_WAIT_MS))
+	if (e->status_query_open && now - e->terminated_at < TERMINATION_WAIT_MS)
 		return;
 	log_info("endpoint terminated; releasing its attempts", "ENDPOINT", e->id, "RUNS",
 		 log_number(e->runs->len));
--- a/src/sesamewood/runs/attempts.h
+++ b/src/sesamewood/runs/attempts.h
@@ -31,9 +31,8 @@
 /// Releases all attempts at an endpoint with their last reported checkpoints.
 void attempts_release_all(struct manager *m, struct endpoint *e);
 
-/// Handles the certain termination of an endpoint: releases its attempts. While a status query is
-/// outstanding, waits for its result, as it may list completions; after a termination that was not
-/// ordered, for a bounded time.
+/// Handles the certain termination of an endpoint: releases its attempts. While the answer to a
+/// status query is outstanding, waits for it for a bounded time, as it may list completions.
 void attempts_handle_termination(struct manager *m, clock_ms_t now, struct endpoint *e);
 
 #endif
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -283,6 +283,29 @@
 	}
 }
 
+/// Stops the attempts of bounded run time at an endpoint whose machine is to go down, so that each
+/// of them ends with a completion record: what a machine lists while it goes down may be lost, and
+/// a task that was done would run again.
+///
+/// @return true if such attempts are left
+static bool stop_short_runs(struct endpoint *e, clock_ms_t now)
+{
+	bool any = false;
+
+	for (guint i = 0; e && i < e->runs->len; i++) {
+		struct run *r = e->runs->pdata[i];
+
+		if (r->long_running)
+			continue;
+		any = true;
+		if (r->stop_wanted)
+			continue;
+		r->stop_wanted = true;
+		e->next_check_at = now;
+	}
+	return any;
+}
+
 static void cordon(struct endpoint *e, clock_ms_t now)
 {
 	if (!e || e->cordoned)
@@ -424,7 +447,7 @@
 		if (e && e->cordoned)
 			evacuate(m, e, now);
 		if (w->ordered) {
-			if (!e || !find_blocking_run(m, e, now))
+			if ((!e || !find_blocking_run(m, e, now)) && !stop_short_runs(e, now))
 				send_maintenance(m, now, wave, w->machine, false, n_down);
 			continue;
 		}
@@ -435,6 +458,10 @@
 		    !may_start_maintenance(m, e, now, deadline_near) ||
 		    exceeds_other_cap(m, wave, w->machine))
 			continue;
+		if (stop_short_runs(e, now)) {
+			n_down++; /* it takes its share of the cap once they have ended */
+			continue;
+		}
 		send_maintenance(m, now, wave, w->machine, true, n_down);
 		n_down++;
 		n_cordoned -= n_cordoned > 0;
