fix(runs): a task whose lease may end unnoticed does not count as ready

Callers saw: a maintenance ended a ready task of a step while another of it was unavailable (AVAIL). Seen in the fleet model only, on links that lose a third of the orders.

Cause: after an unanswered call a status query grants no lease, and a new leader's first query grants none either. When that query is answered and the next one is lost, the endpoint counts as responsive until the next time-out, although its lease ends before: its long-running tasks counted as ready while the lease ended them.

Change: a listed task counts as ready only if a query that granted a lease was sent at most 2.5 s ago and answered; the rest of the lease covers the time until the next query counts as unanswered. With healthy links that age is 1 s at most.

--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -52,7 +52,8 @@
 	/// When percent last changed, or the attempt was started or first listed. Long-running
 	/// task: also when it was last listed as ready.
 	clock_ms_t progress_at;
-	clock_ms_t ready_since; ///< long-running task: when percent reached 100; 0: it is below
+	clock_ms_t ready_since; ///< long-running task: when percent reached 100; 0: it is below, or
+				///< its lease may end before a lost answer is noticed
 	/* Execution rate, percent. */
 	uint32_t pace; ///< acknowledged by the endpoint
 	uint32_t pace_wanted;
@@ -96,6 +97,8 @@
 	clock_ms_t known_since;	  ///< orders sent before this time may have been made by an earlier
 				  ///< leader or for an earlier incarnation; lease_end_ms leaves
 				  ///< out the leases that they granted
+	uint64_t lease_query;	  ///< order id of the last status query that granted a lease
+	clock_ms_t leased_at;	  ///< when the last such query that was answered was sent
 	clock_ms_t lease_sent_by; ///< when all orders so far that grant a lease were sent
 	/* Status queries and completions. */
 	bool status_query_open;	  ///< a status query is in flight
--- a/src/sesamewood/runs/incarnations.c
+++ b/src/sesamewood/runs/incarnations.c
@@ -46,6 +46,8 @@
 	e->number = 0;
 	e->clock_ms = -1;
 	e->lease_end_ms = 0;
+	e->lease_query = 0;
+	e->leased_at = 0;
 	e->fenced = false;
 	e->status_query_open = false;
 	e->terminated_at = 0;
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -14,9 +14,12 @@
 #define STATUS_WAIT_SHARED_MS 300 /* half the window of the usage figures */
 /// Added to the wait; an answer takes under 10 ms on healthy links.
 #define STATUS_TIMEOUT_MS 700
-#define STATUS_INTERVAL_MS 25  /* one status query collects completions that are close together */
-#define RUN_TIME_MIN_MS 50     /* above STATUS_INTERVAL_MS, below the run time of tasks */
-#define STATUS_FRESH_MS 50     /* a few passes over the endpoints */
+#define STATUS_INTERVAL_MS 25 /* one status query collects completions that are close together */
+#define RUN_TIME_MIN_MS 50    /* above STATUS_INTERVAL_MS, below the run time of tasks */
+#define STATUS_FRESH_MS 50    /* a few passes over the endpoints */
+/// ENDPOINT_LEASE_MS, less 2% for the endpoint's clock and the time until a query counts as
+/// unanswered.
+#define LEASE_FRESH_MS 2500
 #define FINAL_ACK_DELAY_MS 150 /* a new start at the endpoint often acknowledges them sooner */
 #define CALL_TIMEOUT_MS 900
 #define START_SEND_MAX_MS 1500 /* a start not sent within this time is placed again */
@@ -141,6 +144,7 @@
 {
 	struct order *o;
 	uint32_t wait_ms = 0;
+	bool grants_lease;
 
 	if (e->runs->len && e->fenced && !e->unanswered_calls)
 		wait_ms = is_shared(e) ? STATUS_WAIT_SHARED_MS : STATUS_WAIT_MS;
@@ -150,8 +154,11 @@
 	/* No lease after an unanswered call: the lease of an unresponsive endpoint must expire. */
 	if (e->runs->len && e->clock_ms >= 0 && !e->unanswered_calls)
 		o->lease_until_ms = extend_lease(e, now, now);
+	grants_lease = o->lease_until_ms > 0;
 	e->status_query_open = true;
 	effects_send_order(m, now, o, e, NULL, 0);
+	if (grants_lease)
+		e->lease_query = m->next_order;
 }
 
 static void send_pace(struct manager *m, clock_ms_t now, struct run *r)
@@ -323,13 +330,12 @@
 		r->state = RUN_CONFIRMED;
 	if (row->percent != r->percent)
 		r->progress_at = now;
-	if (r->long_running && row->percent >= 100) {
+	if (r->long_running && row->percent >= 100)
 		r->progress_at = now;
-		if (!r->ready_since)
-			r->ready_since = now;
-	} else {
+	if (!r->long_running || row->percent < 100 || now - r->endpoint->leased_at > LEASE_FRESH_MS)
 		r->ready_since = 0;
-	}
+	else if (!r->ready_since)
+		r->ready_since = now;
 	r->percent = row->percent;
 	r->usage = row->usage;
 	if (*row->checkpoint && g_strcmp0(r->checkpoint, row->checkpoint) != 0) {
@@ -378,6 +384,8 @@
 		return;
 	e->fenced = true;
 	e->last_status_at = now;
+	if (p->id == e->lease_query)
+		e->leased_at = p->sent_at;
 	e->acked_completion = MAX(e->acked_completion, p->ack_through);
 	for (guint i = 0; i < result->completions->len; i++) {
 		const struct completion_record *row =
