test(model): several waves, capacities that shrink, late heartbeats

The model knew one wave and endpoints of one size. It now has up to three waves that share machines, in series and overlapping, endpoints whose capacity shrinks and grows again, and copies of heartbeats that reach the leader 0.3 to 10 s late, the next leader as well.

An upkeep is checked against the cap of its wave, and of all other waves that hold the machine and are not complete; it is refused as busy while the machine is down for another wave. Before, one wave's cap was compared with all machines that were down, and an order for another wave counted as done. A start over a capacity that has shrunk is a violation once the endpoint has been in touch with a leader for contactMs and a heartbeat (4.5 s) since; late starts are checked against the largest capacity, as before.

The random actions take these in the place of a part of the long pauses, in the tests that are expected to pass; those of late_order_to_unfenced_incarnation are as they were. A property of its own fills endpoints that shrink: starts_fit_capacity_that_shrinks.

--- a/tests/model/fleet_model.cc
+++ b/tests/model/fleet_model.cc
@@ -19,6 +19,8 @@
 constexpr clock_ms_t kListedMarginMs = 100;
 constexpr clock_ms_t kHeartbeatMs = 1500;
 constexpr clock_ms_t kLeaseMaxMs = 6000;
+/// Time in which a leader in touch must have noticed that an endpoint's capacity shrank.
+constexpr clock_ms_t kShrinkNoticeMs = 3000 + kHeartbeatMs;
 constexpr clock_ms_t kDrainMs = 2000;
 constexpr clock_ms_t kCancelMs = 3000;
 constexpr clock_ms_t kMaintenanceMs = 2000; ///< a maintained machine is down for this time
@@ -321,21 +323,21 @@
 	process_effects();
 }
 
-bool Fleet::wave_is_complete() const
+bool Fleet::wave_is_complete(uint64_t number) const
 {
-	const job_wave *wave = jobs_wave(committed, 1);
+	const job_wave *wave = jobs_wave(committed, number);
 
 	return wave && waves_is_complete(wave);
 }
 
-void Fleet::wave(const std::vector<unsigned int> &indices, uint32_t cap)
+void Fleet::wave(const std::vector<unsigned int> &indices, uint32_t cap, uint64_t number)
 {
 	struct call c = {};
 
 	if (!manager)
 		return;
 	c.type = CALL_WAVE_PUT;
-	c.wave.number = 1;
+	c.wave.number = number;
 	c.wave.cap = cap;
 	c.wave_s = 20;
 	c.wave.machines.machines_val =
@@ -382,30 +384,79 @@
 	return e.up && !e.cut && now >= e.down_until && e.pool != kStandbyPool;
 }
 
-void Fleet::send_heartbeat(Endpoint &e)
+void Fleet::deliver_heartbeat(const Heartbeat &hb)
 {
 	struct call c = {};
 	struct endpoint_heartbeat &a = c.heartbeat;
 
-	if (!is_reachable(e) || !manager || lag_ms > kHeartbeatTimeoutMs)
-		return;
 	c.type = CALL_HEARTBEAT;
-	a.id = g_strdup(e.id.c_str());
-	a.incarnation_wall_ms = e.incarnation_wall_ms;
-	a.address = g_strdup(e.address.c_str());
-	a.pool = g_strdup(e.pool.c_str());
+	a.id = g_strdup(hb.id.c_str());
+	a.incarnation_wall_ms = hb.incarnation_wall_ms;
+	a.address = g_strdup(hb.address.c_str());
+	a.pool = g_strdup(hb.pool.c_str());
 	a.zone = g_strdup("z");
-	a.machine = g_strdup(e.machine.c_str());
+	a.machine = g_strdup(hb.machine.c_str());
 	a.labels = g_ptr_array_new_with_free_func(g_free);
-	a.cpu_milli = e.cpu;
-	a.mem_mb = e.mem;
-	a.draining = e.draining;
-	a.sequence = ++e.sequence;
-	a.clock_ms = clock_of(e);
+	a.cpu_milli = hb.cpu;
+	a.mem_mb = hb.mem;
+	a.draining = hb.draining;
+	a.sequence = hb.sequence;
+	a.clock_ms = hb.clock_ms;
 	manager_handle_call(manager, now, now, ++next_token, &c);
 	call_clear(&c);
+}
+
+void Fleet::send_heartbeat(Endpoint &e)
+{
+	Heartbeat hb;
+
+	if (!is_reachable(e) || !manager || lag_ms > kHeartbeatTimeoutMs)
+		return;
+	hb = {e.id,  e.address, e.pool,	    e.machine,	  e.incarnation_wall_ms,
+	      e.cpu, e.mem,	e.draining, ++e.sequence, clock_of(e)};
+	deliver_heartbeat(hb);
 	if (e.draining && !e.drain_reported_at)
 		e.drain_reported_at = now;
+	if (fault.repeated_heartbeat_percent && chance(fault.repeated_heartbeat_percent))
+		held_heartbeats.emplace(now + 300 + static_cast<clock_ms_t>(random() % 9700), hb);
+}
+
+void Fleet::deliver_held_heartbeats()
+{
+	while (!held_heartbeats.empty() && held_heartbeats.begin()->first <= now) {
+		if (manager && lag_ms <= kHeartbeatTimeoutMs)
+			deliver_heartbeat(held_heartbeats.begin()->second);
+		held_heartbeats.erase(held_heartbeats.begin());
+	}
+}
+
+void Fleet::resize(unsigned int i, uint32_t cpu, uint32_t mem)
+{
+	Endpoint &e = *endpoints[i % endpoints.size()];
+
+	trace(now, "resized", "", e.id, cpu);
+	if (cpu < e.cpu || mem < e.mem)
+		e.shrink_notice_ms = kShrinkNoticeMs;
+	e.cpu = cpu;
+	e.mem = mem;
+	e.allowed_cpu = std::max(e.allowed_cpu, cpu);
+	e.allowed_mem = std::max(e.allowed_mem, mem);
+}
+
+/// Advances the time in which a leader must notice that a capacity shrank; it counts anew when the
+/// endpoint loses touch.
+void Fleet::count_shrink_notice(Endpoint &e)
+{
+	if (!e.shrink_notice_ms)
+		return;
+	if (!manager || !is_reachable(e) || lag_ms) {
+		e.shrink_notice_ms = kShrinkNoticeMs;
+		return;
+	}
+	if (--e.shrink_notice_ms)
+		return;
+	e.allowed_cpu = e.cpu;
+	e.allowed_mem = e.mem;
 }
 
 void Fleet::crash(unsigned int i, bool same_id)
@@ -446,7 +497,7 @@
 
 /// Throws RuleViolation if the manager must not start this task at this endpoint now.
 void Fleet::check_start(const Endpoint &e, const struct order &o, const JobPlan &plan,
-			unsigned int step)
+			unsigned int step, bool late)
 {
 	const job_step &s = plan.steps[step];
 	TaskHistory &f = task_history[o.task];
@@ -460,7 +511,8 @@
 		cpu += p->steps[other].cpu_milli;
 		mem += p->steps[other].mem_mb;
 	}
-	if (cpu > e.cpu || mem > e.mem)
+	/* A late order was made for the capacity at the time when it was sent. */
+	if (late ? cpu > kCpu || mem > kMem : cpu > e.allowed_cpu || mem > e.allowed_mem)
 		throw RuleViolation(std::string("over capacity: ") + o.task);
 	for (const auto &other : endpoints)
 		if (other.get() != &e && other->up && other->running.count(o.task))
@@ -510,7 +562,7 @@
 	 * finding 1. */
 	if (late && !e.executed_current_order && !strict)
 		return make_result(o, ORDER_NO_CAPACITY);
-	check_start(e, o, *plan, step);
+	check_start(e, o, *plan, step, late);
 	run.task = o.task;
 	run.attempt = o.attempt;
 	run.started_at = now;
@@ -603,14 +655,34 @@
 				    " exceeds max_unavailable of the step: " + run.task);
 }
 
-/// Executes a maintenance order, once for each machine: ends all attempts at the endpoint and keeps
-/// the machine down for kMaintenanceMs. Throws RuleViolation if the wave's cap is exceeded.
-std::shared_ptr<struct order_result> Fleet::machine_order(const struct order &o, bool late)
+/// Throws RuleViolation if as many machines of a wave as its cap allows are down for maintenance,
+/// of whichever wave. Checks the wave of the order, and all others that hold the machine and are
+/// not complete.
+void Fleet::check_wave_cap(uint64_t number, const std::string &machine) const
 {
-	unsigned int down = 0;
+	for (guint w = 0; w < committed->waves->len; w++) {
+		auto *wave = static_cast<const job_wave *>(committed->waves->pdata[w]);
+		unsigned int down = 0;
+		bool is_member = false;
+
+		for (u_int i = 0; i < wave->machines.machines_len; i++) {
+			const char *member = wave->machines.machines_val[i].machine;
 
-	for (const auto &e : endpoints)
-		down += now < e->maintenance_until;
+			is_member |= machine == member;
+			for (const auto &e : endpoints)
+				down += now < e->maintenance_until && e->machine == member;
+		}
+		if ((wave->number == number || (is_member && !waves_is_complete(wave))) &&
+		    down >= wave->cap)
+			throw RuleViolation("more machines down than the wave's cap: " + machine);
+	}
+}
+
+/// Executes a maintenance order, once for each machine of a wave: ends all attempts at the endpoint
+/// and keeps the machine down for kMaintenanceMs. Throws RuleViolation if the wave's cap is
+/// exceeded.
+std::shared_ptr<struct order_result> Fleet::machine_order(const struct order &o, bool late)
+{
 	for (auto &e : endpoints) {
 		if (e->machine != o.machine)
 			continue;
@@ -619,12 +691,12 @@
 		machine_fencing_token[o.machine] = o.fencing_token;
 		if (now < e->down_until && now >= e->maintenance_until)
 			return make_result(o, ORDER_MACHINE_BUSY);
-		if (now < e->down_until || !maintained_machines.insert(o.machine).second)
+		if (maintained_machines.count({o.wave, o.machine}))
 			return make_result(o, ORDER_OK);
-		if (down >= jobs_wave(committed, o.wave)->cap)
-			throw RuleViolation(
-				std::string("more machines down than the wave's cap: ") +
-				o.machine);
+		if (now < e->down_until)
+			return make_result(o, ORDER_MACHINE_BUSY);
+		check_wave_cap(o.wave, o.machine);
+		maintained_machines.insert({o.wave, o.machine});
 		for (const auto &run : e->running) {
 			if (!late)
 				check_unavailability_budget(run.second, "maintenance");
@@ -905,7 +977,9 @@
 	while (now < until) {
 		now++;
 		commit();
+		deliver_held_heartbeats();
 		for (auto &e : endpoints) {
+			count_shrink_notice(*e);
 			if (!e->running.empty() || !e->completions.empty())
 				end_due_attempts(*e);
 			if ((now + static_cast<clock_ms_t>(e->machine.size() * 97 +
--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -52,11 +52,19 @@
 	bool lease_lapsed;
 };
 
+/// Largest capacity of an endpoint.
+constexpr uint32_t kCpu = 8000;
+constexpr uint32_t kMem = 64000;
+
 struct Endpoint {
 	std::string id, address, pool, machine;
 	/// Identifies the incarnation; the model uses a counter instead of a wall-clock time.
 	int64_t incarnation_wall_ms = 0;
-	uint32_t cpu = 8000, mem = 64000;
+	uint32_t cpu = kCpu, mem = kMem;
+	/// Capacity that the leader may still count on after it shrank, until the endpoint has been
+	/// in touch with a leader for another `shrink_notice_ms` on end.
+	uint32_t allowed_cpu = kCpu, allowed_mem = kMem;
+	clock_ms_t shrink_notice_ms = 0;
 	bool up = true, draining = false;
 	/// When the first heartbeat of this incarnation with `draining` set was sent, or 0.
 	clock_ms_t drain_reported_at = 0;
@@ -93,6 +101,9 @@
 	int late_percent = 0;
 	/// Attempts that fail at the end of their execution time.
 	int task_fail_percent = 0;
+	/// Heartbeats of which a copy, held up by another replica, reaches the leader 0.3 to 10 s
+	/// later.
+	int repeated_heartbeat_percent = 0;
 	/// Connections to cut endpoints are refused, so that orders to them count as not sent;
 	/// otherwise they count as unanswered.
 	bool unreachable = false;
@@ -135,12 +146,15 @@
 	void crash(unsigned int endpoint, bool same_id);
 	/// Marks an endpoint as draining and sends a heartbeat that reports it.
 	void drain(unsigned int endpoint);
-	/// Orders a maintenance wave of 20 s over the machines of the given endpoints.
+	/// Orders a maintenance wave of 20 s over the machines of the given endpoints; does nothing
+	/// if there is one with that number.
 	/// @param cap highest number of machines that may be down at once
-	void wave(const std::vector<unsigned int> &endpoints, uint32_t cap);
+	void wave(const std::vector<unsigned int> &endpoints, uint32_t cap, uint64_t number = 1);
+	/// Changes the capacity of an endpoint, which reports it with its next heartbeats.
+	void resize(unsigned int endpoint, uint32_t cpu, uint32_t mem);
 
-	/// Returns whether the ordered maintenance wave is complete in the committed state.
-	bool wave_is_complete() const;
+	/// Returns whether an ordered maintenance wave is complete in the committed state.
+	bool wave_is_complete(uint64_t number = 1) const;
 
 	/// Returns the committed phase of a job, or nothing if the job is unknown.
 	std::optional<job_phase> phase(const std::string &id) const;
@@ -197,6 +211,15 @@
 		bool late;
 		std::shared_ptr<struct order_result> result;
 	};
+	/// A heartbeat on its way to the leader.
+	struct Heartbeat {
+		std::string id, address, pool, machine;
+		int64_t incarnation_wall_ms;
+		uint32_t cpu, mem;
+		bool draining;
+		uint64_t sequence;
+		clock_ms_t clock_ms;
+	};
 	/// A status query that the endpoint answers at the next completion or at `until`.
 	struct PendingStatusQuery {
 		clock_ms_t until;
@@ -260,7 +283,10 @@
 	/// By machine: term and time of the latest order sent.
 	std::map<std::string, std::pair<uint64_t, clock_ms_t>> machine_ordered;
 	bool has_standby_pool = false;
-	std::set<std::string> maintained_machines;
+	/// By wave and machine.
+	std::set<std::pair<uint64_t, std::string>> maintained_machines;
+	/// By the time of their arrival.
+	std::multimap<clock_ms_t, Heartbeat> held_heartbeats;
 	int64_t next_incarnation_wall_ms = 1;
 	unsigned int next_endpoint_id = 0;
 
@@ -268,6 +294,10 @@
 	clock_ms_t clock_of(const Endpoint &e) const;
 	void elect_leader();
 	void send_heartbeat(Endpoint &e);
+	void deliver_heartbeat(const Heartbeat &hb);
+	void deliver_held_heartbeats();
+	void count_shrink_notice(Endpoint &e);
+	void check_wave_cap(uint64_t number, const std::string &machine) const;
 	void process_effects();
 	void drop_leader();
 	void commit();
@@ -288,7 +318,7 @@
 	void end_due_attempts(Endpoint &e);
 	void answer_status_queries();
 	void check_start(const Endpoint &e, const struct order &o, const JobPlan &plan,
-			 unsigned int step);
+			 unsigned int step, bool late);
 	void check_unavailability_budget(const RunningAttempt &run, const char *cause);
 	Endpoint *find_endpoint(const char *address);
 	void put_config(unsigned int pools);
--- a/tests/property/property_jobs.cc
+++ b/tests/property/property_jobs.cc
@@ -7,6 +7,8 @@
 #include "fleet_model.h"
 #include "property.h"
 
+#include <random>
+
 namespace
 {
 constexpr clock_ms_t kRecoveryMs = 60000;
@@ -44,7 +46,26 @@
 	return plan;
 }
 
-void apply_action(model::Fleet &fleet, uint32_t action, unsigned int &jobs)
+/// Shrinks or restores the capacity of an endpoint, repeats heartbeats late, or orders a second or
+/// third wave that shares machines with the first one.
+void apply_further_action(model::Fleet &fleet, uint32_t random)
+{
+	uint32_t kind = random % 8;
+	uint32_t r = random / 8;
+
+	if (kind < 4)
+		fleet.resize(r, 1000 + r / 8 % 4 * 1000, r / 32 % 2 ? 2000 : model::kMem);
+	else if (kind < 5)
+		fleet.resize(r, model::kCpu, model::kMem);
+	else if (kind < 6)
+		fleet.fault.repeated_heartbeat_percent = static_cast<int>(r % 30);
+	else
+		fleet.wave({r % 8, (r + 1) % 8, (r + 2) % 8, (r + 3) % 8}, 1 + r / 8 % 2,
+			   2 + r / 16 % 2);
+}
+
+/// @param further also takes further actions, in the place of one in three long advances
+void apply_action(model::Fleet &fleet, uint32_t action, unsigned int &jobs, bool further)
 {
 	uint32_t kind = action % 100;
 	uint32_t random = action / 100;
@@ -75,6 +96,8 @@
 		fleet.fault.unreachable = random % 2;
 	else if (kind < 94)
 		fleet.fault.task_fail_percent = static_cast<int>(random % 20);
+	else if (kind < 96 && further)
+		apply_further_action(fleet, random);
 	else
 		fleet.advance(500 + random % 3000);
 }
@@ -86,6 +109,7 @@
 	fleet.fault = {};
 	for (unsigned int i = 0; i < fleet.endpoints.size(); i++) {
 		fleet.endpoints[i]->cut = false;
+		fleet.resize(i, model::kCpu, model::kMem);
 		if (fleet.endpoints[i]->draining)
 			fleet.crash(i, false);
 	}
@@ -111,7 +135,7 @@
 	fleet.strict = strict;
 	try {
 		for (uint32_t action : actions)
-			apply_action(fleet, action, jobs);
+			apply_action(fleet, action, jobs, !strict);
 		reached.actions += actions.size();
 		reached.cancelled += fleet.cancelled.size();
 		recover(fleet, jobs);
@@ -216,6 +240,43 @@
 	}
 	RC_ASSERT(fleet.settled());
 }
+
+/// Capacities shrink and grow while more tasks wait than fit. Copies of earlier heartbeats arrive
+/// late, and leaders change. Starts must fit the newest capacity once it is known; whatever was
+/// ordered or is being stopped counts against it.
+void starts_fit_capacity_that_shrinks(uint32_t seed)
+{
+	constexpr unsigned int kRounds = 12;
+	std::mt19937 random(seed);
+	model::Fleet fleet(seed, 1, 3);
+	unsigned int jobs = 0;
+
+	fleet.advance(1000); /* until the configuration is committed */
+	fleet.fault.repeated_heartbeat_percent = 30;
+	fleet.fault.lost_percent = static_cast<int>(random() % 5);
+	try {
+		for (unsigned int round = 0; round < kRounds; round++) {
+			for (unsigned int i = 0; i < 4; i++) {
+				model::JobPlan plan = plan_of(jobs, 0);
+
+				plan.id = "job" + std::to_string(jobs++);
+				plan.task_ms = 500 + random() % 2000;
+				plan.steps = {step_of(3 + random() % 3 * 4, false)};
+				fleet.submit(plan);
+			}
+			fleet.resize(random(), 1000 + random() % 8 * 1000,
+				     random() % 2 ? 4000 : model::kMem);
+			if (random() % 4 == 0)
+				fleet.depose_leader();
+			if (random() % 8 == 0)
+				fleet.cancel("job" + std::to_string(random() % jobs));
+			fleet.advance(500 + random() % 7000);
+		}
+	} catch (const model::RuleViolation &broken) {
+		RC_FAIL(broken.what());
+	}
+	RC_ASSERT(fleet.starts > kRounds);
+}
 } // namespace
 
 int main()
@@ -235,6 +296,9 @@
 	property.check("lagging_leader_loses_no_work", [] {
 		lagging_leader_loses_no_work(*rc::gen::inRange<uint32_t>(0, 1000000));
 	});
+	property.check("starts_fit_capacity_that_shrinks", [] {
+		starts_fit_capacity_that_shrinks(*rc::gen::inRange<uint32_t>(0, 1000000));
+	});
 	property.check("late_order_to_unfenced_incarnation",
 		       [] { invariants_hold_under_faults(*actions(120), true); });
 	std::printf("# reached: %lu actions, %lu jobs, %lu starts, %lu done, %lu leaders deposed, "
