--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -52,11 +52,19 @@
 	bool lease_lapsed;
 };
 
+/// Largest capacity of an endpoint.
+constexpr uint32_t kCpu = 8000;
+constexpr uint32_t kMem = 64000;
+
 struct Endpoint {
 	std::string id, address, pool, machine;
 	/// Identifies the incarnation; the model uses a counter instead of a wall-clock time.
 	int64_t incarnation_wall_ms = 0;
-	uint32_t cpu = 8000, mem = 64000;
+	uint32_t cpu = kCpu, mem = kMem;
+	/// Capacity that the leader may still count on after it shrank, until the endpoint has been
+	/// in touch with a leader for another `shrink_notice_ms` on end.
+	uint32_t allowed_cpu = kCpu, allowed_mem = kMem;
+	clock_ms_t shrink_notice_ms = 0;
 	bool up = true, draining = false;
 	/// When the first heartbeat of this incarnation with `draining` set was sent, or 0.
 	clock_ms_t drain_reported_at = 0;
@@ -94,6 +102,9 @@
 	int late_percent = 0;
 	/// Attempts that fail at the end of their execution time.
 	int task_fail_percent = 0;
+	/// Heartbeats of which a copy, held up by another replica, reaches the leader 0.3 to 10 s
+	/// later.
+	int repeated_heartbeat_percent = 0;
 	/// Connections to cut endpoints are refused, so that orders to them count as not sent;
 	/// otherwise they count as unanswered.
 	bool unreachable = false;
@@ -137,12 +148,15 @@
 	void crash(unsigned int endpoint, bool same_id);
 	/// Marks an endpoint as draining and sends a heartbeat that reports it.
 	void drain(unsigned int endpoint);
-	/// Orders a maintenance wave of 20 s over the machines of the given endpoints.
+	/// Orders a maintenance wave of 20 s over the machines of the given endpoints; does nothing
+	/// if there is one with that number.
 	/// @param cap highest number of machines that may be down at once
-	void wave(const std::vector<unsigned int> &endpoints, uint32_t cap);
+	void wave(const std::vector<unsigned int> &endpoints, uint32_t cap, uint64_t number = 1);
+	/// Changes the capacity of an endpoint, which reports it with its next heartbeats.
+	void resize(unsigned int endpoint, uint32_t cpu, uint32_t mem);
 
-	/// Returns whether the ordered maintenance wave is complete in the committed state.
-	bool wave_is_complete() const;
+	/// Returns whether an ordered maintenance wave is complete in the committed state.
+	bool wave_is_complete(uint64_t number = 1) const;
 
 	/// Returns the committed phase of a job, or nothing if the job is unknown.
 	std::optional<job_phase> phase(const std::string &id) const;
@@ -201,9 +215,13 @@
 		/// The incarnation that the leader knew when it sent the order, or 0.
 		int64_t made_for = 0;
 	};
-	/// A heartbeat that is held up on its way.
-	struct LateHeartbeat {
-		Endpoint sender; ///< as it was when it sent the heartbeat
+	/// A heartbeat on its way to the leader.
+	struct Heartbeat {
+		std::string id, address, pool, machine;
+		int64_t incarnation_wall_ms;
+		uint32_t cpu, mem;
+		bool draining;
+		uint64_t sequence;
 		clock_ms_t clock_ms;
 	};
 	/// A status query that the endpoint answers at the next completion or at `until`.
@@ -257,7 +275,6 @@
 	uint64_t proposed_index = 0, applied_index = 0;
 	std::deque<HeldEffect> held_effects;
 	std::multimap<clock_ms_t, InFlightOrder> orders_in_flight;
-	std::multimap<clock_ms_t, LateHeartbeat> late_heartbeats; ///< by their time of arrival
 	/// Results that the leader has not read yet, with the time of their arrival.
 	std::deque<std::pair<clock_ms_t, InFlightOrder>> unread_results;
 	std::vector<PendingStatusQuery> pending_status_queries;
@@ -273,7 +290,10 @@
 	/// By machine: term and time of the latest order sent.
 	std::map<std::string, std::pair<uint64_t, clock_ms_t>> machine_ordered;
 	bool has_standby_pool = false;
-	std::set<std::string> maintained_machines;
+	/// By wave and machine.
+	std::set<std::pair<uint64_t, std::string>> maintained_machines;
+	/// By the time of their arrival.
+	std::multimap<clock_ms_t, Heartbeat> held_heartbeats;
 	int64_t next_incarnation_wall_ms = 1;
 	unsigned int next_endpoint_id = 0;
 
@@ -283,8 +303,12 @@
 	clock_ms_t clock_of(const Endpoint &e) const;
 	void elect_leader();
 	void send_heartbeat(Endpoint &e);
-	void deliver_heartbeat(const Endpoint &e, clock_ms_t clock_ms);
 	clock_ms_t random_delay();
+	void deliver_heartbeat(const Heartbeat &hb);
+	void deliver_held_heartbeats();
+	void count_shrink_notice(Endpoint &e);
+	void restart_shrink_notice(Endpoint &e);
+	void check_wave_cap(uint64_t number, const std::string &machine) const;
 	void process_effects();
 	void drop_leader();
 	void commit();
@@ -306,7 +330,7 @@
 	void end_due_attempts(Endpoint &e);
 	void answer_status_queries();
 	void check_start(const Endpoint &e, const struct order &o, const JobPlan &plan,
-			 unsigned int step);
+			 unsigned int step, bool late);
 	void check_unavailability_budget(const RunningAttempt &run, const char *cause);
 	Endpoint *find_endpoint(const char *address);
 	void put_config(unsigned int pools);
