feat(runs): log why an endpoint is known to have ended unexpectedly

An operator could not tell a crash from a move: both were logged as "endpoint terminated; releasing its attempts". The leader now says, for each end that nobody ordered or announced, how it is known, how long the endpoint has been silent, and how long each attempt had run when the endpoint was last known to be alive (at most 24 attempts a line).

--- a/src/sesamewood/runs/attempts.c
+++ b/src/sesamewood/runs/attempts.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 
+#define LOGGED_ATTEMPTS_MAX 24	/* limits the line to about 1 KB */
 #define TERMINATION_WAIT_MS 120 /* an answer in flight takes at most 10 ms on healthy links */
 
 char *attempts_task_name(const job_task_ref *ref)
@@ -105,6 +106,68 @@
 	}
 }
 
+bool attempts_end_is_expected(const struct manager *m, clock_ms_t now, const struct endpoint *e)
+{
+	return e->draining || e->deregistered || e->shutdown_ordered ||
+	       (*e->machine && cooldown_applies(m->cooldown, e->machine, now));
+}
+
+static const char *end_text(enum endpoint_end end)
+{
+	switch (end) {
+	case ENDPOINT_END_EXPECTED:
+		return "expected";
+	case ENDPOINT_END_RESTARTED:
+		return "later incarnation under its id";
+	case ENDPOINT_END_REPLACED:
+		return "another incarnation at its address";
+	case ENDPOINT_END_SILENT:
+		return "leases expired";
+	}
+	return "unknown";
+}
+
+/// @return how long the attempt had run when its endpoint was last known to be alive, ms; 0 if it
+/// is not known to have run
+static clock_ms_t age_when_last_alive(const struct run *r)
+{
+	if (r->state != RUN_CONFIRMED)
+		return 0;
+	return MAX(r->endpoint->last_alive_at - r->started_at, 0);
+}
+
+void attempts_log_loss(const struct endpoint *e, clock_ms_t now, enum endpoint_end end)
+{
+	g_autoptr(GString) list = g_string_new(NULL);
+
+	for (guint i = 0; i < e->runs->len && i < LOGGED_ATTEMPTS_MAX; i++) {
+		const struct run *r = e->runs->pdata[i];
+
+		g_string_append_printf(list, "%s%s/%u:%" G_GINT64_FORMAT "ms%s", i ? " " : "",
+				       r->name, r->attempt, (gint64)age_when_last_alive(r),
+				       r->state == RUN_CONFIRMED ? "" : "?");
+	}
+	log_warning("endpoint ended unexpectedly", "ENDPOINT", e->id, "MACHINE", e->machine, "POOL",
+		    e->pool, "KNOWN_BY", end_text(end), "SILENT_MS",
+		    log_number(e->last_alive_at ? (guint64)(now - e->last_alive_at) : 0), "RUNS",
+		    log_number(e->runs->len), "ATTEMPTS", list->str);
+}
+
+void attempts_handle_loss(struct manager *m, clock_ms_t now, struct endpoint *e,
+			  enum endpoint_end end)
+{
+	if (!e->terminated_at && !attempts_end_is_expected(m, now, e))
+		e->end = end;
+	attempts_handle_termination(m, now, e);
+}
+
+void attempts_release_lost(struct manager *m, clock_ms_t now, struct endpoint *e)
+{
+	if (!attempts_end_is_expected(m, now, e))
+		attempts_log_loss(e, now, ENDPOINT_END_SILENT);
+	attempts_release_all(m, e);
+}
+
 void attempts_handle_termination(struct manager *m, clock_ms_t now, struct endpoint *e)
 {
 	/* The outstanding status answer may list attempts that completed before termination. */
@@ -112,6 +175,8 @@
 		e->terminated_at = now;
 	if (e->status_query_open && now - e->terminated_at < TERMINATION_WAIT_MS)
 		return;
+	if (e->end != ENDPOINT_END_EXPECTED && !e->terminated)
+		attempts_log_loss(e, now, e->end);
 	log_info("endpoint terminated; releasing its attempts", "ENDPOINT", e->id, "RUNS",
 		 log_number(e->runs->len));
 	attempts_release_all(m, e);
--- a/src/sesamewood/runs/attempts.h
+++ b/src/sesamewood/runs/attempts.h
@@ -35,4 +35,18 @@
 /// status query is outstanding, waits for it for a bounded time, as it may list completions.
 void attempts_handle_termination(struct manager *m, clock_ms_t now, struct endpoint *e);
 
+/// Handles the termination of an endpoint that this leader may not have ordered: records how it
+/// became known, then works as attempts_handle_termination().
+void attempts_handle_loss(struct manager *m, clock_ms_t now, struct endpoint *e,
+			  enum endpoint_end end);
+
+/// Releases all attempts at an unresponsive endpoint whose leases have expired.
+void attempts_release_lost(struct manager *m, clock_ms_t now, struct endpoint *e);
+
+/// Logs the unexpected end of an endpoint with its attempts.
+void attempts_log_loss(const struct endpoint *e, clock_ms_t now, enum endpoint_end end);
+
+/// Tells whether an endpoint's end was ordered by a leader or announced by the endpoint.
+bool attempts_end_is_expected(const struct manager *m, clock_ms_t now, const struct endpoint *e);
+
 #endif
--- a/src/sesamewood/runs/endpoint.c
+++ b/src/sesamewood/runs/endpoint.c
@@ -85,6 +85,7 @@
 
 void endpoint_record_clock(struct endpoint *e, int64_t clock_ms, clock_ms_t now)
 {
+	e->last_alive_at = MAX(e->last_alive_at, now);
 	if (e->clock_ms >= 0 && endpoint_clock_now_ms(e, now) >= clock_ms + CLOCK_ROUNDING_MS &&
 	    now - e->clock_at < 10000)
 		return; /* a delayed answer gives a less exact reading */
--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -57,6 +57,14 @@
 	bool pace_in_flight; ///< a pace order is in flight
 };
 
+/// Why it is known that an endpoint has ended.
+enum endpoint_end {
+	ENDPOINT_END_EXPECTED,	///< it was ordered or announced, or the endpoint has not ended
+	ENDPOINT_END_RESTARTED, ///< a later incarnation uses its id
+	ENDPOINT_END_REPLACED,	///< another incarnation uses its address
+	ENDPOINT_END_SILENT,	///< its leases have expired: it has crashed or is only unreachable
+};
+
 /// An amount of processor, memory and accelerators.
 struct resources {
 	int64_t cpu_milli;
@@ -85,7 +93,8 @@
 	bool terminated;   ///< certainly terminated: it runs no attempt
 	uint64_t sequence; ///< of the latest heartbeat
 	clock_ms_t last_heartbeat_at;
-	clock_ms_t cold_until; ///< end of its cold start, during which it runs slowly
+	clock_ms_t last_alive_at; ///< latest heartbeat or answer of this incarnation; 0: none
+	clock_ms_t cold_until;	  ///< end of its cold start, during which it runs slowly
 	/* Clock and lease. */
 	int64_t clock_ms; ///< steady clock reading, taken no later than clock_at; -1: unknown
 	clock_ms_t clock_at;
@@ -94,6 +103,7 @@
 	/* Status queries and completions. */
 	bool status_query_open;	  ///< a status query is in flight
 	clock_ms_t terminated_at; ///< when its termination became known; 0: not terminated
+	enum endpoint_end end;	  ///< how its termination became known
 	bool fenced;		  ///< it has seen this leader's fencing token
 	bool needs_fencing; ///< a later incarnation uses its id: late orders for the earlier one
 			    ///< must be rejected by a fencing token
--- a/src/sesamewood/runs/incarnations.c
+++ b/src/sesamewood/runs/incarnations.c
@@ -54,6 +54,8 @@
 	e->fenced = false;
 	e->status_query_open = false;
 	e->terminated_at = 0;
+	e->end = ENDPOINT_END_EXPECTED;
+	e->last_alive_at = 0;
 	e->last_completion = 0;
 	e->sequence = 0;
 	e->draining = false;
@@ -71,6 +73,8 @@
 void incarnations_handle_restart(struct manager *m, clock_ms_t now, struct endpoint *e,
 				 int64_t incarnation_wall_ms)
 {
+	if (!e->terminated && !attempts_end_is_expected(m, now, e))
+		attempts_log_loss(e, now, ENDPOINT_END_RESTARTED);
 	log_info("endpoint restarted; stopping or releasing its attempts", "ENDPOINT", e->id,
 		 "RUNS", log_number(e->runs->len));
 	for (guint i = e->runs->len; i > 0; i--) {
@@ -109,7 +113,7 @@
 		if (e != holder && !e->terminated && e->address_hash == holder->address_hash &&
 		    g_str_equal(e->address, holder->address) &&
 		    e->incarnation_wall_ms < holder->incarnation_wall_ms)
-			attempts_handle_termination(m, now, e);
+			attempts_handle_loss(m, now, e, ENDPOINT_END_REPLACED);
 	}
 }
 
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -159,7 +159,7 @@
 		return;
 	}
 	if (result->status == ORDER_WRONG_INSTANCE) {
-		attempts_handle_termination(m, now, e);
+		attempts_handle_loss(m, now, e, ENDPOINT_END_REPLACED);
 		return;
 	}
 	if (result->status == ORDER_NO_ANSWER || result->status == ORDER_NOT_SENT) {
@@ -517,7 +517,7 @@
 		log_warning(
 			"leases of an unresponsive endpoint have expired; releasing its attempts",
 			"ENDPOINT", e->id, "RUNS", log_number(e->runs->len));
-		attempts_release_all(m, e);
+		attempts_release_lost(m, now, e);
 	}
 	if (now >= e->next_check_at) {
 		e->next_check_at = now + RUN_CHECK_INTERVAL_MS;
