fix(jobs): give a task up after the endpoints that started it have crashed

Cause: the loss of an endpoint was JOB_ATTEMPT_RELEASED, which nothing counts; so nothing bounded the starts, and no change of leader could know of earlier ones.

The end of an attempt now says whether its endpoint crashed under it: certainly and right after its start, with or without another job that may be the cause, or possibly (silence, later, seen by a new leader only). Not counted: drains, deregistrations, moves and maintenance that were ordered or are in doubt, refused starts and acknowledged stops. A job fails after three crashes right after a start, after two if only it can have caused one of them, and after five of any sort: a crash long after the start points to all tasks that were there, and two starts after the third crash keep the rule. Tasks of a failed job that have an availability budget run on until the job is cancelled: stopping them would exceed it, since the task that was given up is away ("stop order exceeds max_unavailable", seen in the model).

--- a/src/sesamewood/jobs/jobs.c
+++ b/src/sesamewood/jobs/jobs.c
@@ -137,6 +137,18 @@
 	return job->image.phase >= JOB_COMPLETED;
 }
 
+bool job_keeps_running(const struct job *job, uint32_t step)
+{
+	return job->image.phase == JOB_FAILED && step < job->image.spec.steps.steps_len &&
+	       job->image.spec.steps.steps_val[step].max_unavailable;
+}
+
+bool job_task_is_given_up(const job_task *task)
+{
+	return task->crashes >= JOBS_CRASHES_MAX || task->early_crashes >= JOBS_EARLY_CRASHES_MAX ||
+	       (task->singled_out && task->early_crashes >= JOBS_SINGLED_OUT_CRASHES_MAX);
+}
+
 int64_t job_due_wall_ms(const struct job *job, uint32_t occurrence)
 {
 	const job_spec *spec = &job->image.spec;
@@ -269,6 +281,8 @@
 
 	if (!job)
 		return;
+	if (job->image.phase == JOB_FAILED && job->assigned)
+		job->image.phase = JOB_CANCELLED;
 	end_job(job, JOB_CANCELLED, c->at_wall_ms);
 	drop_ended_job_details(job);
 }
@@ -310,6 +324,7 @@
 	task->phase = JOB_TASK_ASSIGNED;
 	task->attempt = s->attempt;
 	task->endpoint = s->endpoint;
+	task->started_wall_ms = s->at_wall_ms;
 	incarnation->assigned++;
 	job->assigned++;
 	job->started++;
@@ -370,6 +385,31 @@
 	end_job(job, JOB_FAILED, 0);
 }
 
+/// Clears a task of the crashes that an attempt's run time proves not to be its fault.
+static void clear_crashes(job_task *task, job_attempt_age age)
+{
+	if (age >= JOB_ATTEMPT_STARTED) {
+		task->early_crashes = 0;
+		task->singled_out = false;
+	}
+	if (age >= JOB_ATTEMPT_SETTLED)
+		task->crashes = 0;
+}
+
+static void crash_attempt(struct jobs *j, struct job *job, const job_attempt_end *e, job_task *task)
+{
+	if (task->phase != JOB_TASK_ASSIGNED)
+		return;
+	release_task(j, job, task);
+	task->crashes++;
+	task->early_crashes += e->cause != JOB_ATTEMPT_LOST;
+	task->singled_out |= e->cause == JOB_ATTEMPT_CRASHED_ALONE;
+	if (!job_task_is_given_up(task))
+		return;
+	task->phase = JOB_TASK_FAILED;
+	end_job(job, JOB_FAILED, 0);
+}
+
 static void apply_attempt_end(struct jobs *j, const job_attempt_end *e)
 {
 	struct job *job = jobs_find(j, e->task.job);
@@ -379,6 +419,7 @@
 		return;
 	if (*e->checkpoint)
 		codec_set_string(&task->checkpoint, e->checkpoint);
+	clear_crashes(task, e->age);
 	switch (e->cause) {
 	case JOB_ATTEMPT_DONE:
 		complete_attempt(j, job, e, task);
@@ -389,6 +430,11 @@
 	case JOB_ATTEMPT_RELEASED:
 		release_task(j, job, task);
 		break;
+	case JOB_ATTEMPT_LOST:
+	case JOB_ATTEMPT_CRASHED:
+	case JOB_ATTEMPT_CRASHED_ALONE:
+		crash_attempt(j, job, e, task);
+		break;
 	}
 	drop_ended_job_details(job);
 }
--- a/src/sesamewood/jobs/jobs.h
+++ b/src/sesamewood/jobs/jobs.h
@@ -11,6 +11,16 @@
 #include <glib.h>
 #include <stdbool.h>
 
+/// A task is given up after so many crashes of endpoints right after its start.
+#define JOBS_EARLY_CRASHES_MAX 3
+
+/// The same, if only its job can have caused one of them.
+#define JOBS_SINGLED_OUT_CRASHES_MAX 2
+
+/// A task is given up after so many crashes at whatever time after its start, those of endpoints
+/// that are only silent included.
+#define JOBS_CRASHES_MAX 5
+
 /// A job with its stored image and counters that are derived from it.
 struct job {
 	job_image image;
@@ -84,9 +94,16 @@
 /// @return the endpoint incarnation with that number, or NULL
 struct job_incarnation_state *jobs_incarnation(const struct jobs *j, uint32_t number);
 
+/// Tells whether a task is given up for the crashes that are counted in it.
+bool job_task_is_given_up(const job_task *task);
+
 /// @return true if the job has completed, failed or been cancelled
 bool job_has_ended(const struct job *job);
 
+/// Tells whether tasks of an ended job run on until it is cancelled: those with an availability
+/// budget, in which the task that was given up counts as unavailable.
+bool job_keeps_running(const struct job *job, uint32_t step);
+
 /// @return wall-clock time at which an occurrence is due; for a job without occurrences, the time
 /// at which it was accepted
 int64_t job_due_wall_ms(const struct job *job, uint32_t occurrence);
--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -202,6 +202,7 @@
 {
 	enum work_kind before = work_enter(WORK_ATTEMPTS);
 
+	m->wall_offset_ms = wall_ms - now;
 	runs_tick(m, now);
 	work_enter(WORK_WAVES);
 	waves_tick(m, now, wall_ms);
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -15,6 +15,7 @@
 	struct jobs *jobs; ///< with all committed and proposed commands applied
 	uint64_t term;
 	clock_ms_t leader_since;	  ///< start of this leadership
+	clock_ms_t wall_offset_ms;	  ///< wall clock minus steady clock; 0: not known yet
 	GPtrArray *effects;		  ///< struct effect emitted since manager_take_effects()
 	uint64_t next_order;		  ///< id of the latest order
 	GHashTable *endpoints;		  ///< struct endpoint by id
--- a/src/sesamewood/rpc/sesamewood.x
+++ b/src/sesamewood/rpc/sesamewood.x
@@ -225,6 +225,10 @@
 	unsigned int attempt;
 	unsigned int failures;
 	unsigned int endpoint;             /* number of the endpoint's incarnation, 0: none */
+	hyper started_wall_ms;             /* start of the latest attempt */
+	unsigned int crashes;              /* attempts whose endpoint crashed, or may have crashed */
+	unsigned int early_crashes;        /* those whose endpoint crashed right after their start */
+	bool singled_out;                  /* in one of these, only its job can be the cause */
 	string checkpoint<256>;
 };
 
@@ -291,19 +295,31 @@
 struct job_attempt_start {
 	unsigned int endpoint;
 	unsigned int attempt;
+	hyper at_wall_ms;
 	job_task_ref task;
 };
 
 enum job_attempt_end_cause {
 	JOB_ATTEMPT_DONE = 0,
 	JOB_ATTEMPT_FAILED = 1,                /* counts towards max_attempts */
-	JOB_ATTEMPT_RELEASED = 2               /* did not run, or was stopped or interrupted */
+	JOB_ATTEMPT_RELEASED = 2,              /* did not run, or was stopped or interrupted */
+	JOB_ATTEMPT_LOST = 3,                  /* its endpoint may have crashed under it */
+	JOB_ATTEMPT_CRASHED = 4,               /* its endpoint crashed right after its start */
+	JOB_ATTEMPT_CRASHED_ALONE = 5          /* the same, and only its job can be the cause */
+};
+
+/* How long an attempt is known to have run. */
+enum job_attempt_age {
+	JOB_ATTEMPT_STARTING = 0,              /* its start may still crash the endpoint */
+	JOB_ATTEMPT_STARTED = 1,               /* it did not crash the endpoint by its start */
+	JOB_ATTEMPT_SETTLED = 2                /* so long that earlier crashes were not its fault */
 };
 
 struct job_attempt_end {
 	unsigned int attempt;
 	job_task_ref task;
 	job_attempt_end_cause cause;
+	job_attempt_age age;
 	string checkpoint<256>;
 };
 
--- a/src/sesamewood/runs/attempts.c
+++ b/src/sesamewood/runs/attempts.c
@@ -1,11 +1,15 @@
 #include "runs/attempts.h"
 
 #include "base/log.h"
+#include "sched/cooldown.h"
 #include "sched/pace.h"
+#include "sched/suspects.h"
 
 #include <string.h>
 
-#define LOGGED_ATTEMPTS_MAX 24	/* limits the line to about 1 KB */
+#define LOGGED_ATTEMPTS_MAX 24 /* limits the line to about 1 KB */
+/// Time in which an earlier leader would have noticed the end of an endpoint; covers its restart.
+#define PREDECESSOR_NOTICE_MS 5000
 #define TERMINATION_WAIT_MS 120 /* an answer in flight takes at most 10 ms on healthy links */
 
 char *attempts_task_name(const job_task_ref *ref)
@@ -34,6 +38,7 @@
 			 const struct job *job, const job_task_ref *ref, uint32_t attempt)
 {
 	const job_step *step = &job->image.spec.steps.steps_val[ref->step];
+	const job_task *task = jobs_task(m->jobs, ref);
 	struct run *r = g_new0(struct run, 1);
 
 	*r = (struct run){
@@ -56,6 +61,8 @@
 		.pace = PACE_FULL,
 		.pace_wanted = PACE_FULL,
 	};
+	r->loss = JOB_ATTEMPT_RELEASED;
+	r->suspected = task && suspects_is_suspected(task);
 	r->ref.job = g_strdup(ref->job);
 	g_hash_table_replace(m->runs, r->name, r);
 	endpoint_add_run(e, r);
@@ -70,17 +77,41 @@
 	g_hash_table_remove(m->runs, r->name);
 }
 
+/// @return how long the attempt had run when its endpoint was last known to be alive, ms; 0 if it
+/// is not known to have run
+static clock_ms_t age_when_last_alive(const struct manager *m, const struct run *r)
+{
+	const struct endpoint *e = r->endpoint;
+	const job_task *task = jobs_task(m->jobs, &r->ref);
+	clock_ms_t inherited_ms;
+
+	if (!r->inherited)
+		return r->state == RUN_CONFIRMED ? MAX(e->last_alive_at - r->started_at, 0) : 0;
+	/* Ordered by an earlier leader, which would have noticed an end long before. */
+	inherited_ms = m->leader_since + m->wall_offset_ms - (task ? task->started_wall_ms : 0) -
+		       PREDECESSOR_NOTICE_MS;
+	if (!task || !task->started_wall_ms || !m->wall_offset_ms)
+		inherited_ms = 0;
+	return MAX(inherited_ms, 0) +
+	       (r->state == RUN_CONFIRMED ? MAX(e->last_alive_at - r->started_at, 0) : 0);
+}
+
 void attempts_release(struct manager *m, struct run *r, job_attempt_end_cause cause,
 		      const char *checkpoint)
 {
 	bool was_open = !job_has_ended(r->job);
+	const job_task *task = jobs_task(m->jobs, &r->ref);
+	uint32_t crashes = task ? task->crashes + 1 : 0;
+	uint32_t early = task ? task->early_crashes + (r->loss != JOB_ATTEMPT_LOST) : 0;
+	bool is_loss = cause == JOB_ATTEMPT_RELEASED && r->loss != JOB_ATTEMPT_RELEASED;
 	job_command c = {
 		.type = JOB_COMMAND_ATTEMPT_END,
 		.job_command_u.end =
 			{
 				.attempt = r->attempt,
 				.task = r->ref,
-				.cause = cause,
+				.cause = is_loss ? r->loss : cause,
+				.age = suspects_age(age_when_last_alive(m, r)),
 				.checkpoint = (char *)checkpoint,
 			},
 	};
@@ -91,6 +122,10 @@
 	if (cause == JOB_ATTEMPT_FAILED)
 		log_info("attempt failed", "TASK", r->name, "ATTEMPT", log_number(r->attempt),
 			 "ENDPOINT", r->endpoint->id);
+	if (is_loss && was_open && r->job->image.phase == JOB_FAILED)
+		log_info("task is given up, since endpoints crash under it", "TASK", r->name,
+			 "ATTEMPT", log_number(r->attempt), "CRASHES", log_number(crashes), "EARLY",
+			 log_number(early), "CAUSE", log_number(r->loss));
 	if (job_has_ended(r->job) && was_open)
 		log_info("job ended", "JOB", r->ref.job, "PHASE", log_number(r->job->image.phase),
 			 "ATTEMPTS", log_number(r->job->started));
@@ -127,16 +162,8 @@
 	return "unknown";
 }
 
-/// @return how long the attempt had run when its endpoint was last known to be alive, ms; 0 if it
-/// is not known to have run
-static clock_ms_t age_when_last_alive(const struct run *r)
-{
-	if (r->state != RUN_CONFIRMED)
-		return 0;
-	return MAX(r->endpoint->last_alive_at - r->started_at, 0);
-}
-
-void attempts_log_loss(const struct endpoint *e, clock_ms_t now, enum endpoint_end end)
+static void log_loss(const struct manager *m, const struct endpoint *e, clock_ms_t now,
+		     enum endpoint_end end)
 {
 	g_autoptr(GString) list = g_string_new(NULL);
 
@@ -144,13 +171,64 @@
 		const struct run *r = e->runs->pdata[i];
 
 		g_string_append_printf(list, "%s%s/%u:%" G_GINT64_FORMAT "ms%s", i ? " " : "",
-				       r->name, r->attempt, (gint64)age_when_last_alive(r),
+				       r->name, r->attempt, (gint64)age_when_last_alive(m, r),
 				       r->state == RUN_CONFIRMED ? "" : "?");
 	}
-	log_warning("endpoint ended unexpectedly", "ENDPOINT", e->id, "MACHINE", e->machine, "POOL",
-		    e->pool, "KNOWN_BY", end_text(end), "SILENT_MS",
-		    log_number(e->last_alive_at ? (guint64)(now - e->last_alive_at) : 0), "RUNS",
-		    log_number(e->runs->len), "ATTEMPTS", list->str);
+	log_info("endpoint ended unexpectedly", "ENDPOINT", e->id, "MACHINE", e->machine, "POOL",
+		 e->pool, "KNOWN_BY", end_text(end), "SILENT_MS",
+		 log_number(e->last_alive_at ? (guint64)(now - e->last_alive_at) : 0), "RUNS",
+		 log_number(e->runs->len), "ATTEMPTS", list->str);
+}
+
+/// Tells whether another endpoint that may be of the same rack ended or fell silent at about the
+/// same time, as when the rack loses power.
+static bool rack_ended(const struct manager *m, const struct endpoint *e)
+{
+	GHashTable *tables[] = {m->endpoints, m->terminated_endpoints};
+	clock_ms_t bound = m->settings.heartbeat_period_ms;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(tables); i++) {
+		GHashTableIter iter;
+		gpointer value;
+
+		g_hash_table_iter_init(&iter, tables[i]);
+		while (g_hash_table_iter_next(&iter, NULL, &value)) {
+			const struct endpoint *other = value;
+			clock_ms_t at =
+				other->unanswered_calls ? other->last_alive_at : other->lost_at;
+
+			if (other != e && at && !suspects_job_on_trial(other) &&
+			    endpoint_same_rack(e, other) && ABS(at - e->last_alive_at) <= bound)
+				return true;
+		}
+	}
+	return false;
+}
+
+void attempts_judge_loss(struct manager *m, clock_ms_t now, struct endpoint *e,
+			 enum endpoint_end end)
+{
+	g_autoptr(GArray) list = g_array_new(FALSE, FALSE, sizeof(struct suspects_attempt));
+	g_autoptr(GArray) causes = NULL;
+
+	for (guint i = 0; i < e->runs->len; i++) {
+		const struct run *r = e->runs->pdata[i];
+		struct suspects_attempt a = {
+			.job = r->ref.job,
+			.excluded = r->not_executed || r->stopped_at,
+			.suspected = r->suspected,
+			.is_known = r->state != RUN_INHERITED,
+			.age_ms = age_when_last_alive(m, r),
+		};
+
+		g_array_append_val(list, a);
+	}
+	causes = suspects_judge(end, list, rack_ended(m, e));
+	e->lost_at = suspects_job_on_trial(e) ? 0 : e->last_alive_at;
+	for (guint i = 0; i < e->runs->len; i++)
+		((struct run *)e->runs->pdata[i])->loss =
+			g_array_index(causes, job_attempt_end_cause, i);
+	log_loss(m, e, now, end);
 }
 
 void attempts_handle_loss(struct manager *m, clock_ms_t now, struct endpoint *e,
@@ -164,7 +242,7 @@
 void attempts_release_lost(struct manager *m, clock_ms_t now, struct endpoint *e)
 {
 	if (!attempts_end_is_expected(m, now, e))
-		attempts_log_loss(e, now, ENDPOINT_END_SILENT);
+		attempts_judge_loss(m, now, e, ENDPOINT_END_SILENT);
 	attempts_release_all(m, e);
 }
 
@@ -176,7 +254,7 @@
 	if (e->status_query_open && now - e->terminated_at < TERMINATION_WAIT_MS)
 		return;
 	if (e->end != ENDPOINT_END_EXPECTED && !e->terminated)
-		attempts_log_loss(e, now, e->end);
+		attempts_judge_loss(m, now, e, e->end);
 	log_info("endpoint terminated; releasing its attempts", "ENDPOINT", e->id, "RUNS",
 		 log_number(e->runs->len));
 	attempts_release_all(m, e);
--- a/src/sesamewood/runs/attempts.h
+++ b/src/sesamewood/runs/attempts.h
@@ -43,8 +43,9 @@
 /// Releases all attempts at an unresponsive endpoint whose leases have expired.
 void attempts_release_lost(struct manager *m, clock_ms_t now, struct endpoint *e);
 
-/// Logs the unexpected end of an endpoint with its attempts.
-void attempts_log_loss(const struct endpoint *e, clock_ms_t now, enum endpoint_end end);
+/// Decides how the unexpected end of an endpoint counts against each of its attempts, and logs it.
+void attempts_judge_loss(struct manager *m, clock_ms_t now, struct endpoint *e,
+			 enum endpoint_end end);
 
 /// Tells whether an endpoint's end was ordered by a leader or announced by the endpoint.
 bool attempts_end_is_expected(const struct manager *m, clock_ms_t now, const struct endpoint *e);
--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -27,6 +27,12 @@
 	uint32_t attempt;
 	struct endpoint *endpoint;
 	enum run_state state;
+	/// How the attempt's end is recorded if it is released without a completion; set when its
+	/// endpoint ends unexpectedly.
+	job_attempt_end_cause loss;
+	bool suspected;		 ///< its task was starting when an earlier endpoint crashed
+	bool inherited;		 ///< ordered by an earlier leader
+	bool not_executed;	 ///< its start order was refused for reaching another incarnation
 	bool stop_wanted;	 ///< the attempt is to be stopped
 	bool stop_in_flight;	 ///< a stop order is in flight
 	clock_ms_t stopped_at;	 ///< when the endpoint acknowledged the stop; 0: it has not
@@ -103,6 +109,8 @@
 	/* Status queries and completions. */
 	bool status_query_open;	  ///< a status query is in flight
 	clock_ms_t terminated_at; ///< when its termination became known; 0: not terminated
+	clock_ms_t lost_at;	  ///< when its latest incarnation that ended unexpectedly was last
+				  ///< alive; 0: none
 	enum endpoint_end end;	  ///< how its termination became known
 	bool fenced;		  ///< it has seen this leader's fencing token
 	bool needs_fencing; ///< a later incarnation uses its id: late orders for the earlier one
--- a/src/sesamewood/runs/incarnations.c
+++ b/src/sesamewood/runs/incarnations.c
@@ -74,7 +74,7 @@
 				 int64_t incarnation_wall_ms)
 {
 	if (!e->terminated && !attempts_end_is_expected(m, now, e))
-		attempts_log_loss(e, now, ENDPOINT_END_RESTARTED);
+		attempts_judge_loss(m, now, e, ENDPOINT_END_RESTARTED);
 	log_info("endpoint restarted; stopping or releasing its attempts", "ENDPOINT", e->id,
 		 "RUNS", log_number(e->runs->len));
 	for (guint i = e->runs->len; i > 0; i--) {
@@ -244,6 +244,7 @@
 					}
 					r = attempts_add(m, now, e, job, &ref, t->attempt);
 					r->state = RUN_INHERITED;
+					r->inherited = true;
 					g_free(r->checkpoint);
 					r->checkpoint = g_strdup(t->checkpoint);
 				}
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -6,6 +6,7 @@
 #include "sched/estimates.h"
 #include "sched/health.h"
 #include "sched/pace.h"
+#include "sched/suspects.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -95,8 +96,10 @@
 	r = attempts_add(m, now, e, job, ref, attempt);
 	g_free(r->checkpoint);
 	r->checkpoint = g_strdup(task->checkpoint);
-	c.job_command_u.start =
-		(job_attempt_start){.endpoint = e->number, .attempt = attempt, .task = r->ref};
+	c.job_command_u.start = (job_attempt_start){.endpoint = e->number,
+						    .attempt = attempt,
+						    .at_wall_ms = now + m->wall_offset_ms,
+						    .task = r->ref};
 	effects_propose(m, &c);
 	log_debug("attempt ordered", "TASK", r->name, "ATTEMPT", log_number(attempt), "ENDPOINT",
 		  e->id, "MACHINE", e->machine, "POOL", e->pool);
@@ -125,7 +128,9 @@
 	uint32_t wait_ms = 0;
 
 	if (e->runs->len && e->fenced && !e->unanswered_calls)
-		wait_ms = is_shared(e) ? STATUS_WAIT_SHARED_MS : STATUS_WAIT_MS;
+		wait_ms = suspects_job_on_trial(e) ? SUSPECTS_START_MS
+			  : is_shared(e)	   ? STATUS_WAIT_SHARED_MS
+						   : STATUS_WAIT_MS;
 	o = order_to(e, ORDER_STATUS_QUERY, wait_ms + STATUS_TIMEOUT_MS);
 	o->ack_through = e->last_completion;
 	o->wait_ms = wait_ms;
@@ -298,6 +303,7 @@
 {
 	if (r->state != RUN_CONFIRMED && r->state != RUN_IN_DOUBT)
 		r->progress_at = now;
+	r->loss = JOB_ATTEMPT_RELEASED; /* it runs in the present incarnation */
 	/* A delayed start has arrived. Keep the task unless its stop was acknowledged: ending it
 	 * could make too many tasks of its step unavailable. */
 	if (r->state == RUN_IN_DOUBT && r->stop_wanted && !r->stopped_at) {
@@ -390,10 +396,12 @@
 			const struct order_result *result)
 {
 	struct endpoint *e = incarnations_find_endpoint(m, p->endpoint);
-	struct run *r;
+	struct run *r = p->task ? g_hash_table_lookup(m->runs, p->task) : NULL;
 
 	if (!e)
 		return;
+	if (r && r->attempt == p->attempt && r->endpoint == e && p->type == ORDER_START)
+		r->not_executed |= result->status == ORDER_WRONG_INSTANCE;
 	if (result->incarnation_wall_ms > e->incarnation_wall_ms) {
 		if (e->incarnation_wall_ms)
 			incarnations_handle_restart(m, now, e, result->incarnation_wall_ms);
@@ -456,7 +464,7 @@
 
 static void check_run(struct manager *m, clock_ms_t now, struct run *r)
 {
-	if (job_has_ended(r->job))
+	if (job_has_ended(r->job) && !job_keeps_running(r->job, r->ref.step))
 		r->stop_wanted = true;
 	if (is_stalled(r)) {
 		log_info("attempt makes no progress; stopping it", "TASK", r->name, "ENDPOINT",
--- /dev/null
+++ b/src/sesamewood/sched/suspects.h
@@ -0,0 +1,58 @@
+#ifndef SESAMEWOOD_SCHED_SUSPECTS_H
+#define SESAMEWOOD_SCHED_SUSPECTS_H
+
+/// @file
+/// Tasks that crash the endpoints that start them: how an endpoint's end counts against the
+/// attempts there. Pure. The counts, and when a task is given up: jobs/jobs.h.
+
+#include "runs/endpoint.h"
+
+/// Time after its start in which an attempt is a suspect when its endpoint crashes. Longer than the
+/// start itself takes on a slow endpoint; each suspect is later tried apart for this long. A task
+/// that crashes its endpoint later is bounded by JOBS_CRASHES_MAX.
+#define SUSPECTS_START_MS 150
+
+/// An attempt that has run for this long clears its task of earlier crashes. Far longer than any
+/// task takes to start.
+#define SUSPECTS_SETTLED_MS 10000
+
+/// An attempt at an endpoint that has ended.
+struct suspects_attempt {
+	const char *job;
+	bool excluded;	///< certainly not executed, or its stop was acknowledged
+	bool suspected; ///< its task was starting at an earlier crash
+	bool is_known;	///< this leader has ordered it or seen it listed
+	/// Run time when the endpoint was last known to be alive; 0: it may not have started.
+	clock_ms_t age_ms;
+};
+
+/// @return what is known of an attempt that has run for @p age_ms
+job_attempt_age suspects_age(clock_ms_t age_ms);
+
+/// Decides how the end of an endpoint counts against each of its attempts. The suspects are those
+/// that were starting; if some of these are suspects of an earlier crash, only they are.
+///
+/// @param attempts   of struct suspects_attempt
+/// @param with_rack  another endpoint of its rack ended at about the same time, so that the cause
+/// may be none of the attempts
+/// @return job_attempt_end_cause for each attempt, owned by the caller
+GArray *suspects_judge(enum endpoint_end end, const GArray *attempts, bool with_rack);
+
+/// Tells whether a task is tried apart from other jobs: an endpoint crashed right after its start,
+/// or several did at whatever time after it.
+bool suspects_is_suspected(const job_task *task);
+
+/// Tells whether an attempt at a suspected task has yet to outlive its start.
+bool suspects_is_on_trial(const struct run *r);
+
+/// @return job of an attempt on trial at an endpoint, borrowed from it, or NULL if there is none
+const char *suspects_job_on_trial(const struct endpoint *e);
+
+/// @return number of attempts at an endpoint that have yet to outlive their start
+unsigned int suspects_count_starting(const struct endpoint *e);
+
+/// @return number of endpoints, of @p n in a pool, that may have attempts on trial when one more is
+/// opened at an endpoint that is idle or runs other attempts
+unsigned int suspects_max_trials(unsigned int n, bool idle);
+
+#endif
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -148,7 +148,7 @@
 /// @return availability budget of an attempt's step: tasks that may be unavailable at once; 0: none
 static u_int budget_of(const struct run *r)
 {
-	return job_has_ended(r->job)
+	return job_has_ended(r->job) && !job_keeps_running(r->job, r->ref.step)
 		       ? 0
 		       : r->job->image.spec.steps.steps_val[r->ref.step].max_unavailable;
 }
--- a/tests/model/fleet_model.cc
+++ b/tests/model/fleet_model.cc
@@ -30,6 +30,10 @@
 constexpr clock_ms_t kDetectionMs = 4500;
 constexpr clock_ms_t kWarmUpMs = 150; ///< from the start of a long-running task until it is ready
 constexpr uint32_t kMaxAttempts = 3;
+constexpr clock_ms_t kRestartMs = 3000; ///< from a crash until the next incarnation is up
+/// A task that has crashed the first number of endpoints may be started fewer times more than the
+/// second number.
+constexpr uint32_t kCrashesMax = 3, kStartsAfterCrashesMax = 3;
 
 /// Prints an event if it concerns the task named by the environment variable MODEL_TASK, or no
 /// task.
@@ -423,6 +427,19 @@
 	process_effects();
 }
 
+void Fleet::crash_and_stay_down(unsigned int i, bool same_id)
+{
+	Endpoint &e = *endpoints[i % endpoints.size()];
+
+	if (now < e.down_until)
+		return;
+	trace(now, "crash of", "", e.id, same_id);
+	for (const auto &run : e.running)
+		task_history[run.first].record_end(now, false);
+	start_incarnation(e, same_id);
+	e.down_until = now + kRestartMs;
+}
+
 void Fleet::drain(unsigned int i)
 {
 	Endpoint &e = *endpoints[i % endpoints.size()];
@@ -481,6 +498,8 @@
 				std::string("starts before the preceding step is done: ") + o.task);
 	if (!s.long_running && f.failures_acknowledged >= kMaxAttempts)
 		throw RuleViolation(std::string("too many attempts: ") + o.task);
+	if (f.crashes >= kCrashesMax && ++f.starts_after_crashes >= kStartsAfterCrashesMax)
+		throw RuleViolation(std::string("too many starts after crashes: ") + o.task);
 	if (e.pool != plan.pool)
 		throw RuleViolation(std::string("endpoint is in another pool: ") + o.task);
 }
@@ -516,6 +535,8 @@
 	run.started_at = now;
 	run.ends_at = plan->steps[step].long_running ? CLOCK_NEVER : now + plan->task_ms;
 	run.will_fail = chance(fault.task_fail_percent);
+	if (plan->crashes_after_ms >= 0 && o.task == plan->id + ".0.0.0")
+		run.crashes_at = now + plan->crashes_after_ms;
 	if (plan->steps[step].long_running)
 		task_history[o.task].available_at = now + kWarmUpMs;
 	trace(now, "starts", o.task, e.id, o.attempt);
@@ -755,6 +776,15 @@
 {
 	std::vector<std::pair<std::string, attempt_outcome>> due;
 
+	for (const auto &run : e.running)
+		if (now >= run.second.crashes_at) {
+			task_history[run.first].crashes++;
+			crashes_by_tasks++;
+			for (unsigned int i = 0; i < endpoints.size(); i++)
+				if (endpoints[i].get() == &e)
+					crash_and_stay_down(i, chance(50));
+			return;
+		}
 	for (const auto &run : e.running) {
 		if (clock_of(e) >= e.lease_until_ms)
 			due.emplace_back(run.first, ATTEMPT_INTERRUPTED);
--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -38,6 +38,8 @@
 	/// CLOCK_NEVER for long-running tasks.
 	clock_ms_t ends_at = 0;
 	bool will_fail = false;
+	/// When it crashes its endpoint; CLOCK_NEVER: never.
+	clock_ms_t crashes_at = CLOCK_NEVER;
 };
 
 /// An attempt that ended and that the leader has not acknowledged yet.
@@ -106,6 +108,9 @@
 	std::vector<job_step> steps;
 	/// Execution time of each task that is not long-running.
 	clock_ms_t task_ms = 300;
+	/// The first task of the first step crashes its endpoint so long after each start; -1:
+	/// never.
+	clock_ms_t crashes_after_ms = -1;
 };
 
 class Fleet
@@ -133,6 +138,8 @@
 	/// records; does nothing while its machine is down.
 	/// @param same_id keeps the endpoint's id; otherwise it gets a new one
 	void crash(unsigned int endpoint, bool same_id);
+	/// Crashes an endpoint as crash() does; the next incarnation is up after kRestartMs.
+	void crash_and_stay_down(unsigned int endpoint, bool same_id);
 	/// Marks an endpoint as draining and sends a heartbeat that reports it.
 	void drain(unsigned int endpoint);
 	/// Orders a maintenance wave of 20 s over the machines of the given endpoints.
@@ -158,6 +165,8 @@
 	uint64_t starts = 0, leader_changes = 0, done = 0;
 	/// Moves executed.
 	uint64_t moves = 0;
+	/// Endpoints crashed by their tasks.
+	uint64_t crashes_by_tasks = 0;
 	/// Commands proposed and orders sent.
 	uint64_t commands = 0, orders = 0;
 	/// Ids of jobs whose submission or cancellation was acknowledged.
@@ -214,6 +223,8 @@
 		clock_ms_t done_listed_at = 0;
 		clock_ms_t last_started_at = 0;
 		uint32_t failures_acknowledged = 0;
+		/// Endpoints that it has crashed, and its starts since the third of these.
+		uint32_t crashes = 0, starts_after_crashes = 0;
 		/// Long-running tasks: whether an order ended the last attempt.
 		bool ended_by_order = false;
 		/// Long-running tasks: when the task last became unavailable, or 0.
--- a/tests/property/property_jobs.cc
+++ b/tests/property/property_jobs.cc
@@ -13,7 +13,8 @@
 
 /// Counts of what the random actions caused, over all cases.
 struct Reached {
-	unsigned long actions, starts, done, leader_changes, jobs, cancelled, moves;
+	unsigned long actions, starts, done, leader_changes, jobs, cancelled, moves, crashes,
+		crashing_jobs;
 } reached;
 
 job_step step_of(uint32_t random, bool long_running)
@@ -186,6 +187,83 @@
 	RC_ASSERT(fleet.wave_is_complete());
 }
 
+/// Among other jobs, some hold a task that crashes each endpoint that starts it, while leaders
+/// change. Each such job must fail before the task has started too often, with few endpoints lost.
+void task_that_crashes_endpoints_is_given_up(uint32_t seed)
+{
+	constexpr unsigned int kJobs = 12, kCrashing = 2;
+	model::Fleet fleet(seed, 1, 8);
+	std::mt19937 random(seed);
+
+	try {
+		for (unsigned int i = 0; i < kJobs; i++) {
+			model::JobPlan plan = plan_of(i, 4 + i * 13 * 128);
+
+			plan.pool = "pool0";
+			if (i == 0 || i == 7) /* one that lasts, one that does not */
+				plan.crashes_after_ms =
+					random() % 4 ? random() % 20 : random() % 1500;
+			if (i % 7 == 0 || i == 3) {
+				plan.steps.resize(1);
+				plan.steps[0].long_running = i < 7;
+				plan.steps[0].max_unavailable = i < 7;
+			}
+			if (plan.crashes_after_ms >= 0)
+				plan.task_ms = 2000;
+			fleet.submit(plan);
+			fleet.advance(random() % 300);
+		}
+		for (unsigned int i = 0; i < 3; i++) {
+			fleet.advance(500 + random() % 4000);
+			fleet.depose_leader();
+		}
+		fleet.advance(kRecoveryMs);
+	} catch (const model::RuleViolation &broken) {
+		RC_FAIL(broken.what());
+	}
+	for (const char *id : {"job0", "job7"}) {
+		auto phase = fleet.phase(id);
+
+		RC_ASSERT(phase.has_value());
+		RC_ASSERT(*phase == JOB_FAILED);
+	}
+	RC_ASSERT(fleet.crashes_by_tasks <= kCrashing * 5);
+	reached.crashes += fleet.crashes_by_tasks;
+	reached.crashing_jobs += kCrashing;
+}
+
+/// Half of the endpoints crash together, three times, while jobs run that crash none. No job may
+/// fail.
+void crashes_of_endpoints_fail_no_job(uint32_t seed)
+{
+	constexpr unsigned int kJobs = 16, kEndpoints = 8;
+	model::Fleet fleet(seed, 1, kEndpoints);
+	std::mt19937 random(seed);
+
+	try {
+		for (unsigned int i = 0; i < kJobs; i++) {
+			model::JobPlan plan = plan_of(i, (i % 5 ? 4 : 0) + i * 13 * 128);
+
+			plan.pool = "pool0";
+			plan.task_ms = 500 + random() % 5000;
+			fleet.submit(plan);
+			fleet.advance(random() % 300);
+			if (i % 5 == 4)
+				for (unsigned int k = 0; k < kEndpoints / 2; k++)
+					fleet.crash_and_stay_down(i % 2 ? 2 * k : k, random() % 2);
+		}
+		fleet.advance(kRecoveryMs);
+	} catch (const model::RuleViolation &broken) {
+		RC_FAIL(broken.what());
+	}
+	for (unsigned int i = 0; i < kJobs; i++) {
+		auto phase = fleet.phase("job" + std::to_string(i));
+
+		RC_ASSERT(phase.has_value());
+		RC_ASSERT(*phase != JOB_FAILED);
+	}
+}
+
 /// The leader lags by seconds and recovers, without any other fault. A task that a status query has
 /// listed as done must not start again, and every job must end.
 void lagging_leader_loses_no_work(uint32_t seed)
@@ -235,11 +313,18 @@
 	property.check("lagging_leader_loses_no_work", [] {
 		lagging_leader_loses_no_work(*rc::gen::inRange<uint32_t>(0, 1000000));
 	});
+	property.check("task_that_crashes_endpoints_is_given_up", [] {
+		task_that_crashes_endpoints_is_given_up(*rc::gen::inRange<uint32_t>(0, 1000000));
+	});
+	property.check("crashes_of_endpoints_fail_no_job", [] {
+		crashes_of_endpoints_fail_no_job(*rc::gen::inRange<uint32_t>(0, 1000000));
+	});
 	property.check("late_order_to_unfenced_incarnation",
 		       [] { invariants_hold_under_faults(*actions(120), true); });
 	std::printf("# reached: %lu actions, %lu jobs, %lu starts, %lu done, %lu leaders deposed, "
-		    "%lu cancelled, %lu moves\n",
+		    "%lu cancelled, %lu moves, %lu endpoints crashed by %lu jobs\n",
 		    reached.actions, reached.jobs, reached.starts, reached.done,
-		    reached.leader_changes, reached.cancelled, reached.moves);
+		    reached.leader_changes, reached.cancelled, reached.moves, reached.crashes,
+		    reached.crashing_jobs);
 	return property.end();
 }
