--- a/src/sesamewood/runs/attempts.h
+++ b/src/sesamewood/runs/attempts.h
@@ -35,4 +35,16 @@
 /// status query is outstanding, waits for it for a bounded time, as it may list completions.
 void attempts_handle_termination(struct manager *m, clock_ms_t now, struct endpoint *e);
 
+/// Handles the termination of an endpoint that this leader may not have ordered: records how it
+/// became known, then works as attempts_handle_termination().
+void attempts_handle_loss(struct manager *m, clock_ms_t now, struct endpoint *e,
+			  enum endpoint_end end);
+
+/// Decides how the unexpected end of an endpoint counts against each of its attempts, and logs it.
+void attempts_judge_loss(struct manager *m, clock_ms_t now, struct endpoint *e,
+			 enum endpoint_end end);
+
+/// Tells whether an endpoint's end was ordered by a leader or announced by the endpoint.
+bool attempts_end_is_expected(const struct manager *m, clock_ms_t now, const struct endpoint *e);
+
 #endif
--- a/src/sesamewood/runs/incarnations.c
+++ b/src/sesamewood/runs/incarnations.c
@@ -51,6 +51,8 @@
 	e->fenced = false;
 	e->status_query_open = false;
 	e->terminated_at = 0;
+	e->end = ENDPOINT_END_EXPECTED;
+	e->last_alive_at = 0;
 	e->last_completion = 0;
 	e->acked_completion = 0;
 	e->sequence = 0;
@@ -72,6 +74,8 @@
 {
 	guint runs = e->runs->len;
 
+	if (!e->terminated && !attempts_end_is_expected(m, now, e))
+		attempts_judge_loss(m, now, e, ENDPOINT_END_RESTARTED);
 	for (guint i = e->runs->len; i > 0; i--) {
 		struct run *r = e->runs->pdata[i - 1];
 
@@ -113,7 +117,7 @@
 		if (e != holder && !e->terminated && e->address_hash == holder->address_hash &&
 		    g_str_equal(e->address, holder->address) &&
 		    e->incarnation_wall_ms < holder->incarnation_wall_ms)
-			attempts_handle_termination(m, now, e);
+			attempts_handle_loss(m, now, e, ENDPOINT_END_REPLACED);
 	}
 }
 
@@ -246,6 +250,7 @@
 					}
 					r = attempts_add(m, now, e, job, &ref, t->attempt);
 					r->state = RUN_INHERITED;
+					r->inherited = true;
 					g_free(r->checkpoint);
 					r->checkpoint = g_strdup(t->checkpoint);
 				}
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -6,6 +6,7 @@
 #include "sched/estimates.h"
 #include "sched/health.h"
 #include "sched/pace.h"
+#include "sched/suspects.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -102,8 +103,10 @@
 	r = attempts_add(m, now, e, job, ref, attempt);
 	g_free(r->checkpoint);
 	r->checkpoint = g_strdup(task->checkpoint);
-	c.job_command_u.start =
-		(job_attempt_start){.endpoint = e->number, .attempt = attempt, .task = r->ref};
+	c.job_command_u.start = (job_attempt_start){.endpoint = e->number,
+						    .attempt = attempt,
+						    .at_wall_ms = now + m->wall_offset_ms,
+						    .task = r->ref};
 	effects_propose(m, &c);
 	log_debug("attempt ordered", "TASK", r->name, "ATTEMPT", log_number(attempt), "ENDPOINT",
 		  e->id, "MACHINE", e->machine, "POOL", e->pool);
@@ -147,7 +150,9 @@
 	bool grants_lease;
 
 	if (e->runs->len && e->fenced && !e->unanswered_calls)
-		wait_ms = is_shared(e) ? STATUS_WAIT_SHARED_MS : STATUS_WAIT_MS;
+		wait_ms = suspects_job_on_trial(e) ? SUSPECTS_START_MS
+			  : is_shared(e)	   ? STATUS_WAIT_SHARED_MS
+						   : STATUS_WAIT_MS;
 	o = order_to(e, ORDER_STATUS_QUERY, wait_ms + STATUS_TIMEOUT_MS);
 	o->ack_through = ack_through(e, now);
 	o->wait_ms = wait_ms;
@@ -182,7 +187,7 @@
 		return;
 	}
 	if (result->status == ORDER_WRONG_INSTANCE) {
-		attempts_handle_termination(m, now, e);
+		attempts_handle_loss(m, now, e, ENDPOINT_END_REPLACED);
 		return;
 	}
 	if (result->status == ORDER_NO_ANSWER || result->status == ORDER_NOT_SENT) {
@@ -320,6 +325,7 @@
 {
 	if (r->state != RUN_CONFIRMED && r->state != RUN_IN_DOUBT)
 		r->progress_at = now;
+	r->loss = JOB_ATTEMPT_RELEASED; /* it runs in the present incarnation */
 	/* A delayed start has arrived. Keep the task unless its stop was acknowledged: ending it
 	 * could make too many tasks of its step unavailable. */
 	if (r->state == RUN_IN_DOUBT && r->stop_wanted && !r->stopped_at) {
@@ -428,10 +434,12 @@
 			const struct order_result *result)
 {
 	struct endpoint *e = incarnations_find_endpoint(m, p->endpoint);
-	struct run *r;
+	struct run *r = p->task ? g_hash_table_lookup(m->runs, p->task) : NULL;
 
 	if (!e)
 		return;
+	if (r && r->attempt == p->attempt && r->endpoint == e && p->type == ORDER_START)
+		r->not_executed |= result->status == ORDER_WRONG_INSTANCE;
 	if (result->incarnation_wall_ms > e->incarnation_wall_ms) {
 		if (e->incarnation_wall_ms)
 			incarnations_handle_restart(m, now, e, result->incarnation_wall_ms);
@@ -499,7 +507,7 @@
 
 static void check_run(struct manager *m, clock_ms_t now, struct run *r)
 {
-	if (job_has_ended(r->job))
+	if (job_has_ended(r->job) && !job_keeps_running(r->job, r->ref.step))
 		r->stop_wanted = true;
 	if (is_stalled(r)) {
 		log_info("attempt makes no progress; stopping it", "TASK", r->name, "ENDPOINT",
@@ -556,22 +564,32 @@
 			       : endpoint_lease_has_ended(e, now);
 }
 
-/// Releases the attempts of a lost endpoint. One that the known incarnation has not listed may run
-/// at a later incarnation.
+/// Tells whether an attempt of a lost endpoint has certainly ended. One that the known incarnation
+/// has not listed may run at a later incarnation.
+static bool lease_has_ended(const struct manager *m, const struct run *r, clock_ms_t now)
+{
+	return r->listed_by || longest_lease_has_ended(m, r->endpoint->lease_sent_by, now);
+}
+
+/// Releases the attempts of a lost endpoint that have certainly ended.
 static void release_lost(struct manager *m, clock_ms_t now, struct endpoint *e)
 {
-	guint runs = e->runs->len;
+	guint runs = 0;
 
-	for (guint i = runs; i > 0; i--) {
+	for (guint i = 0; i < e->runs->len; i++)
+		runs += lease_has_ended(m, e->runs->pdata[i], now);
+	if (!runs)
+		return;
+	log_warning("leases of an unresponsive endpoint have expired; releasing its attempts",
+		    "ENDPOINT", e->id, "RUNS", log_number(runs));
+	if (!attempts_end_is_expected(m, now, e))
+		attempts_judge_loss(m, now, e, ENDPOINT_END_SILENT);
+	for (guint i = e->runs->len; i > 0; i--) {
 		struct run *r = e->runs->pdata[i - 1];
 
-		if (r->listed_by || longest_lease_has_ended(m, e->lease_sent_by, now))
+		if (lease_has_ended(m, r, now))
 			attempts_release(m, r, JOB_ATTEMPT_RELEASED, r->checkpoint);
 	}
-	if (e->runs->len < runs)
-		log_warning(
-			"leases of an unresponsive endpoint have expired; releasing its attempts",
-			"ENDPOINT", e->id, "RUNS", log_number(runs - e->runs->len));
 }
 
 /// Tells whether this leader started an attempt that the known incarnation has not listed.
