fix(orders): a refused copy of a resent order is in doubt

Callers saw: by the code, two runs of one task (TWICE), and a move that is withdrawn though it was executed.

Cause: libcurl by itself sends a request again on a new connection when a reused one closes before any byte of the answer. The endpoint may have executed the first copy. If it refused the second one (429, 503, 400, or 409 with "room", "late" or "ticket"; for machine orders 409 "busy" or "wave"), the result said that the order had no effect, and the attempt was released and could start elsewhere. Class of fault: the verdict on one copy of a request taken for the verdict on all.

The HTTP client now reports on how many connections it sent a request; curl calls CURLOPT_PREREQFUNCTION for each. The order sender turns a result that proves no effect into ORDER_NO_ANSWER if there was more than one, and logs it. The leader then finds out by a status query, or repeats the machine order, as after a lost answer. ORDER_FENCED and ORDER_WRONG_INSTANCE are kept, since they tell about the receiver, and ORDER_SUPERSEDED, which counts as in doubt already.

Evidence: a server on the loopback address answers one order, reads a second one whole, closes the connection, and refuses the copy that arrives on a new connection. On the code before: /orders/refused_copy_of_a_start_is_in_doubt (503): "assertion failed (status_of_copy(ORDER_START, ...) == ORDER_NO_ANSWER): (9 == 2)", that is, ORDER_TRY_LATER; /orders/refused_copy_of_a_machine_order_is_in_doubt (429): the same. The two tests of what must not change (results about the receiver; a refusal of an order sent once) passed before and after.

--- a/src/sesamewood/base/http_async_client.c
+++ b/src/sesamewood/base/http_async_client.c
@@ -24,7 +24,7 @@
 	CURL *easy;
 	struct curl_slist *headers;
 	GByteArray *response;
-	bool sent; ///< stays set when curl retries the request on another connection
+	unsigned int sends; ///< connections on which curl has sent the request
 	http_async_fn fn;
 	void *ctx;
 };
@@ -39,7 +39,7 @@
 	return size * count;
 }
 
-/// Called by curl once a connection is established, before it sends the request.
+/// Called by curl for each connection on which it sends the request, right before it does.
 static int on_request_start(void *ctx, char *remote_ip, char *local_ip, int remote_port,
 			    int local_port)
 {
@@ -47,7 +47,7 @@
 	(void)local_ip;
 	(void)remote_port;
 	(void)local_port;
-	((struct transfer *)ctx)->sent = true;
+	((struct transfer *)ctx)->sends++;
 	return CURL_PREREQFUNC_OK;
 }
 
@@ -69,7 +69,7 @@
 
 	(void)ctx;
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&t);
-	result.sent = t->sent;
+	result.sends = t->sends;
 	if (code == CURLE_OK) {
 		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 		result.status = (unsigned int)status;
--- a/src/sesamewood/base/http_async_client.h
+++ b/src/sesamewood/base/http_async_client.h
@@ -25,7 +25,9 @@
 /// Outcome of a request.
 struct http_async_result {
 	unsigned int status; ///< HTTP status, or 0 when no complete response arrived
-	bool sent;	     ///< part of the request may have reached the server
+	/// Connections on which the request or a part of it was sent. curl sends it again when a
+	/// reused connection closes without a response, and the server may have executed each copy.
+	unsigned int sends;
 	const char *body;
 	size_t len; ///< length of the body, bytes
 };
--- a/src/sesamewood/manager/order_sender.c
+++ b/src/sesamewood/manager/order_sender.c
@@ -1,6 +1,7 @@
 #include "manager/order_sender.h"
 
 #include "base/http_async_client.h"
+#include "base/log.h"
 #include "base/metrics.h"
 
 #include <string.h>
@@ -46,6 +47,31 @@
 	return s;
 }
 
+static bool is_machine_order(const struct order *o)
+{
+	return o->type == ORDER_MACHINE_LIST || o->type == ORDER_MACHINE_MOVE ||
+	       o->type == ORDER_MACHINE_MAINTENANCE;
+}
+
+/// Returns whether a refusal of one copy of a request leaves open whether another copy had an
+/// effect. ORDER_FENCED and ORDER_WRONG_INSTANCE tell about the receiver; after ORDER_SUPERSEDED
+/// the attempt counts as in doubt anyway.
+static bool leaves_other_copies_open(enum order_status status)
+{
+	return order_had_no_effect(status) && status != ORDER_FENCED &&
+	       status != ORDER_WRONG_INSTANCE && status != ORDER_SUPERSEDED;
+}
+
+static void mark_unanswered(const struct order *o, struct order_result *result)
+{
+	const char *subject = is_machine_order(o) ? o->machine : o->task;
+
+	log_info("order sent more than once was refused; an earlier copy may have had an effect",
+		 "TYPE", log_number(o->type), is_machine_order(o) ? "MACHINE" : "TASK",
+		 subject ? subject : "", "STATUS", log_number(result->status));
+	result->status = ORDER_NO_ANSWER;
+}
+
 static void on_done(void *ctx, const struct http_async_result *r)
 {
 	struct sent_order *o = ctx;
@@ -55,19 +81,16 @@
 	if (r->status)
 		result = s->wire->decode_result(s->wire->ctx, o->order, r->status, r->body, r->len);
 	else
-		result = order_result_new(o->order->id, r->sent ? ORDER_NO_ANSWER : ORDER_NOT_SENT);
+		result =
+			order_result_new(o->order->id, r->sends ? ORDER_NO_ANSWER : ORDER_NOT_SENT);
+	if (r->sends > 1 && leaves_other_copies_open(result->status))
+		mark_unanswered(o->order, result);
 	metrics_observe(s->order_ms, clock_monotonic() - o->sent_at);
 	s->done(s->ctx, o->leader, o->term, result);
 	order_free(o->order);
 	g_free(o);
 }
 
-static bool is_machine_order(const struct order *o)
-{
-	return o->type == ORDER_MACHINE_LIST || o->type == ORDER_MACHINE_MOVE ||
-	       o->type == ORDER_MACHINE_MAINTENANCE;
-}
-
 void order_sender_send(struct order_sender *s, struct order *order, uint32_t leader, uint64_t term)
 {
 	clock_ms_t now = clock_monotonic();
--- a/src/sesamewood/manager/order_sender.h
+++ b/src/sesamewood/manager/order_sender.h
@@ -24,7 +24,8 @@
 				      order_sent_fn done, void *ctx);
 
 /// Sends an order. Takes ownership of @p order. The result is ORDER_NOT_SENT if the order is past
-/// its not_after time or cannot be encoded.
+/// its not_after time or cannot be encoded, and ORDER_NO_ANSWER if the request was sent on more
+/// than one connection and the answer proves no effect of only one copy.
 void order_sender_send(struct order_sender *s, struct order *order, uint32_t leader, uint64_t term);
 
 #endif
