fix(sched): a job waits until an attempt is known to run

Cause: schedule_count_waiting() left out every job with `started` above 0, and `started` counts attempts that were ordered. An order that was not sent, refused, or unanswered and then stopped, or whose endpoint was lost took its job out of the count for good. Class: a count of orders used as a count of executions.

Fix: a job has begun if an attempt is in state RUN_CONFIRMED (its start was accepted, or a status answer listed it), or if the job has a result: a task is done, or an attempt at one has failed. Attempts that are ordered, inherited or in doubt do not count. After a change of leader a job with inherited attempts waits until a status answer lists one, so the count may be over the truth for that time, but not under it. A call costs what it did: one look at each active job. `started` now only serves the log line of an ended job. A job with times counts by the same rule.

Evidence, the new tests on the code before: job_whose_start_was_not_executed_still_waits, with the start in flight: assertion failed (count_waiting(&w) == 1): (0 == 1) job_whose_start_was_refused_still_waits: assert_still_waits: assertion failed (count_waiting(w) == 1): (0 == 1) job_with_running_attempt_does_not_wait, after a change of leader: assertion failed (count_waiting(&w) == 1): (0 == 1) job_whose_endpoint_was_lost_waits_again: assert_still_waits: assertion failed (count_waiting(w) == 1): (0 == 1) job_whose_endpoint_restarted_waits_again: assertion failed (count_waiting(&w) == 1): (0 == 1) job_with_result_does_not_wait passed before as well; it guards the other direction. All pass now.

--- a/src/sesamewood/jobs/jobs.c
+++ b/src/sesamewood/jobs/jobs.c
@@ -323,6 +323,7 @@
 	if (task->phase == JOB_TASK_DONE)
 		return;
 	task->phase = JOB_TASK_DONE;
+	job->has_results = true;
 	job->unfinished--;
 	job->may_have_ready_tasks = true; /* the next step may be ready */
 }
@@ -364,6 +365,7 @@
 	if (job->image.spec.steps.steps_val[e->task.step].long_running)
 		return;
 	task->failures++;
+	job->has_results = true;
 	if (count_failures(job, e, task) < job->image.spec.max_attempts)
 		return;
 	task->phase = JOB_TASK_FAILED;
@@ -527,6 +529,7 @@
 
 				job->unfinished += t->phase != JOB_TASK_DONE;
 				job->started += t->attempt;
+				job->has_results |= t->phase == JOB_TASK_DONE || t->failures;
 				if (t->phase != JOB_TASK_ASSIGNED)
 					continue;
 				job->assigned++;
--- a/src/sesamewood/jobs/jobs.h
+++ b/src/sesamewood/jobs/jobs.h
@@ -16,7 +16,9 @@
 	job_image image;
 	uint32_t unfinished;	   ///< tasks that are not done
 	uint32_t assigned;	   ///< tasks with an attempt that may run
-	uint32_t started;	   ///< attempts started so far
+	uint32_t started;	   ///< attempts ordered so far, executed or not
+	uint32_t confirmed;	   ///< attempts in state RUN_CONFIRMED; kept by runs/attempts.c
+	bool has_results;	   ///< a task is done, or an attempt at one has failed
 	bool may_have_ready_tasks; ///< hint that a ready task may be waiting; sched/schedule.c
 				   ///< clears it when it finds none
 	/// Run time ratios by step, cached by sched/estimates.c; NULL: not cached.
--- a/src/sesamewood/manager/manager_defs.h
+++ b/src/sesamewood/manager/manager_defs.h
@@ -83,7 +83,7 @@
 enum reply_content {
 	REPLY_EMPTY,
 	REPLY_JOB_PHASE,       ///< u.phase
-	REPLY_WAITING_COUNT,   ///< u.waiting: jobs of the queue without a started task
+	REPLY_WAITING_COUNT,   ///< u.waiting: jobs of the queue that have not begun
 	REPLY_DOCUMENT,	       ///< u.document: the configuration
 	REPLY_WAVE,	       ///< u.wave_complete
 	REPLY_CONTROL_ADDRESS, ///< address for further heartbeats
--- a/src/sesamewood/runs/attempts.c
+++ b/src/sesamewood/runs/attempts.c
@@ -29,8 +29,8 @@
 	return true;
 }
 
-struct run *attempts_add(struct manager *m, clock_ms_t now, struct endpoint *e,
-			 const struct job *job, const job_task_ref *ref, uint32_t attempt)
+struct run *attempts_add(struct manager *m, clock_ms_t now, struct endpoint *e, struct job *job,
+			 const job_task_ref *ref, uint32_t attempt)
 {
 	const job_step *step = &job->image.spec.steps.steps_val[ref->step];
 	struct run *r = g_new0(struct run, 1);
@@ -62,8 +62,15 @@
 	return r;
 }
 
+void attempts_set_state(struct run *r, enum run_state state)
+{
+	r->job->confirmed += (state == RUN_CONFIRMED) - (r->state == RUN_CONFIRMED);
+	r->state = state;
+}
+
 void attempts_untrack(struct manager *m, struct run *r)
 {
+	r->job->confirmed -= r->state == RUN_CONFIRMED;
 	endpoint_remove_run(r->endpoint, r);
 	manager_mark_capacity_changed(m, r->endpoint);
 	g_hash_table_remove(m->runs, r->name);
--- a/src/sesamewood/runs/attempts.h
+++ b/src/sesamewood/runs/attempts.h
@@ -18,8 +18,11 @@
 /// Starts tracking an attempt at an endpoint.
 ///
 /// @return the attempt, owned by the manager
-struct run *attempts_add(struct manager *m, clock_ms_t now, struct endpoint *e,
-			 const struct job *job, const job_task_ref *ref, uint32_t attempt);
+struct run *attempts_add(struct manager *m, clock_ms_t now, struct endpoint *e, struct job *job,
+			 const job_task_ref *ref, uint32_t attempt);
+
+/// Changes the state of an attempt, and the count of its job's confirmed attempts.
+void attempts_set_state(struct run *r, enum run_state state);
 
 /// Stops tracking an attempt without recording an end for it.
 void attempts_untrack(struct manager *m, struct run *r);
--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -24,10 +24,10 @@
 struct run {
 	char *name; ///< task name: job.occurrence.step.index
 	job_task_ref ref;
-	const struct job *job; ///< borrowed; a job with assigned attempts is not forgotten
+	struct job *job; ///< borrowed; a job with assigned attempts is not forgotten
 	uint32_t attempt;
 	struct endpoint *endpoint;
-	enum run_state state;
+	enum run_state state;	 ///< changed only by attempts_set_state()
 	bool stop_wanted;	 ///< the attempt is to be stopped
 	bool stop_in_flight;	 ///< a stop order is in flight
 	clock_ms_t stopped_at;	 ///< when the endpoint acknowledged the stop; 0: it has not
--- a/src/sesamewood/runs/incarnations.c
+++ b/src/sesamewood/runs/incarnations.c
@@ -78,7 +78,7 @@
 			continue;
 		}
 		if (r->state != RUN_INHERITED)
-			r->state = RUN_IN_DOUBT;
+			attempts_set_state(r, RUN_IN_DOUBT);
 		r->stop_in_flight = false;
 		r->stopped_at = 0;
 		r->stop_at = now;
@@ -243,7 +243,7 @@
 						e->last_heartbeat_at = now;
 					}
 					r = attempts_add(m, now, e, job, &ref, t->attempt);
-					r->state = RUN_INHERITED;
+					attempts_set_state(r, RUN_INHERITED);
 					g_free(r->checkpoint);
 					r->checkpoint = g_strdup(t->checkpoint);
 				}
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -80,7 +80,7 @@
 	return until;
 }
 
-void runs_start(struct manager *m, clock_ms_t now, struct endpoint *e, const struct job *job,
+void runs_start(struct manager *m, clock_ms_t now, struct endpoint *e, struct job *job,
 		const job_task_ref *ref, uint32_t attempt, const char *ticket)
 {
 	const job_task *task = jobs_task(m->jobs, ref);
@@ -199,19 +199,20 @@
 	switch (result->status) {
 	case ORDER_OK:
 		if (r->state == RUN_ORDERED) {
-			r->state = RUN_CONFIRMED;
+			attempts_set_state(r, RUN_CONFIRMED);
 			r->started_at = now;
 			r->progress_at = now;
 		}
 		return;
 	case ORDER_NO_ANSWER:
-		r->state = RUN_IN_DOUBT; /* the next status query shows whether it runs */
+		/* The next status query shows whether it runs. */
+		attempts_set_state(r, RUN_IN_DOUBT);
 		e->next_status_at = MIN(e->next_status_at, now);
 		health_record_no_answer(e, now);
 		return;
 	case ORDER_SUPERSEDED:
 		/* It may have run and ended already; the next status query shows that. */
-		r->state = RUN_IN_DOUBT;
+		attempts_set_state(r, RUN_IN_DOUBT);
 		r->stop_wanted = true;
 		r->stopped_at = now;
 		e->next_status_at = now;
@@ -320,7 +321,7 @@
 		r->started_at = now;
 	}
 	if (r->state != RUN_IN_DOUBT || !r->stop_wanted)
-		r->state = RUN_CONFIRMED;
+		attempts_set_state(r, RUN_CONFIRMED);
 	if (row->percent != r->percent)
 		r->progress_at = now;
 	if (r->long_running && row->percent >= 100) {
--- a/src/sesamewood/runs/runs.h
+++ b/src/sesamewood/runs/runs.h
@@ -14,7 +14,7 @@
 /// Records an attempt of a waiting task and sends its start order.
 ///
 /// @param ticket placement ticket, or "" when the step needs none
-void runs_start(struct manager *m, clock_ms_t now, struct endpoint *e, const struct job *job,
+void runs_start(struct manager *m, clock_ms_t now, struct endpoint *e, struct job *job,
 		const job_task_ref *ref, uint32_t attempt, const char *ticket);
 
 /// Handles the result of a start, stop, status query or pace order.
--- a/src/sesamewood/sched/schedule.c
+++ b/src/sesamewood/sched/schedule.c
@@ -357,7 +357,7 @@
 	for (guint i = 0; i < m->active->len; i++) {
 		const struct job *job = m->active->pdata[i];
 
-		n += !job_has_ended(job) && !job->started &&
+		n += !job->confirmed && !job->has_results && !job_has_ended(job) &&
 		     g_str_equal(job->image.spec.queue, queue);
 	}
 	return n;
--- a/src/sesamewood/sched/schedule.h
+++ b/src/sesamewood/sched/schedule.h
@@ -11,7 +11,7 @@
 /// @return number of steps that passed the capacity check and were tried on endpoints
 unsigned int schedule_round(struct manager *m, clock_ms_t now, clock_ms_t wall_ms);
 
-/// @return number of accepted jobs of a queue of which no task has been started
+/// @return number of accepted jobs of a queue without a result and without a confirmed attempt
 uint32_t schedule_count_waiting(const struct manager *m, const char *queue);
 
 /// Sort key of a waiting job.
--- a/tests/unit/manager_fixture.c
+++ b/tests/unit/manager_fixture.c
@@ -1,5 +1,7 @@
 #include "manager_fixture.h"
 
+#include "base/codec.h"
+
 #include <string.h>
 
 struct manager_settings fixture_settings(void)
@@ -32,6 +34,20 @@
 	return m;
 }
 
+job_command_type fixture_commit(struct jobs *state, GBytes *command)
+{
+	gsize len;
+	const void *data = g_bytes_get_data(command, &len);
+	job_command_type type;
+	sw_command c;
+
+	g_assert_true(codec_decode(CODEC_PROC(sw_command), data, len, &c, sizeof(c)));
+	type = c.sw_command_u.job.type;
+	jobs_apply(state, &c.sw_command_u.job);
+	codec_free(CODEC_PROC(sw_command), &c);
+	return type;
+}
+
 void fixture_heartbeat(struct manager *m, clock_ms_t now, const char *id, const char *machine,
 		       int64_t incarnation_wall_ms)
 {
--- a/tests/unit/manager_fixture.h
+++ b/tests/unit/manager_fixture.h
@@ -22,6 +22,11 @@
 struct manager *fixture_next_manager(const struct jobs *state, uint64_t term, clock_ms_t now,
 				     clock_ms_t machine_orders_seen_at);
 
+/// Applies a proposed command to a committed state.
+///
+/// @return the command's type
+job_command_type fixture_commit(struct jobs *state, GBytes *command);
+
 /// Sends a full heartbeat of an endpoint of pool "p" whose clock reads @p now.
 void fixture_heartbeat(struct manager *m, clock_ms_t now, const char *id, const char *machine,
 		       int64_t incarnation_wall_ms);
--- a/tests/unit/unit_pools.c
+++ b/tests/unit/unit_pools.c
@@ -3,7 +3,6 @@
 
 #include "manager_fixture.h"
 
-#include "base/codec.h"
 #include "sched/cooldown.h"
 
 #include <string.h>
@@ -156,15 +155,8 @@
 
 static void commit(struct world *w, GBytes *command)
 {
-	gsize len;
-	const void *data = g_bytes_get_data(command, &len);
-	sw_command c;
-
-	g_assert_true(codec_decode(CODEC_PROC(sw_command), data, len, &c, sizeof(c)));
-	jobs_apply(w->state, &c.sw_command_u.job);
-	if (c.sw_command_u.job.type == JOB_COMMAND_MACHINE_ORDER)
+	if (fixture_commit(w->state, command) == JOB_COMMAND_MACHINE_ORDER)
 		w->seen_at = w->now;
-	codec_free(CODEC_PROC(sw_command), &c);
 }
 
 /// Replaces the leader after a time without one.
--- a/tests/unit/unit_sched.c
+++ b/tests/unit/unit_sched.c
@@ -213,6 +213,280 @@
 	manager_free(m);
 }
 
+/* Count of waiting jobs. */
+
+#define QUEUE "h /q/"
+#define SETTLING_MS 1000   ///< covers a status query, a stop and their repetitions
+#define LEASE_LOSS_MS 8000 ///< above the longest lease of the fixture
+
+/// An endpoint "i-1" and the attempts that it was ordered to start. Proposals commit at once.
+struct world {
+	struct manager *m;
+	struct jobs *state; ///< committed state
+	clock_ms_t now;
+	uint64_t term;
+	GPtrArray *starts;	   ///< struct order: starts, oldest first
+	enum order_status answer;  ///< to starts
+	bool holds_starts;	   ///< starts get no answer for now
+	bool mute;		   ///< other orders get none at all
+	uint32_t running;	   ///< count of the latest starts that status answers list
+	const struct order *ended; ///< status answers list the end of this attempt; NULL: of none
+	enum attempt_outcome outcome; ///< of that attempt
+};
+
+static void world_init(struct world *w)
+{
+	*w = (struct world){
+		.m = fixture_manager(FIXTURE_START_MS),
+		.state = jobs_new(),
+		.now = FIXTURE_START_MS,
+		.term = 1,
+		.starts = g_ptr_array_new_with_free_func((GDestroyNotify)order_free),
+		.answer = ORDER_OK,
+	};
+	fixture_put_config(w->m, w->now);
+	fixture_heartbeat(w->m, w->now, "i-1", "m-1", 1);
+}
+
+static void world_clear(struct world *w)
+{
+	manager_free(w->m);
+	jobs_free(w->state);
+	g_ptr_array_unref(w->starts);
+}
+
+static const struct order *latest_start(const struct world *w)
+{
+	g_assert_cmpuint(w->starts->len, >, 0);
+	return w->starts->pdata[w->starts->len - 1];
+}
+
+static void answer(struct world *w, uint64_t id, enum order_status status)
+{
+	struct order_result *r = order_result_new(id, status);
+
+	manager_handle_result(w->m, w->now, w->now, r);
+	order_result_free(r);
+}
+
+static void answer_status_query(struct world *w, uint64_t id)
+{
+	struct order_result *r = order_result_new(id, ORDER_OK);
+
+	r->clock_ms = w->now;
+	for (guint i = w->starts->len; i > w->starts->len - w->running; i--) {
+		const struct order *o = w->starts->pdata[i - 1];
+		struct running_attempt row = {
+			.task = g_strdup(o->task),
+			.attempt = o->attempt,
+			.checkpoint = g_strdup(""),
+			.percent = (uint32_t)(w->now % 100), /* progress */
+		};
+
+		g_array_append_val(r->runs, row);
+	}
+	if (w->ended) {
+		struct completion_record row = {
+			.number = 1,
+			.task = g_strdup(w->ended->task),
+			.attempt = w->ended->attempt,
+			.outcome = w->outcome,
+			.checkpoint = g_strdup(""),
+		};
+
+		g_array_append_val(r->completions, row);
+	}
+	manager_handle_result(w->m, w->now, w->now, r);
+	order_result_free(r);
+}
+
+static void handle_effect(struct world *w, struct effect *e)
+{
+	if (e->type == EFFECT_PROPOSE) {
+		fixture_commit(w->state, e->u.command);
+	} else if (e->type == EFFECT_ORDER && e->u.order->type == ORDER_START) {
+		g_ptr_array_add(w->starts, g_steal_pointer(&e->u.order));
+		if (!w->holds_starts)
+			answer(w, latest_start(w)->id, w->answer);
+	} else if (e->type == EFFECT_ORDER && e->u.order->type == ORDER_STATUS_QUERY && !w->mute) {
+		answer_status_query(w, e->u.order->id);
+	} else if (e->type == EFFECT_ORDER) {
+		answer(w, e->u.order->id, w->mute ? ORDER_NO_ANSWER : ORDER_OK);
+	}
+}
+
+static void run_for(struct world *w, clock_ms_t ms)
+{
+	for (clock_ms_t until = w->now + ms; w->now < until; w->now += MANAGER_TICK_MS) {
+		g_autoptr(GPtrArray) effects = NULL;
+
+		manager_tick(w->m, w->now, w->now);
+		effects = manager_take_effects(w->m);
+		for (guint i = 0; i < effects->len; i++)
+			handle_effect(w, effects->pdata[i]);
+	}
+}
+
+/// Runs the manager until it has sent another start.
+static void run_until_start(struct world *w)
+{
+	guint starts = w->starts->len;
+
+	for (int i = 0; i < 1000 && w->starts->len == starts; i++)
+		run_for(w, MANAGER_TICK_MS);
+	g_assert_cmpuint(w->starts->len, >, starts);
+}
+
+/// Replaces the leader; the endpoint is in touch with the next one.
+static void change_leader(struct world *w)
+{
+	manager_free(w->m);
+	w->m = fixture_next_manager(w->state, ++w->term, w->now, w->now);
+	fixture_heartbeat(w->m, w->now, "i-1", "m-1", 1);
+}
+
+static uint32_t count_waiting(const struct world *w)
+{
+	return schedule_count_waiting(w->m, QUEUE);
+}
+
+/// Checks the count with the present leader and with a next one.
+static void assert_still_waits(struct world *w)
+{
+	g_assert_cmpuint(count_waiting(w), ==, 1);
+	change_leader(w);
+	g_assert_cmpuint(count_waiting(w), ==, 1);
+}
+
+/// An order to start is not a start: a job of which no attempt is known to run waits while its
+/// start is in flight or unanswered, and once it was stopped, with this leader and the next.
+static void test_job_whose_start_was_not_executed_still_waits(void)
+{
+	struct world w;
+
+	world_init(&w);
+	w.holds_starts = true;
+	fixture_submit(w.m, w.now, "j", 1);
+	g_assert_cmpuint(count_waiting(&w), ==, 1);
+	run_until_start(&w);
+	g_assert_cmpuint(count_waiting(&w), ==, 1);
+	answer(&w, latest_start(&w)->id, ORDER_NO_ANSWER);
+	g_assert_cmpuint(count_waiting(&w), ==, 1);
+	run_until_start(&w); /* the first attempt was stopped and released */
+	assert_still_waits(&w);
+	world_clear(&w);
+}
+
+static void test_job_whose_start_was_refused_still_waits(void)
+{
+	const enum order_status refusals[] = {ORDER_NO_CAPACITY, ORDER_TRY_LATER, ORDER_NOT_SENT};
+
+	for (guint i = 0; i < G_N_ELEMENTS(refusals); i++) {
+		struct world w;
+
+		world_init(&w);
+		w.answer = refusals[i];
+		fixture_submit(w.m, w.now, "j", 1);
+		run_until_start(&w);
+		assert_still_waits(&w);
+		world_clear(&w);
+	}
+}
+
+/// A job whose attempt is known to run has begun; a next leader knows that once a status answer
+/// lists the attempt.
+static void test_job_with_running_attempt_does_not_wait(void)
+{
+	struct world w;
+
+	world_init(&w);
+	fixture_submit(w.m, w.now, "j", 1);
+	run_until_start(&w);
+	g_assert_cmpuint(count_waiting(&w), ==, 0);
+	w.running = 1;
+	run_for(&w, SETTLING_MS);
+	g_assert_cmpuint(count_waiting(&w), ==, 0);
+	change_leader(&w);
+	g_assert_cmpuint(count_waiting(&w), ==, 1); /* not listed yet */
+	run_for(&w, SETTLING_MS);
+	g_assert_cmpuint(w.starts->len, ==, 1);
+	g_assert_cmpuint(count_waiting(&w), ==, 0);
+	world_clear(&w);
+}
+
+/// The only attempts of a job ended with their endpoint, without a result: it waits again.
+static void test_job_whose_endpoint_was_lost_waits_again(void)
+{
+	/* A lost endpoint is logged as a warning. */
+	const GLogLevelFlags fatal = g_log_set_always_fatal(G_LOG_FATAL_MASK);
+	struct world w;
+
+	world_init(&w);
+	w.running = 1;
+	fixture_submit(w.m, w.now, "j", 1);
+	run_until_start(&w);
+	run_for(&w, SETTLING_MS);
+	g_assert_cmpuint(count_waiting(&w), ==, 0);
+	w.mute = true;
+	w.holds_starts = true;
+	run_for(&w, LEASE_LOSS_MS);
+	assert_still_waits(&w);
+	world_clear(&w);
+	g_log_set_always_fatal(fatal);
+}
+
+/// An endpoint that restarts has lost the attempts that its earlier incarnation listed; one that
+/// only a start order's answer confirmed may run at either incarnation.
+static void test_job_whose_endpoint_restarted_waits_again(void)
+{
+	for (int listed = 0; listed < 2; listed++) {
+		struct world w;
+
+		world_init(&w);
+		w.running = listed;
+		w.mute = !listed;
+		fixture_submit(w.m, w.now, "j", 1);
+		run_until_start(&w);
+		run_for(&w, listed ? SETTLING_MS : MANAGER_TICK_MS);
+		g_assert_cmpuint(count_waiting(&w), ==, 0);
+		w.mute = true;
+		w.holds_starts = true;
+		fixture_heartbeat(w.m, w.now, "i-1", "m-1", 2);
+		g_assert_cmpuint(count_waiting(&w), ==, 1);
+		world_clear(&w);
+	}
+}
+
+/// A job with a result has begun, even if none of its other tasks has an attempt, and for the next
+/// leader as well.
+static void test_job_with_result_does_not_wait(void)
+{
+	const enum attempt_outcome outcomes[] = {ATTEMPT_DONE, ATTEMPT_FAILED};
+
+	for (guint i = 0; i < G_N_ELEMENTS(outcomes); i++) {
+		struct world w;
+
+		world_init(&w);
+		w.running = 2;
+		fixture_submit(w.m, w.now, "j", 2);
+		run_until_start(&w);
+		run_for(&w, SETTLING_MS);
+		g_assert_cmpuint(w.starts->len, ==, 2);
+		w.running = 1;
+		w.ended = w.starts->pdata[0];
+		w.outcome = outcomes[i];
+		w.answer = ORDER_NO_CAPACITY;
+		run_for(&w, SETTLING_MS);
+		w.running = 0;
+		run_for(&w, SETTLING_MS);
+		g_assert_cmpuint(w.starts->len, >, 2);
+		g_assert_cmpuint(count_waiting(&w), ==, 0);
+		change_leader(&w);
+		g_assert_cmpuint(count_waiting(&w), ==, 0);
+		world_clear(&w);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -232,5 +506,16 @@
 			test_failing_endpoint_is_quarantined);
 	g_test_add_func("/sched/place_choose", test_place_choose);
 	g_test_add_func("/sched/full_pool_is_skipped", test_full_pool_is_skipped);
+	g_test_add_func("/sched/job_whose_start_was_not_executed_still_waits",
+			test_job_whose_start_was_not_executed_still_waits);
+	g_test_add_func("/sched/job_whose_start_was_refused_still_waits",
+			test_job_whose_start_was_refused_still_waits);
+	g_test_add_func("/sched/job_with_running_attempt_does_not_wait",
+			test_job_with_running_attempt_does_not_wait);
+	g_test_add_func("/sched/job_whose_endpoint_was_lost_waits_again",
+			test_job_whose_endpoint_was_lost_waits_again);
+	g_test_add_func("/sched/job_whose_endpoint_restarted_waits_again",
+			test_job_whose_endpoint_restarted_waits_again);
+	g_test_add_func("/sched/job_with_result_does_not_wait", test_job_with_result_does_not_wait);
 	return g_test_run();
 }
