--- a/src/sesamewood/manager/control_loop.c
+++ b/src/sesamewood/manager/control_loop.c
@@ -152,8 +152,11 @@
 		sw_command c;
 
 		sh->state_index = record->index;
-		if (!codec_decode(CODEC_PROC(sw_command), data, len, &c, sizeof(c)))
+		if (!codec_decode(CODEC_PROC(sw_command), data, len, &c, sizeof(c))) {
+			log_error("cannot decode a log record; skipping it", "INDEX",
+				  log_number(record->index));
 			continue;
+		}
 		if (c.type == SW_COMMAND_JOB)
 			apply_job_command(sh, record->index, &c.sw_command_u.job);
 		codec_free(CODEC_PROC(sw_command), &c);
--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -24,10 +24,10 @@
 struct run {
 	char *name; ///< task name: job.occurrence.step.index
 	job_task_ref ref;
-	const struct job *job; ///< borrowed; a job with assigned attempts is not forgotten
+	struct job *job; ///< borrowed; a job with assigned attempts is not forgotten
 	uint32_t attempt;
 	struct endpoint *endpoint;
-	enum run_state state;
+	enum run_state state; ///< changed only by attempts_set_state()
 	/// How the attempt's end is recorded if it is released without a completion; set when its
 	/// endpoint ends unexpectedly.
 	job_attempt_end_cause loss;
--- a/src/sesamewood/sched/suspects.h
+++ b/src/sesamewood/sched/suspects.h
@@ -21,7 +21,7 @@
 	const char *job;
 	bool excluded;	///< certainly not executed, or its stop was acknowledged
 	bool suspected; ///< its task was starting at an earlier crash
-	bool is_known;	///< this leader has ordered it or seen it listed
+	bool is_known;	///< the endpoint has accepted its start or listed it
 	/// Run time when the endpoint was last known to be alive; 0: it may not have started.
 	clock_ms_t age_ms;
 };
