--- a/tests/unit/unit_scale.c
+++ b/tests/unit/unit_scale.c
@@ -128,20 +128,6 @@
 #define POOL_MACHINES 16
 #define CORES (FIXTURE_CPU_MILLI / 1000)
 
-/// Returns the number of start orders emitted since the last call.
-static unsigned int count_start_orders(struct manager *m)
-{
-	g_autoptr(GPtrArray) effects = manager_take_effects(m);
-	unsigned int n = 0;
-
-	for (guint i = 0; i < effects->len; i++) {
-		const struct effect *e = effects->pdata[i];
-
-		n += e->type == EFFECT_ORDER && e->u.order->type == ORDER_START;
-	}
-	return n;
-}
-
 /// A pool has three free cores, and a long-running task of four cores waits. Small tasks that
 /// arrive continuously must not take each core that becomes free, or the task never starts.
 static void test_capacity_is_reserved_for_a_long_running_task(void)
