fix(jobs): the cancel of a failed job stops the tasks that run on

Cause: since tasks are given up, such tasks run on until the job is cancelled, but a cancel of an ended job was answered without effect. Class of fault: a new state of an object that an older check of its end leaves out.

Test /runs/cancel_of_failed_job_stops_its_tasks on the code before: "assertion failed (w.stops >= 1): (0 >= 1)".

--- a/src/sesamewood/manager/calls.c
+++ b/src/sesamewood/manager/calls.c
@@ -115,7 +115,8 @@
 									: REPLY_UNAVAILABLE);
 	if (!job)
 		return reply_with_status(REPLY_UNKNOWN_JOB);
-	if (!job_has_ended(job)) {
+	/* Tasks of a failed job may run on until it is cancelled. */
+	if (!job_has_ended(job) || (job->image.phase == JOB_FAILED && job->assigned)) {
 		effects_propose(m, &c);
 		log_info("job cancelled", "JOB", id);
 	}
--- a/tests/unit/unit_runs.c
+++ b/tests/unit/unit_runs.c
@@ -389,6 +389,31 @@
 	world_clear(&w);
 }
 
+/// Tasks with an availability budget run on when their job fails, until it is cancelled.
+static void test_cancel_of_failed_job_stops_its_tasks(void)
+{
+	struct call c = {.type = CALL_CANCEL, .host = g_strdup("h"), .path = g_strdup("/q/j")};
+	struct world w;
+	struct job *job;
+
+	world_init(&w);
+	w.start_is_answered = true;
+	w.listed = true;
+	start_task(&w);
+	w.incarnation_wall_ms = w.start->instance[2] - '0';
+	run_for(&w, 100);
+	job = jobs_find(w.m->jobs, "j");
+	job->image.spec.steps.steps_val[0].max_unavailable = 1;
+	job->image.phase = JOB_FAILED;
+	run_for(&w, 500);
+	g_assert_cmpuint(w.stops, ==, 0);
+	manager_handle_call(w.m, w.now, w.now, 9, &c);
+	call_clear(&c);
+	run_for(&w, 500);
+	g_assert_cmpuint(w.stops, >=, 1);
+	world_clear(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -409,5 +434,7 @@
 			test_deregistration_does_not_end_unlisted_attempt);
 	g_test_add_func("/runs/late_start_is_not_stopped_unseen",
 			test_late_start_is_not_stopped_unseen);
+	g_test_add_func("/runs/cancel_of_failed_job_stops_its_tasks",
+			test_cancel_of_failed_job_stops_its_tasks);
 	return g_test_run();
 }
