review: accepted jobs and configuration are lost once the state exceeds 16 MiB

Case 1, rule LOST. 8,300 scheduled jobs (19 MB) are accepted, then all control processes are killed once and started again 0.6 s later: none of them can use its data directory any more.

--- /dev/null
+++ b/review/standin/lab.c
@@ -0,0 +1,1050 @@
+#include "lab.h"
+
+#include "base/http_async_client.h"
+#include "base/http_server.h"
+
+#include <errno.h>
+#include <ev.h>
+#include <json-glib/json-glib.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define CONTROL_PORT 8623
+#define FRONT_PORT 8624
+#define READY_PORT 8622
+#define RPC_PORT 7060
+#define EXECUTOR_PORT 8080
+#define MACHINES_PORT 8621
+#define PROCESSES_MAX 16
+#define EXECUTORS_MAX 64
+#define HEARTBEAT_MS 1500
+#define HOLD_MAX_MS 6000
+#define GANG_MS 3000
+#define TICK_S 0.005
+#define RESTART_MS 300 /* a process that has ended starts again after this delay */
+#define OPERATOR_MS 1000
+#define CLIENT_MS 3000
+#define EXECUTOR_CPU 32000
+#define EXECUTOR_MEM 131072
+#define PAGE 500
+
+struct process {
+	char *name;
+	char *ip;
+	char *data;
+	bool control;
+	pid_t pid;	     ///< 0: down
+	clock_ms_t start_at; ///< 0: not waiting for its start
+	unsigned int starts;
+};
+
+struct attempt {
+	char *task;
+	unsigned int attempt;
+	unsigned int work_ms;
+	unsigned int gang;
+	unsigned int saved_chars;
+	unsigned int member_salt;
+	char *checkpoint; ///< that it was started with
+	clock_ms_t placed_at;
+	clock_ms_t work_from; ///< 0: a gang that is not complete
+};
+
+struct end {
+	int64_t number;
+	char *task;
+	unsigned int attempt;
+	const char *how;
+	char *saved;
+};
+
+struct waiting {
+	struct http_request *req;
+	clock_ms_t until;
+};
+
+struct lab_executor {
+	unsigned int index;
+	unsigned int life;
+	char *id;
+	char *address;
+	bool up;
+	bool draining;
+	bool deaf;		    ///< nothing that is sent to it arrives
+	struct http_server *server; ///< NULL while down
+	clock_ms_t back_at;
+	clock_ms_t ends_at; ///< 0: no end is planned
+	clock_ms_t born_at;
+	int64_t born;
+	int64_t sequence;
+	int64_t token;
+	int64_t until;
+	int64_t ends;
+	clock_ms_t heartbeat_at;
+	GPtrArray *running;
+	GPtrArray *ended;
+	GArray *waiting;
+	GHashTable *last; ///< highest attempt that ended or was stopped, by task
+};
+
+struct call {
+	struct lab_answer *answer;
+	bool done;
+};
+
+struct background {
+	char *path;
+	char *body;
+	unsigned int *done;
+};
+
+static struct {
+	struct lab_settings settings;
+	struct ev_loop *loop;
+	struct http_async_client *client;
+	char *work;
+	char *network;
+	FILE *record;
+	clock_ms_t opened_at;
+	struct process processes[PROCESSES_MAX];
+	unsigned int n_processes;
+	struct lab_executor executors[EXECUTORS_MAX];
+	unsigned int turn;
+	unsigned int own_ends;
+	unsigned int overlaps;
+	GHashTable *jobs; ///< struct lab_step * by job id
+	GHashTable *ends; ///< counts by "task how"
+	GPtrArray *starts;
+	ev_timer tick;
+} lab;
+
+bool lab_trouble(void)
+{
+	return g_strcmp0(g_getenv("TROUBLE"), "0") != 0;
+}
+
+void lab_record(const char *format, ...)
+{
+	va_list args;
+
+	va_start(args, format);
+	fprintf(lab.record, "%8.3f  ", (double)(clock_monotonic() - lab.opened_at) / 1000);
+	vfprintf(lab.record, format, args);
+	fputc('\n', lab.record);
+	fflush(lab.record);
+	va_end(args);
+}
+
+/* Processes. */
+
+static void start_process(struct process *p, bool bootstrap)
+{
+	g_autofree char *path = g_strdup_printf("%s/%s.conf", lab.work, p->name);
+	g_autofree char *log = g_strdup_printf("%s/%s.%u.log", lab.work, p->name, p->starts++);
+	g_autofree char *text = g_strdup_printf(
+		"nodeName=%s\nrole=%s\nmachineClass=%s\nserves=%s\nip=%s\nzone=z1\nregion=r\n"
+		"zones.z1=r\nlisten.front=%s:%d\nlisten.ready=%s:%d\nlisten.control=%s:%d\n"
+		"internalPorts=%d,%d\nseeds=%s.1:%d,%s.2:%d,%s.3:%d\nbootstrap=%s\n"
+		"inFaultBudget=%s\ndataDir=%s\nheartbeatMs=%d\ndiscovery=registry\n"
+		"bounds.contactMs=3000\nbounds.ackMs=4000\nbounds.drainMs=2000\nbounds.graceS=6\n"
+		"bounds.configMs=2000\nbounds.holdMaxMs=%d\nbounds.stopMs=400\nbounds.gangMs=%d\n"
+		"bounds.cancel_ms=3000\nbounds.visible_ms=3000\nbounds.finish_s=14\n"
+		"bounds.status_s=120\nbounds.farX=3\nbounds.saveS=1\nbounds.moveS=1.5\n"
+		"bounds.upkeepS=2\nbounds.requireFence=true\nbounds.leaseMs=3000\n"
+		"commands=rpc\nadvice=%s.98:%d\ncloud.address=%s.99:%d\ncloud.perS=64.0\n"
+		"cloud.dutyPerS=64.0\n",
+		p->name, p->control ? "control" : "entry", p->control ? "core" : "edge",
+		p->control ? "control" : "edge", p->ip, p->ip, FRONT_PORT, p->ip, READY_PORT, p->ip,
+		CONTROL_PORT, RPC_PORT, RPC_PORT + 15, lab.network, CONTROL_PORT, lab.network,
+		CONTROL_PORT, lab.network, CONTROL_PORT, bootstrap ? "true" : "false",
+		p->control ? "true" : "false", p->data, HEARTBEAT_MS, HOLD_MAX_MS, GANG_MS,
+		lab.network, MACHINES_PORT, lab.network, MACHINES_PORT);
+	g_autofree char *program =
+		g_strdup_printf("target/sesamewood-platform-%s", p->control ? "control" : "entry");
+
+	g_mkdir_with_parents(p->data, 0700);
+	g_file_set_contents(path, text, -1, NULL);
+	p->start_at = 0;
+	p->pid = fork();
+	if (p->pid)
+		return;
+	for (int fd = 3; fd < 256; fd++)
+		close(fd);
+	if (!freopen(log, "w", stdout) || dup2(1, 2) < 0)
+		_exit(127);
+	setenv("SESAMEWOOD_SETTINGS", path, 1);
+	execl(program, program, (char *)NULL);
+	_exit(127);
+}
+
+static void kill_process(struct process *p)
+{
+	if (!p->pid)
+		return;
+	kill(p->pid, SIGKILL);
+	waitpid(p->pid, NULL, 0);
+	p->pid = 0;
+	p->start_at = 0;
+}
+
+static void watch_processes(clock_ms_t now)
+{
+	for (unsigned int i = 0; i < lab.n_processes; i++) {
+		struct process *p = &lab.processes[i];
+		int status;
+
+		if (p->pid && waitpid(p->pid, &status, WNOHANG) == p->pid) {
+			lab.own_ends++;
+			if (p->starts < 5)
+				lab_record("%s ends by itself, status %d", p->name,
+					   WIFEXITED(status) ? WEXITSTATUS(status)
+							     : -WTERMSIG(status));
+			p->pid = 0;
+			p->start_at = now + RESTART_MS;
+		}
+		if (!p->pid && p->start_at && now >= p->start_at)
+			start_process(p, false);
+	}
+}
+
+unsigned int lab_ends_of_their_own(void)
+{
+	return lab.own_ends;
+}
+
+/// Records the peak of the memory of each control replica.
+static void record_memory(void)
+{
+	for (unsigned int i = 0; i < lab.settings.controls; i++) {
+		g_autofree char *path =
+			g_strdup_printf("/proc/%d/status", (int)lab.processes[i].pid);
+		g_autofree char *text = NULL;
+		const char *peak;
+
+		if (!g_file_get_contents(path, &text, NULL, NULL))
+			continue;
+		peak = strstr(text, "VmHWM:");
+		lab_record("%s used at most %d MB", lab.processes[i].name,
+			   peak ? atoi(peak + 6) / 1024 : 0);
+	}
+}
+
+void lab_kill_all_controls(void)
+{
+	record_memory();
+	for (unsigned int i = 0; i < lab.settings.controls; i++)
+		kill(lab.processes[i].pid, SIGKILL);
+	for (unsigned int i = 0; i < lab.settings.controls; i++)
+		kill_process(&lab.processes[i]);
+	lab_record("all control replicas are killed");
+}
+
+void lab_start_all_controls(void)
+{
+	for (unsigned int i = 0; i < lab.settings.controls; i++)
+		start_process(&lab.processes[i], false);
+	lab_record("all control replicas start again");
+}
+
+/* Executors. */
+
+static int64_t executor_clock(const struct lab_executor *e)
+{
+	return clock_monotonic() - e->born_at;
+}
+
+static void attempt_free(void *p)
+{
+	struct attempt *a = p;
+
+	g_free(a->task);
+	g_free(a->checkpoint);
+	g_free(a);
+}
+
+static void end_free(void *p)
+{
+	struct end *e = p;
+
+	g_free(e->task);
+	g_free(e->saved);
+	g_free(e);
+}
+
+static void on_executor_request(void *ctx, struct http_request *req);
+
+static void begin_life(struct lab_executor *e)
+{
+	static const struct http_handlers handlers = {.on_request = on_executor_request};
+	const struct http_limits limits = {.head_bytes = 32768,
+					   .body_bytes = 262144,
+					   .connections = 256,
+					   .idle_timeout_s = 60};
+
+	e->server = http_server_new(lab.loop, e->address, &limits, &handlers, e);
+	if (!e->server)
+		lab_give_up("an executor cannot listen");
+	e->life++;
+	g_free(e->id);
+	e->id = g_strdup_printf("i-%02x%04x", e->index, e->life);
+	e->born_at = clock_monotonic();
+	e->born = clock_wall();
+	e->sequence = e->token = e->until = e->ends = 0;
+	e->heartbeat_at = 0;
+	e->up = true;
+	e->draining = e->deaf = false;
+	e->ends_at = 0;
+	e->back_at = 0;
+}
+
+/// @return the checkpoint that a run has reached, owned by the caller
+static char *saved_of(const struct attempt *a, clock_ms_t now)
+{
+	clock_ms_t worked = a->work_from ? now - a->work_from : 0;
+	GString *s;
+
+	if (!a->saved_chars || worked < 1000)
+		return g_strdup(a->checkpoint);
+	s = g_string_new(NULL);
+	g_string_printf(s, "%08x%04x%04x", (unsigned int)(worked / 1000), a->attempt,
+			a->member_salt);
+	while (s->len < a->saved_chars)
+		g_string_append_c(s, "0123456789abcdef"[s->len % 16]);
+	g_string_truncate(s, MAX(a->saved_chars, 16));
+	return g_string_free(s, FALSE);
+}
+
+static void note_last(struct lab_executor *e, const char *task, unsigned int attempt)
+{
+	guint last = GPOINTER_TO_UINT(g_hash_table_lookup(e->last, task));
+
+	g_hash_table_replace(e->last, g_strdup(task), GUINT_TO_POINTER(MAX(last, attempt)));
+}
+
+static void end_attempt(struct lab_executor *e, guint at, const char *how)
+{
+	struct attempt *a = e->running->pdata[at];
+	struct end *row = g_new0(struct end, 1);
+	char *key = g_strdup_printf("%s %s", a->task, how);
+	guint n = GPOINTER_TO_UINT(g_hash_table_lookup(lab.ends, key));
+
+	g_hash_table_replace(lab.ends, key, GUINT_TO_POINTER(n + 1));
+	*row = (struct end){++e->ends, g_strdup(a->task), a->attempt, how,
+			    strcmp(how, "done") ? saved_of(a, clock_monotonic()) : g_strdup("")};
+	g_ptr_array_add(e->ended, row);
+	note_last(e, a->task, a->attempt);
+	lab_record("run %s/%u ends on %s: %s", a->task, a->attempt, e->id, how);
+	g_ptr_array_remove_index(e->running, at);
+}
+
+static void reply_json(struct http_request *req, unsigned int status, const char *body)
+{
+	static const struct http_header headers[] = {{"Content-Type", "application/json"},
+						     {NULL, NULL}};
+
+	http_reply(req, status, headers, body, strlen(body));
+}
+
+static void reply_lists(struct lab_executor *e, struct http_request *req)
+{
+	clock_ms_t now = clock_monotonic();
+	g_autoptr(GString) s = g_string_new(NULL);
+
+	g_string_printf(s, "{\"clockMs\":%" PRId64 ",\"born\":%" PRId64 ",\"running\":[",
+			executor_clock(e), e->born);
+	for (guint i = 0; i < e->running->len; i++) {
+		const struct attempt *a = e->running->pdata[i];
+		clock_ms_t worked = a->work_from ? now - a->work_from : 0;
+		clock_ms_t whole = a->work_ms ? a->work_ms : 500;
+		g_autofree char *saved = saved_of(a, now);
+
+		g_string_append_printf(s, "%s[\"%s\",%u,\"%s\",%d,%d]", i ? "," : "", a->task,
+				       a->attempt, saved, (int)MIN(worked * 100 / whole, 100),
+				       1000);
+	}
+	g_string_append(s, "],\"endedRuns\":[");
+	for (guint i = 0; i < e->ended->len && i < PAGE; i++) {
+		const struct end *row = e->ended->pdata[i];
+
+		g_string_append_printf(s, "%s[%" PRId64 ",\"%s\",%u,\"%s\",\"%s\"]", i ? "," : "",
+				       row->number, row->task, row->attempt, row->how, row->saved);
+	}
+	g_string_append(s, "]}");
+	reply_json(req, 200, s->str);
+}
+
+static void crash_now(struct lab_executor *e)
+{
+	for (guint i = 0; i < e->running->len; i++) {
+		const struct attempt *a = e->running->pdata[i];
+
+		lab_record("run %s/%u is lost with %s", a->task, a->attempt, e->id);
+	}
+	g_ptr_array_set_size(e->running, 0);
+	g_ptr_array_set_size(e->ended, 0);
+	g_hash_table_remove_all(e->last);
+	for (guint i = 0; i < e->waiting->len; i++)
+		http_reply(g_array_index(e->waiting, struct waiting, i).req, 503, NULL, "", 0);
+	g_array_set_size(e->waiting, 0);
+	http_server_free(e->server);
+	e->server = NULL;
+	e->up = false;
+}
+
+static void end_executor(struct lab_executor *e)
+{
+	if (!e->up)
+		return;
+	lab_record("executor %s ends", e->id);
+	crash_now(e);
+}
+
+void lab_executor_crash(struct lab_executor *e, clock_ms_t down_ms)
+{
+	lab_record("executor %s crashes", e->id);
+	crash_now(e);
+	e->back_at = clock_monotonic() + down_ms;
+}
+
+static const char *take_token(struct lab_executor *e, JsonObject *o)
+{
+	int64_t token = json_object_get_int_member_with_default(o, "fencingToken", 0);
+
+	if (token < e->token)
+		return "fence";
+	e->token = token;
+	return NULL;
+}
+
+static void take_lease(struct lab_executor *e, JsonObject *o)
+{
+	int64_t until = json_object_get_int_member_with_default(o, "untilMs", 0);
+
+	e->until = MAX(e->until, MIN(until, executor_clock(e) + HOLD_MAX_MS));
+}
+
+static const char *start_run(struct lab_executor *e, JsonObject *o)
+{
+	const char *task = json_object_get_string_member_with_default(o, "task", "");
+	unsigned int attempt = (unsigned int)json_object_get_int_member(o, "attempt");
+	const char *refusal = take_token(e, o);
+	g_auto(GStrv) parts = g_strsplit(task, ".", 4);
+	const struct lab_step *steps;
+	struct lab_start *start;
+	struct attempt *a;
+
+	if (refusal)
+		return refusal;
+	for (guint i = 0; i < e->running->len; i++) {
+		a = e->running->pdata[i];
+		if (g_str_equal(a->task, task) && a->attempt == attempt)
+			return NULL;
+	}
+	if (json_object_get_int_member(o, "untilMs") <= executor_clock(e))
+		return "late";
+	take_lease(e, o);
+	if (attempt <= GPOINTER_TO_UINT(g_hash_table_lookup(e->last, task)))
+		return "old";
+	steps = g_hash_table_lookup(lab.jobs, parts[0]);
+	a = g_new0(struct attempt, 1);
+	*a = (struct attempt){
+		.task = g_strdup(task),
+		.attempt = attempt,
+		.checkpoint =
+			g_strdup(json_object_get_string_member_with_default(o, "checkpointAt", "")),
+		.member_salt = (unsigned int)atoi(parts[3]),
+		.placed_at = clock_monotonic(),
+	};
+	if (steps) {
+		const struct lab_step *step = &steps[atoi(parts[2])];
+
+		a->work_ms = step->work_ms;
+		a->gang = step->gang;
+		a->saved_chars = step->saved_chars;
+	}
+	if (!a->gang)
+		a->work_from = a->placed_at;
+	g_ptr_array_add(e->running, a);
+	start = g_new0(struct lab_start, 1);
+	*start = (struct lab_start){g_strdup(task), attempt, g_strdup(a->checkpoint), a->placed_at};
+	g_ptr_array_add(lab.starts, start);
+	for (unsigned int i = 0; i < lab.settings.executors; i++)
+		for (guint k = 0; k < lab.executors[i].running->len; k++) {
+			const struct attempt *b = lab.executors[i].running->pdata[k];
+
+			if (b == a || strcmp(b->task, task) != 0)
+				continue;
+			lab.overlaps++;
+			lab_record("run %s/%u still runs on %s, which is up", task, b->attempt,
+				   lab.executors[i].id);
+		}
+	lab_record("run %s/%u starts on %s%s%.24s", task, attempt, e->id,
+		   *a->checkpoint ? " from " : "", a->checkpoint);
+	return NULL;
+}
+
+static const char *stop_run(struct lab_executor *e, JsonObject *o)
+{
+	const char *task = json_object_get_string_member_with_default(o, "task", "");
+	unsigned int attempt = (unsigned int)json_object_get_int_member(o, "attempt");
+	const char *refusal = take_token(e, o);
+
+	if (refusal)
+		return refusal;
+	note_last(e, task, attempt);
+	for (guint i = e->running->len; i > 0; i--) {
+		const struct attempt *a = e->running->pdata[i - 1];
+
+		if (g_str_equal(a->task, task) && a->attempt <= attempt)
+			end_attempt(e, i - 1, "stopped");
+	}
+	return NULL;
+}
+
+static void hold(struct lab_executor *e, JsonObject *o, struct http_request *req)
+{
+	int64_t through = json_object_get_int_member_with_default(o, "ackThrough", 0);
+	int64_t wait = json_object_get_int_member_with_default(o, "waitMs", 0);
+	struct waiting w = {req, clock_monotonic() + wait};
+
+	take_lease(e, o);
+	while (e->ended->len && ((struct end *)e->ended->pdata[0])->number <= through)
+		g_ptr_array_remove_index(e->ended, 0);
+	if (e->ended->len || !wait)
+		reply_lists(e, req);
+	else
+		g_array_append_val(e->waiting, w);
+}
+
+static void on_executor_request(void *ctx, struct http_request *req)
+{
+	struct lab_executor *e = ctx;
+	const char *expected = http_header(req, "Sesamewood-Expect-Instance");
+	g_autofree char *body = http_body_text(req);
+	g_autofree char *text = NULL;
+	g_autoptr(JsonParser) parser = json_parser_new();
+	const char *path = http_target(req);
+	const char *refusal = NULL;
+	JsonObject *o;
+
+	if (e->deaf) { /* no answer; the connection ends with the executor */
+		const struct waiting w = {req, CLOCK_NEVER};
+
+		g_array_append_val(e->waiting, w);
+		return;
+	}
+	if (expected && strcmp(expected, e->id) != 0) {
+		reply_json(req, 421, "{}");
+		return;
+	}
+	if (!body || !json_parser_load_from_data(parser, body, -1, NULL) ||
+	    !JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser))) {
+		reply_json(req, 400, "{}");
+		return;
+	}
+	o = json_node_get_object(json_parser_get_root(parser));
+	if (g_str_equal(path, "/api/run-start")) {
+		refusal = start_run(e, o);
+	} else if (g_str_equal(path, "/api/run-stop")) {
+		refusal = stop_run(e, o);
+	} else if (g_str_equal(path, "/api/hold")) {
+		refusal = take_token(e, o);
+		if (!refusal) {
+			hold(e, o, req);
+			return;
+		}
+	} else {
+		refusal = take_token(e, o);
+	}
+	text = refusal ? g_strdup_printf("{\"clockMs\":%" PRId64 ",\"reason\":\"%s\"}",
+					 executor_clock(e), refusal)
+		       : g_strdup_printf("{\"clockMs\":%" PRId64 "}", executor_clock(e));
+	reply_json(req, refusal ? 409 : 200, text);
+}
+
+/// Starts the work of gangs whose members are all present, and ends those that wait too long.
+static void serve_gangs(clock_ms_t now)
+{
+	for (unsigned int x = 0; x < lab.settings.executors; x++) {
+		struct lab_executor *e = &lab.executors[x];
+
+		for (guint i = e->running->len; i > 0; i--) {
+			struct attempt *a = e->running->pdata[i - 1];
+			const char *dot = strrchr(a->task, '.');
+			unsigned int present = 0;
+
+			if (!a->gang)
+				continue;
+			for (unsigned int y = 0; y < lab.settings.executors; y++)
+				for (guint k = 0; k < lab.executors[y].running->len; k++) {
+					const struct attempt *b =
+						lab.executors[y].running->pdata[k];
+
+					present += b->attempt == a->attempt &&
+						   !strncmp(a->task, b->task,
+							    (size_t)(dot + 1 - a->task));
+				}
+			if (present >= a->gang && !a->work_from)
+				a->work_from = now;
+			else if (present < a->gang && a->work_from)
+				end_attempt(e, i - 1, "broken");
+			else if (!a->work_from && now - a->placed_at > GANG_MS)
+				end_attempt(e, i - 1, "alone");
+		}
+	}
+}
+
+static void on_ignored(void *ctx, const struct http_async_result *r)
+{
+	(void)ctx;
+	(void)r;
+}
+
+static void send_heartbeat(struct lab_executor *e)
+{
+	g_autofree char *path = g_strdup_printf("/api/executors/%s/heartbeat", e->id);
+	g_autofree char *address = g_strdup_printf(
+		"%s.%u:%d", lab.network, 1 + lab.turn++ % lab.settings.controls, CONTROL_PORT);
+	g_autofree char *body = g_strdup_printf(
+		"{\"backend\":\"pool\",\"address\":\"%s\",\"zone\":\"z1\",\"version\":\"v1\","
+		"\"slots\":8,\"state\":\"%s\",\"coldLeftMs\":0,\"capacity\":{\"cpu\":%d,"
+		"\"memMb\":%d,\"gpu\":0},\"labels\":[\"a\",\"r1-%u\"],\"hostMachine\":\"m-%02x\","
+		"\"clockMs\":%" PRId64 ",\"born\":%" PRId64 ",\"sequence\":%" PRId64 "}",
+		e->address, e->draining ? "draining" : "ready", EXECUTOR_CPU, EXECUTOR_MEM,
+		e->index / 4, e->index, executor_clock(e), e->born, ++e->sequence);
+	const struct http_async_request request = {
+		.address = address,
+		.path = path,
+		.body = body,
+		.len = strlen(body),
+		.timeout_ms = 1000,
+	};
+
+	http_async_client_send(lab.client, &request, on_ignored, NULL);
+}
+
+static void serve_executor(struct lab_executor *e, clock_ms_t now)
+{
+	if (!e->up) {
+		if (e->back_at && now >= e->back_at) {
+			begin_life(e);
+			lab_record("executor %s is up", e->id);
+		}
+		return;
+	}
+	if (e->ends_at && now >= e->ends_at) {
+		end_executor(e);
+		return;
+	}
+	if (now >= e->heartbeat_at && !e->deaf) {
+		e->heartbeat_at = now + HEARTBEAT_MS;
+		send_heartbeat(e);
+	}
+	for (guint i = e->running->len; i > 0; i--) {
+		const struct attempt *a = e->running->pdata[i - 1];
+
+		if (executor_clock(e) > e->until)
+			end_attempt(e, i - 1, "lapsed");
+		else if (a->work_ms && a->work_from && now - a->work_from >= a->work_ms)
+			end_attempt(e, i - 1, "done");
+	}
+	for (guint i = e->waiting->len; i > 0; i--) {
+		const struct waiting w = g_array_index(e->waiting, struct waiting, i - 1);
+
+		if (e->deaf || (now < w.until && !e->ended->len))
+			continue;
+		g_array_remove_index_fast(e->waiting, i - 1);
+		reply_lists(e, w.req);
+	}
+}
+
+void lab_executor_drain(struct lab_executor *e)
+{
+	lab_record("executor %s drains", e->id);
+	e->draining = true;
+	e->heartbeat_at = 0;
+}
+
+void lab_executor_cut_one_way(struct lab_executor *e)
+{
+	lab_record("what is sent to executor %s is lost from now on", e->id);
+	e->deaf = true;
+}
+
+static void on_deregistered(void *ctx, const struct http_async_result *r)
+{
+	struct lab_executor *e = ctx;
+
+	if (e->deaf || r->status / 100 != 2)
+		return;
+	lab_record("executor %s is told that its leaving is acknowledged", e->id);
+	end_executor(e);
+}
+
+void lab_executor_leave(struct lab_executor *e, clock_ms_t unacknowledged_ms)
+{
+	g_autofree char *path = g_strdup_printf("/api/executors/%s/deregister", e->id);
+	g_autofree char *address = g_strdup_printf(
+		"%s.%u:%d", lab.network, 1 + lab.turn++ % lab.settings.controls, CONTROL_PORT);
+	g_autofree char *body = g_strdup_printf("{\"born\":%" PRId64 "}", e->born);
+	const struct http_async_request request = {
+		.address = address,
+		.path = path,
+		.body = body,
+		.len = strlen(body),
+		.timeout_ms = 1000,
+	};
+
+	lab_record("executor %s sends that it leaves", e->id);
+	e->ends_at = clock_monotonic() + unacknowledged_ms;
+	http_async_client_send(lab.client, &request, on_deregistered, e);
+}
+
+struct lab_executor *lab_executor_running(const char *task)
+{
+	for (unsigned int i = 0; i < lab.settings.executors; i++)
+		for (guint k = 0; k < lab.executors[i].running->len; k++)
+			if (g_str_equal(
+				    ((struct attempt *)lab.executors[i].running->pdata[k])->task,
+				    task))
+				return &lab.executors[i];
+	return NULL;
+}
+
+unsigned int lab_count_ends(const char *task, const char *how)
+{
+	g_autofree char *key = g_strdup_printf("%s %s", task, how);
+
+	return GPOINTER_TO_UINT(g_hash_table_lookup(lab.ends, key));
+}
+
+const GPtrArray *lab_starts(void)
+{
+	return lab.starts;
+}
+
+void lab_know_job(const char *id, const struct lab_step *steps, unsigned int n)
+{
+	(void)n;
+	g_hash_table_replace(lab.jobs, g_strdup(id), (gpointer)steps);
+}
+
+unsigned int lab_overlaps(void)
+{
+	return lab.overlaps;
+}
+
+unsigned int lab_executors_up(void)
+{
+	unsigned int n = 0;
+
+	for (unsigned int i = 0; i < lab.settings.executors; i++)
+		n += lab.executors[i].up;
+	return n;
+}
+
+/* Machine service: lists the machines; none needs a move. */
+
+static void on_machines(void *ctx, struct http_request *req)
+{
+	g_autoptr(GString) s = g_string_new("{\"machines\":[");
+
+	(void)ctx;
+	if (!g_str_has_prefix(http_target(req), "/api/machines")) {
+		reply_json(req, 409, "{\"reason\":\"busy\"}");
+		return;
+	}
+	for (unsigned int i = 0; i < lab.settings.executors; i++)
+		g_string_append_printf(
+			s,
+			"%s{\"hostMachine\":\"m-%02x\",\"pool\":\"pool\",\"state\":\"up\",\"zone\":"
+			"\"z1\",\"labels\":[\"a\",\"r1-%u\"],\"capacity\":{\"cpu\":%d,\"memMb\":%d,"
+			"\"gpu\":0},\"id\":\"%s\"}",
+			i ? "," : "", i, i / 4, EXECUTOR_CPU, EXECUTOR_MEM, lab.executors[i].id);
+	g_string_append(s, "],\"nextToken\":null}");
+	reply_json(req, 200, s->str);
+}
+
+/* Calls. */
+
+static void on_answer(void *ctx, const struct http_async_result *r)
+{
+	struct call *c = ctx;
+
+	c->answer->status = r->status;
+	c->answer->body = r->status ? g_strndup(r->body ? r->body : "", r->len) : g_strdup("");
+	c->done = true;
+}
+
+static bool is_done(void *ctx)
+{
+	return ((struct call *)ctx)->done;
+}
+
+static struct lab_answer call_and_wait(const char *address, const char *path, const char *body,
+				       uint32_t timeout_ms)
+{
+	static const char *const headers[] = {"Host: " LAB_HOST, NULL};
+	const struct http_async_request request = {
+		.address = address,
+		.path = path,
+		.get = !body,
+		.headers = headers,
+		.body = body ? body : "",
+		.len = body ? strlen(body) : 0,
+		.timeout_ms = timeout_ms,
+	};
+	struct lab_answer answer = {0};
+	struct call c = {&answer, false};
+
+	http_async_client_send(lab.client, &request, on_answer, &c);
+	if (!lab_wait(is_done, &c, timeout_ms + 5000))
+		lab_give_up("a call does not end");
+	return answer;
+}
+
+static char *front_address(void)
+{
+	return g_strdup_printf("%s.%u:%d", lab.network, 11 + lab.turn++ % lab.settings.entries,
+			       FRONT_PORT);
+}
+
+struct lab_answer lab_client(const char *path, const char *body)
+{
+	g_autofree char *address = front_address();
+
+	return call_and_wait(address, path, body, CLIENT_MS);
+}
+
+struct lab_answer lab_operator(unsigned int control, const char *path, const char *body)
+{
+	g_autofree char *address =
+		g_strdup_printf("%s.%u:%d", lab.network, 1 + control, CONTROL_PORT);
+
+	return call_and_wait(address, path, body, OPERATOR_MS);
+}
+
+void lab_answer_clear(struct lab_answer *a)
+{
+	g_clear_pointer(&a->body, g_free);
+}
+
+unsigned int lab_operator_until_clear(const char *path, const char *body, clock_ms_t timeout_ms)
+{
+	clock_ms_t end = clock_monotonic() + timeout_ms;
+
+	while (clock_monotonic() < end) {
+		struct lab_answer a = lab_operator(lab.turn++ % lab.settings.controls, path, body);
+
+		lab_answer_clear(&a);
+		if (a.status && a.status < 500 && a.status != 408 && a.status != 429)
+			return a.status;
+		lab_run(200);
+	}
+	return 0;
+}
+
+static void send_background(struct background *b);
+
+static void on_background(void *ctx, const struct http_async_result *r)
+{
+	struct background *b = ctx;
+
+	if (r->status / 100 != 2) {
+		send_background(b);
+		return;
+	}
+	++*b->done;
+	g_free(b->path);
+	g_free(b->body);
+	g_free(b);
+}
+
+static void send_background(struct background *b)
+{
+	static const char *const headers[] = {"Host: " LAB_HOST, NULL};
+	g_autofree char *address = front_address();
+	const struct http_async_request request = {
+		.address = address,
+		.path = b->path,
+		.headers = headers,
+		.body = b->body,
+		.len = strlen(b->body),
+		.timeout_ms = CLIENT_MS,
+	};
+
+	http_async_client_send(lab.client, &request, on_background, b);
+}
+
+void lab_submit_in_background(const char *path, const char *body, unsigned int *done)
+{
+	struct background *b = g_new0(struct background, 1);
+
+	*b = (struct background){g_strdup(path), g_strdup(body), done};
+	send_background(b);
+}
+
+char *lab_config(unsigned int version, const char *service, const char *prefix)
+{
+	static const char *const route =
+		"{\"name\":\"r-%s\",\"hostname\":\"" LAB_HOST "\",\"pathPrefix\":\"%s\","
+		"\"routeKind\":\"mutating\",\"timeoutMs\":3000,\"targetDurationMs\":600,"
+		"\"priority\":0,\"backend\":\"%s\",\"maxAttempts\":2,\"stretch\":1.6}";
+	static const char *const pool =
+		"{\"name\":\"%s\",\"healthPath\":\"/health\",\"maxConns\":64,\"protocol\":\"h1\","
+		"\"tls\":false,\"admissionControl\":false,\"standby\":false}";
+	GString *s = g_string_new(NULL);
+
+	g_string_printf(s, "{\"version\":%u,\"routes\":[", version);
+	g_string_append_printf(s, route, "base", LAB_PREFIX, "pool");
+	if (service) {
+		g_string_append_c(s, ',');
+		g_string_append_printf(s, route, "more", prefix, service);
+	}
+	g_string_append(s, "],\"services\":[");
+	g_string_append_printf(s, pool, "pool");
+	if (service && strcmp(service, "pool") != 0) {
+		g_string_append_c(s, ',');
+		g_string_append_printf(s, pool, service);
+	}
+	g_string_append(s, "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,"
+			   "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}");
+	return g_string_free(s, FALSE);
+}
+
+/* The loop. */
+
+static void on_tick(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	clock_ms_t now = clock_monotonic();
+
+	(void)loop;
+	(void)w;
+	(void)revents;
+	watch_processes(now);
+	serve_gangs(now);
+	for (unsigned int i = 0; i < lab.settings.executors; i++)
+		serve_executor(&lab.executors[i], now);
+}
+
+void lab_run(clock_ms_t ms)
+{
+	clock_ms_t end = clock_monotonic() + ms;
+
+	while (clock_monotonic() < end)
+		ev_run(lab.loop, EVRUN_ONCE);
+}
+
+bool lab_wait(bool (*condition)(void *ctx), void *ctx, clock_ms_t timeout_ms)
+{
+	clock_ms_t end = clock_monotonic() + timeout_ms;
+
+	while (!condition(ctx)) {
+		if (clock_monotonic() >= end)
+			return false;
+		ev_run(lab.loop, EVRUN_ONCE);
+	}
+	return true;
+}
+
+static void end_all(void)
+{
+	g_autofree char *command = NULL;
+
+	for (unsigned int i = 0; i < lab.n_processes; i++)
+		kill_process(&lab.processes[i]);
+	if (!lab.work || g_getenv("KEEP"))
+		return;
+	command = g_strdup_printf("rm -rf '%s'", lab.work);
+	if (system(command) != 0)
+		fprintf(stderr, "cannot remove %s\n", lab.work);
+}
+
+void lab_give_up(const char *why)
+{
+	lab_record("could not run: %s", why);
+	end_all();
+	exit(LAB_EXIT_COULD_NOT_RUN);
+}
+
+int lab_close(bool broken, const char *why)
+{
+	lab_record("%s: %s", broken ? "the rule is broken" : "the rule held", why);
+	printf("%s: %s\n", broken ? "broken" : "held", why);
+	end_all();
+	fclose(lab.record);
+	return broken ? LAB_EXIT_BROKEN : LAB_EXIT_HELD;
+}
+
+static void add_process(unsigned int i)
+{
+	struct process *p = &lab.processes[i];
+
+	p->control = i < lab.settings.controls;
+	p->name = p->control ? g_strdup_printf("core-%u", i + 1)
+			     : g_strdup_printf("edge-%u", i + 1 - lab.settings.controls);
+	p->ip = g_strdup_printf("%s.%u", lab.network,
+				p->control ? i + 1 : i + 11 - lab.settings.controls);
+	p->data = g_strdup_printf("%s/%s", lab.work, p->name);
+	start_process(p, true);
+}
+
+static void add_executor(unsigned int i)
+{
+	struct lab_executor *e = &lab.executors[i];
+
+	e->index = i;
+	e->address = g_strdup_printf("%s.%u:%d", lab.network, 100 + i, EXECUTOR_PORT);
+	e->running = g_ptr_array_new_with_free_func(attempt_free);
+	e->ended = g_ptr_array_new_with_free_func(end_free);
+	e->waiting = g_array_new(FALSE, FALSE, sizeof(struct waiting));
+	e->last = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	begin_life(e);
+}
+
+void lab_open(const struct lab_settings *settings)
+{
+	static const struct http_handlers machines = {.on_request = on_machines};
+	const struct http_limits limits = {.head_bytes = 32768,
+					   .body_bytes = 262144,
+					   .connections = 256,
+					   .idle_timeout_s = 60};
+	g_autofree char *path = g_build_filename(settings->folder, "record.txt", NULL);
+	g_autofree char *address = NULL;
+	g_autofree char *config = lab_config(1, NULL, NULL);
+
+	signal(SIGPIPE, SIG_IGN);
+	lab.settings = *settings;
+	lab.opened_at = clock_monotonic();
+	lab.record = fopen(path, "w");
+	if (!lab.record)
+		exit(LAB_EXIT_COULD_NOT_RUN);
+	lab.loop = ev_default_loop(0);
+	signal(SIGCHLD, SIG_DFL); /* the loop would wait for the processes itself */
+	lab.jobs = g_hash_table_new(g_str_hash, g_str_equal);
+	lab.ends = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	lab.starts = g_ptr_array_new();
+	lab.work = g_dir_make_tmp("sesamewood-review-XXXXXX", NULL);
+	lab.network = g_strdup_printf("127.%d.%d", 64 + getpid() / 250 % 128, 1 + getpid() % 250);
+	lab.client = http_async_client_new(lab.loop, 64);
+	lab_record("trouble: %s", lab_trouble() ? "yes" : "no");
+	address = g_strdup_printf("%s.99:%d", lab.network, MACHINES_PORT);
+	if (!http_server_new(lab.loop, address, &limits, &machines, NULL))
+		lab_give_up("cannot listen");
+	for (unsigned int i = 0; i < settings->executors; i++)
+		add_executor(i);
+	lab.n_processes = settings->controls + settings->entries;
+	for (unsigned int i = 0; i < lab.n_processes; i++)
+		add_process(i);
+	ev_timer_init(&lab.tick, on_tick, TICK_S, TICK_S);
+	ev_timer_start(lab.loop, &lab.tick);
+	if (lab_operator_until_clear("/api/config/replace", config, 15000) != 200)
+		lab_give_up("the first configuration is not acknowledged");
+	lab_record("configuration 1 is acknowledged");
+	lab_run(4000); /* all executors have sent heartbeats */
+}
