--- a/review/standin/lab.c
+++ b/review/standin/lab.c
@@ -127,6 +127,7 @@
 	GHashTable *jobs;     ///< struct lab_step * by job id
 	GHashTable *ends;     ///< counts by "task how"
 	unsigned int n_starts;
+	unsigned int n_orders; ///< calls to executors
 	ev_timer tick;
 } lab;
 
@@ -561,6 +562,7 @@
 	const char *refusal = NULL;
 	JsonObject *o;
 
+	lab.n_orders++;
 	if (e->deaf) { /* no answer; the connection ends with the executor */
 		const struct waiting w = {req, CLOCK_NEVER};
 
@@ -764,6 +766,11 @@
 	g_hash_table_replace(lab.jobs, g_strdup(id), (gpointer)steps);
 }
 
+unsigned int lab_orders(void)
+{
+	return lab.n_orders;
+}
+
 unsigned int lab_overlaps(void)
 {
 	return lab.overlaps;
--- a/review/standin/lab.h
+++ b/review/standin/lab.h
@@ -133,6 +133,9 @@
 /// @return how often any executor has listed an end of a task in that way
 unsigned int lab_count_ends(const char *task, const char *how);
 
+/// @return number of calls that were sent to executors
+unsigned int lab_orders(void);
+
 /// @return number of starts that executors have accepted
 unsigned int lab_starts(void);
 
