fix(runs): an endpoint that left calls unanswered is probed at its heartbeats

Cause: after an unanswered call an endpoint is not eligible until it answers one, and it was called only while it held attempts or completions to acknowledge. Once its leases had expired its attempts were released, so nothing called it again: only a change of leader or a new incarnation ended the state. Class: a state whose exit needs an event that the state itself prevents.

Change: a heartbeat that arrives after the latest unanswered call allows one status query. Only its answer makes the endpoint eligible again, so an endpoint whose answers are lost stays out and costs one call a heartbeat. The return is logged ("endpoint answers again").

Before: /runs/endpoint_that_was_cut_off_gets_work_again failed (0 starts at the endpoint, 7 expected) and /jobs/endpoints_cut_off_in_turn_are_used_again failed in its first case. After: both pass, the property in 1,000 cases; /runs/endpoint_that_does_not_answer_is_probed_at_a_pace bounds the pace.

--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -133,7 +133,9 @@
 	clock_ms_t last_status_at; ///< last answered status query
 	uint64_t last_completion;  ///< number of the last completion record that was proposed
 	uint64_t acked_completion; ///< completion records up to this number are acknowledged
-	uint32_t unanswered_calls; ///< consecutive calls without an answer
+	uint32_t unanswered_calls; ///< consecutive calls without an answer; while there are any, the
+				   ///< endpoint gets no new work, but is probed
+	clock_ms_t unanswered_at;  ///< when the latest of them counted as unanswered
 	clock_ms_t quarantined_until;
 	char *failed_job;	  ///< of the latest counted failure, or NULL
 	uint32_t failures;	  ///< failures of different jobs since the last success
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -192,11 +192,19 @@
 	}
 	if (result->status == ORDER_NO_ANSWER || result->status == ORDER_NOT_SENT) {
 		/* Other orders may be unsent only because they waited too long at this replica. */
-		e->unanswered_calls +=
-			result->status == ORDER_NO_ANSWER || type == ORDER_STATUS_QUERY;
+		if (result->status == ORDER_NO_ANSWER || type == ORDER_STATUS_QUERY) {
+			e->unanswered_calls++;
+			e->unanswered_at = now;
+		}
 		return;
 	}
-	e->unanswered_calls = 0;
+	if (e->unanswered_calls) {
+		log_info("endpoint answers again", "ENDPOINT", e->id, "UNANSWERED",
+			 log_number(e->unanswered_calls), "SINCE_MS",
+			 log_number((uint64_t)(now - e->unanswered_at)));
+		e->unanswered_calls = 0;
+		manager_mark_capacity_changed(m, e);
+	}
 	/* Without a start time the reading may be of another incarnation's clock. */
 	if (result->clock_ms < 0 || result->incarnation_wall_ms != e->incarnation_wall_ms)
 		return;
@@ -526,11 +534,18 @@
 		send_pace(m, now, r);
 }
 
+/// Tells whether an endpoint that left calls unanswered is due for a probe: only an answer makes it
+/// eligible again, and a heartbeat shows that it may answer. At most one probe for each heartbeat.
+static bool needs_probe(const struct endpoint *e)
+{
+	return e->unanswered_calls && e->last_heartbeat_at > e->unanswered_at;
+}
+
 static bool needs_status_query(const struct endpoint *e, clock_ms_t now)
 {
 	if (e->status_query_open || e->terminated || e->terminated_at || now < e->next_status_at)
 		return false;
-	if (e->runs->len || (e->needs_fencing && !e->fenced))
+	if (e->runs->len || (e->needs_fencing && !e->fenced) || needs_probe(e))
 		return true;
 	return e->last_completion > e->acked_completion &&
 	       now >= e->next_status_at + FINAL_ACK_DELAY_MS;
--- a/tests/property/property_jobs.cc
+++ b/tests/property/property_jobs.cc
@@ -181,6 +181,56 @@
 	RC_ASSERT(running == 4U);
 }
 
+/// Endpoints are cut off in turn, no two at a time, each until its leases have expired. After that
+/// all must be in use again: their long-running tasks run, and a job that needs them all ends.
+void endpoints_cut_off_in_turn_are_used_again(uint32_t seed)
+{
+	constexpr unsigned int kEndpoints = 4;
+	constexpr clock_ms_t kCutMs = 5500, kGapMs = 1500;
+	model::Fleet fleet(seed, 1, kEndpoints);
+	model::JobPlan lasting, wide;
+	job_step step = {};
+	unsigned int running = 0;
+
+	fleet.fault.unreachable = seed % 2;
+	step.count = kEndpoints;
+	step.cpu_milli = 1000;
+	step.mem_mb = 1000;
+	step.long_running = true;
+	step.max_unavailable = 1;
+	lasting.id = "job0";
+	lasting.pool = "pool0";
+	lasting.steps = {step};
+	wide.id = "job1";
+	wide.pool = "pool0";
+	step.long_running = false;
+	step.max_unavailable = 0;
+	step.cpu_milli = 6000;
+	step.max_per_endpoint = 1;
+	wide.steps = {step};
+	try {
+		fleet.submit(lasting);
+		fleet.advance(3000);
+		for (unsigned int i = 0; i < kEndpoints; i++) {
+			auto &e = *fleet.endpoints[(seed / 2 + i) % kEndpoints];
+
+			e.cut = true;
+			fleet.advance(kCutMs);
+			e.cut = false;
+			fleet.advance(kGapMs);
+		}
+		fleet.advance(3000);
+		for (const auto &e : fleet.endpoints)
+			running += static_cast<unsigned int>(e->running.size());
+		fleet.submit(wide);
+		fleet.advance(3000);
+	} catch (const model::RuleViolation &broken) {
+		RC_FAIL(broken.what());
+	}
+	RC_ASSERT(running == kEndpoints);
+	RC_ASSERT(fleet.phase("job1") == JOB_COMPLETED);
+}
+
 /// A wave covers all machines that run the long-running tasks of one step, of which one may be
 /// unavailable at once. Each machine must wait until the previous task is ready again, but no
 /// longer, or the wave misses its deadline.
@@ -372,6 +422,9 @@
 	property.check("tasks_of_lost_endpoint_restart", [] {
 		tasks_of_lost_endpoint_restart(*rc::gen::inRange<uint32_t>(0, 1000));
 	});
+	property.check("endpoints_cut_off_in_turn_are_used_again", [] {
+		endpoints_cut_off_in_turn_are_used_again(*rc::gen::inRange<uint32_t>(0, 1000));
+	});
 	property.check("wave_over_one_step_meets_deadline", [] {
 		wave_over_one_step_meets_deadline(*rc::gen::inRange<uint32_t>(0, 1000));
 	});
--- a/tests/unit/unit_runs.c
+++ b/tests/unit/unit_runs.c
@@ -30,6 +30,8 @@
 	bool queries_wait;	     ///< status queries are not answered yet
 	uint64_t waiting_query;	     ///< id of the latest of them
 	unsigned int stops;	     ///< stop orders that it got
+	unsigned int queries_sent;   ///< status queries sent to that endpoint
+	unsigned int starts_sent;    ///< start orders sent to it
 	unsigned int queries;	     ///< status queries that it answered
 	uint64_t ack_through;	     ///< acknowledgement in the latest of them
 };
@@ -124,6 +126,8 @@
 	if (!w->start || g_strcmp0(o->instance, w->start->instance) != 0)
 		return other_result(w, o);
 	w->stops += o->type == ORDER_STOP;
+	w->queries_sent += o->type == ORDER_STATUS_QUERY;
+	w->starts_sent += o->type == ORDER_START;
 	if (o->type == ORDER_START ? !w->start_is_answered : w->mute)
 		return order_result_new(o->id, ORDER_NO_ANSWER);
 	if (o->type == ORDER_STOP && w->stops_are_lost)
@@ -414,6 +418,70 @@
 	world_clear(&w);
 }
 
+/// Starts the task; then its endpoint answers nothing and sends no heartbeat until its leases have
+/// expired and the task runs elsewhere.
+static void lose_endpoint(struct world *w)
+{
+	w->start_is_answered = true;
+	w->listed = true;
+	start_task(w);
+	w->incarnation_wall_ms = w->start->instance[2] - '0';
+	run_for(w, 500);
+	w->mute = true;
+	w->start_is_answered = false;
+	run_for(w, LEASE_MAX_MS + 2000);
+	g_assert_cmpuint(w->starts, ==, 2);
+	w->listed = false;
+	w->accepted = 0;
+}
+
+/// Runs the manager for a number of heartbeats of the endpoint that got the first start, sent each
+/// second.
+static void run_with_heartbeats(struct world *w, unsigned int heartbeats)
+{
+	for (unsigned int i = 0; i < heartbeats; i++) {
+		send_heartbeat(w, w->start->instance, w->incarnation_wall_ms, w->now);
+		run_for(w, 1000);
+	}
+}
+
+/// Endpoints that lost their leases in a cut were never called again, so that they stayed out of
+/// use for as long as the leader led (review/2, LOST).
+static void test_endpoint_that_was_cut_off_gets_work_again(void)
+{
+	struct world w;
+
+	world_init(&w);
+	lose_endpoint(&w);
+	w.mute = false;
+	w.start_is_answered = true;
+	run_with_heartbeats(&w, 1);
+	fixture_submit(w.m, w.now, "k", 14); /* more than the other endpoint has room for */
+	run_with_heartbeats(&w, 1);
+	g_assert_cmpuint(w.accepted, >=, 7);
+	world_clear(&w);
+}
+
+/// An endpoint whose heartbeats arrive, but whose answers are lost, gets no work and at most one
+/// call for each heartbeat.
+static void test_endpoint_that_does_not_answer_is_probed_at_a_pace(void)
+{
+	struct world w;
+
+	world_init(&w);
+	lose_endpoint(&w);
+	w.queries_sent = 0;
+	w.starts_sent = 0;
+	fixture_submit(w.m, w.now, "k", 14);
+	run_with_heartbeats(&w, 10);
+	g_assert_cmpuint(w.queries_sent, >=, 8);
+	g_assert_cmpuint(w.queries_sent, <=, 10);
+	run_for(&w, 5000); /* without heartbeats it is not called */
+	g_assert_cmpuint(w.queries_sent, <=, 10);
+	g_assert_cmpuint(w.starts_sent, ==, 0);
+	world_clear(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -434,6 +502,10 @@
 			test_deregistration_does_not_end_unlisted_attempt);
 	g_test_add_func("/runs/late_start_is_not_stopped_unseen",
 			test_late_start_is_not_stopped_unseen);
+	g_test_add_func("/runs/endpoint_that_was_cut_off_gets_work_again",
+			test_endpoint_that_was_cut_off_gets_work_again);
+	g_test_add_func("/runs/endpoint_that_does_not_answer_is_probed_at_a_pace",
+			test_endpoint_that_does_not_answer_is_probed_at_a_pace);
 	g_test_add_func("/runs/cancel_of_failed_job_stops_its_tasks",
 			test_cancel_of_failed_job_stops_its_tasks);
 	return g_test_run();
