fix(waves): repeating an unanswered order keeps the caps of later waves

Cause: an order of wave 1 is in doubt when wave 2 with a smaller cap comes. The first order of a machine looks at the caps of all waves that hold it, its repetition looked at none (LIMIT). Class: a check made once for an act that is carried out more than once.

Change: a repetition waits while other machines of such a wave are down or have an order in flight. Other orders in doubt don't count, or two of them would wait for each other.

Before: /waves/repeated_orders_keep_cap_of_later_wave, 2 machines down under a cap of 1.

--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -406,6 +406,33 @@
 	return false;
 }
 
+/// Tells whether repeating an unanswered order would exceed the cap of another wave that the
+/// machine belongs to, which may have come after the order. Other orders in doubt do not count, or
+/// two of them would wait for each other.
+static bool repetition_exceeds_other_cap(const struct manager *m, const job_wave *wave,
+					 const char *machine)
+{
+	for (guint i = 0; i < m->jobs->waves->len; i++) {
+		const job_wave *other = m->jobs->waves->pdata[i];
+		unsigned int n = 0;
+
+		if (other == wave || !other->cap || waves_is_complete(other) ||
+		    !has_machine(other, machine))
+			continue;
+		for (u_int k = 0; k < other->machines.machines_len; k++) {
+			const char *name = other->machines.machines_val[k].machine;
+			const struct maintenance *maint =
+				g_hash_table_lookup(m->maintenance_by_machine, name);
+
+			n += maint && maint->ordered && (maint->begun || maint->in_flight) &&
+			     !g_str_equal(name, machine);
+		}
+		if (n >= other->cap)
+			return true;
+	}
+	return false;
+}
+
 static void tick_wave(struct manager *m, clock_ms_t now, clock_ms_t wall_ms, const job_wave *wave)
 {
 	unsigned int n_down = count_down(m, wave);
@@ -447,7 +474,9 @@
 		if (e && e->cordoned)
 			evacuate(m, e, now);
 		if (w->ordered) {
-			if ((!e || !find_blocking_run(m, e, now)) && !stop_short_runs(e, now))
+			if ((!e || !find_blocking_run(m, e, now)) &&
+			    !repetition_exceeds_other_cap(m, wave, w->machine) &&
+			    !stop_short_runs(e, now))
 				send_maintenance(m, now, wave, w->machine, false, n_down);
 			continue;
 		}
--- a/tests/unit/unit_waves.c
+++ b/tests/unit/unit_waves.c
@@ -562,6 +562,27 @@
 	site_clear(&s);
 }
 
+/// Wave 1's orders for two machines are in doubt when wave 2 comes, which covers both and allows one
+/// machine less. Repeating both at once would exceed the cap of wave 2.
+static void test_repeated_orders_keep_cap_of_later_wave(void)
+{
+	const char *const machines[] = {"m-1", "m-2"};
+	struct site s;
+
+	site_init(&s, MAINTENANCE_MS);
+	s.mode = SERVICE_LOSES_ORDERS;
+	site_put_wave(&s, 1, machines, 2, 2);
+	site_run(&s, 300);
+	g_assert_cmpuint(s.n_orders, ==, 2);
+	site_put_wave(&s, 2, machines, 2, 1);
+	s.mode = SERVICE_ANSWERS;
+	site_run(&s, 20000);
+	g_assert_true(site_wave_is_complete(&s, 1));
+	g_assert_true(site_wave_is_complete(&s, 2));
+	g_assert_cmpuint(s.most_down, ==, 1);
+	site_clear(&s);
+}
+
 static void site_change_leader(struct site *s)
 {
 	manager_free(s->m);
@@ -774,6 +795,8 @@
 			test_overlapping_waves_over_same_machines_keep_cap);
 	g_test_add_func("/waves/order_of_one_wave_keeps_cap_of_another",
 			test_order_of_one_wave_keeps_cap_of_another);
+	g_test_add_func("/waves/repeated_orders_keep_cap_of_later_wave",
+			test_repeated_orders_keep_cap_of_later_wave);
 	g_test_add_func("/waves/repeated_order_of_other_wave_keeps_work",
 			test_repeated_order_of_other_wave_keeps_work);
 	g_test_add_func("/waves/machine_ordered_by_earlier_leader_gets_no_work",
