fix(runs): a heartbeat is no proof that another incarnation has ended

Cause: each heartbeat with a later start time counted as proof that the earlier incarnations at its address, or under its id, had ended, and the pool was never compared with the configuration. Class: a message that anyone may send taken for proof.

Change: - A heartbeat of a pool that no configuration names changes nothing, unless it is of the known incarnation in its known pool (removed meanwhile). Once a configuration names the pool, the next heartbeat counts. - A heartbeat that claims the end of an incarnation makes the leader ask that one, beside an open status query, at most once in 900 ms. The end is proved by the answer of another incarnation (421, or a later start time), by an order, or by lapsed leases; an answer of the known one disproves it. The heartbeat of a later incarnation is kept with its time of arrival and applied after the proof, but not after a shutdown that was ordered. - An answer with an earlier start time than the known one shows that a false announcement was believed, and wins.

Tests: /runs/foreign_heartbeat_ends_no_endpoint ("2 == 1" starts before), /runs/answer_corrects_false_incarnation (0 starts at the sound endpoint before), /jobs/foreign_heartbeats_change_nothing (failed before), /runs/ replaced_endpoint_is_noticed_at_once, /runs/pool_named_later_comes_into_use. The model's random runs send such heartbeats, too.

Tests changed: /sched/job_whose_endpoint_restarted_waits_again expected the job to wait as soon as the heartbeat came; it now checks that the heartbeat alone changes nothing and that the answer does. unit_runs answered status queries with start time 1 for an endpoint whose heartbeats said 2: it answers with that of the heartbeats. The model takes an order for made for a later incarnation once the leader has its first heartbeat under that id or an answer, no longer after any heartbeat, as the leader asks first.

--- a/src/sesamewood/manager/manager_defs.c
+++ b/src/sesamewood/manager/manager_defs.c
@@ -17,6 +17,27 @@
 	memset(hb, 0, sizeof(*hb));
 }
 
+static gpointer copy_label(gconstpointer label, gpointer ctx)
+{
+	(void)ctx;
+	return g_strdup(label);
+}
+
+struct endpoint_heartbeat *endpoint_heartbeat_copy(const struct endpoint_heartbeat *hb)
+{
+	struct endpoint_heartbeat *copy = g_new0(struct endpoint_heartbeat, 1);
+
+	*copy = *hb;
+	copy->id = g_strdup(hb->id);
+	copy->address = g_strdup(hb->address);
+	copy->pool = g_strdup(hb->pool);
+	copy->zone = g_strdup(hb->zone);
+	copy->machine = g_strdup(hb->machine);
+	copy->labels = g_ptr_array_copy(hb->labels, copy_label, NULL);
+	g_ptr_array_set_free_func(copy->labels, g_free);
+	return copy;
+}
+
 static void add_text(GByteArray *bytes, const char *text)
 {
 	g_byte_array_append(bytes, (const guint8 *)text, (guint)strlen(text) + 1);
--- a/src/sesamewood/manager/manager_defs.h
+++ b/src/sesamewood/manager/manager_defs.h
@@ -242,6 +242,9 @@
 /// Frees the contents of a heartbeat and zeroes it.
 void endpoint_heartbeat_clear(struct endpoint_heartbeat *hb);
 
+/// Returns a copy of a heartbeat; release with endpoint_heartbeat_clear() and g_free().
+struct endpoint_heartbeat *endpoint_heartbeat_copy(const struct endpoint_heartbeat *hb);
+
 /// Returns a digest of the content that does not change with each heartbeat.
 uint64_t endpoint_heartbeat_digest(const struct endpoint_heartbeat *hb);
 
--- a/src/sesamewood/runs/endpoint.c
+++ b/src/sesamewood/runs/endpoint.c
@@ -39,6 +39,7 @@
 	g_ptr_array_unref(e->labels);
 	g_ptr_array_unref(e->runs);
 	g_free(e->failed_job);
+	endpoint_set_announced(e, NULL);
 	g_free(e);
 }
 
@@ -97,6 +98,16 @@
 		endpoint_record_clock(e, hb->clock_ms, now);
 }
 
+void endpoint_set_announced(struct endpoint *e, const struct endpoint_heartbeat *hb)
+{
+	struct endpoint_heartbeat *before = e->announced;
+
+	e->announced = hb ? endpoint_heartbeat_copy(hb) : NULL;
+	if (before)
+		endpoint_heartbeat_clear(before);
+	g_free(before);
+}
+
 void endpoint_record_clock(struct endpoint *e, int64_t clock_ms, clock_ms_t now)
 {
 	e->last_alive_at = MAX(e->last_alive_at, now);
--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -120,6 +120,14 @@
 	clock_ms_t lease_sent_by; ///< when all orders so far that grant a lease were sent
 	/* Status queries and completions. */
 	bool status_query_open;	  ///< a status query is in flight
+	clock_ms_t questioned_at; ///< when a heartbeat last claimed that this incarnation has
+				  ///< ended; 0: no claim is open
+	clock_ms_t verified_at;	  ///< when the latest query was sent that a claim called for
+	uint64_t verification;	  ///< order id of that query, sent beside an open status query
+	/// Latest heartbeat of a later incarnation under the same id that is not verified yet, or
+	/// NULL.
+	struct endpoint_heartbeat *announced;
+	clock_ms_t announced_at;  ///< when it arrived
 	clock_ms_t terminated_at; ///< when its termination became known; 0: not terminated
 	clock_ms_t lost_at;	  ///< when its latest incarnation that ended unexpectedly was last
 				  ///< alive; 0: none
@@ -133,9 +141,9 @@
 	clock_ms_t last_status_at; ///< last answered status query
 	uint64_t last_completion;  ///< number of the last completion record that was proposed
 	uint64_t acked_completion; ///< completion records up to this number are acknowledged
-	uint32_t unanswered_calls; ///< consecutive calls without an answer; while there are any, the
-				   ///< endpoint gets no new work, but is probed
-	clock_ms_t unanswered_at;  ///< when the latest of them counted as unanswered
+	uint32_t unanswered_calls; ///< consecutive calls without an answer; while there are any,
+				   ///< the endpoint gets no new work, but is probed
+	clock_ms_t unanswered_at; ///< when the latest of them counted as unanswered
 	clock_ms_t quarantined_until;
 	char *failed_job;	  ///< of the latest counted failure, or NULL
 	uint32_t failures;	  ///< failures of different jobs since the last success
@@ -169,6 +177,11 @@
 /// Applies a heartbeat of the present incarnation.
 void endpoint_update(struct endpoint *e, const struct endpoint_heartbeat *hb, clock_ms_t now);
 
+/// Keeps a heartbeat of a later incarnation until it is verified; frees the one kept before.
+///
+/// @param hb  copied; NULL: only frees
+void endpoint_set_announced(struct endpoint *e, const struct endpoint_heartbeat *hb);
+
 /// Records a reading of the endpoint's clock, taken no later than @p now.
 void endpoint_record_clock(struct endpoint *e, int64_t clock_ms, clock_ms_t now);
 
--- a/src/sesamewood/runs/incarnations.c
+++ b/src/sesamewood/runs/incarnations.c
@@ -4,6 +4,9 @@
 #include "runs/attempts.h"
 
 #define LATE_ORDER_MAX_MS 15000 /* an order is executed at most 12 s late */
+/// Least time between the queries that claims call for: one call timeout.
+#define VERIFICATION_GAP_MS 900
+#define UNKNOWN_POOL_LOG_INTERVAL_MS 1000
 
 static struct endpoint *add_endpoint(struct manager *m, const char *id)
 {
@@ -50,6 +53,7 @@
 	e->leased_at = 0;
 	e->fenced = false;
 	e->status_query_open = false;
+	e->questioned_at = 0;
 	e->terminated_at = 0;
 	e->end = ENDPOINT_END_EXPECTED;
 	e->last_alive_at = 0;
@@ -103,9 +107,19 @@
 	m->round_wanted = true;
 }
 
-/// Terminates earlier incarnations at the address of @p holder.
-static void terminate_earlier_at_address(struct manager *m, clock_ms_t now,
-					 const struct endpoint *holder)
+/* Claims that an incarnation has ended. */
+
+static void question(struct endpoint *e, clock_ms_t now, const char *by)
+{
+	log_info("a heartbeat claims that an endpoint has ended; asking it", "ENDPOINT", e->id,
+		 "CLAIMED_BY", by, "INCARNATION", log_number((uint64_t)e->incarnation_wall_ms),
+		 "RUNS", log_number(e->runs->len));
+	e->questioned_at = now;
+}
+
+/// Questions earlier incarnations at the address of @p holder.
+static void question_earlier_at_address(struct manager *m, clock_ms_t now,
+					const struct endpoint *holder)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -114,13 +128,50 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct endpoint *e = value;
 
-		if (e != holder && !e->terminated && e->address_hash == holder->address_hash &&
+		if (e != holder && !e->terminated_at && e->address_hash == holder->address_hash &&
 		    g_str_equal(e->address, holder->address) &&
 		    e->incarnation_wall_ms < holder->incarnation_wall_ms)
-			attempts_handle_loss(m, now, e, ENDPOINT_END_REPLACED);
+			question(e, now, holder->id);
 	}
 }
 
+bool incarnations_needs_verification(const struct endpoint *e, clock_ms_t now)
+{
+	return e->questioned_at && !e->terminated_at && e->verified_at < e->questioned_at &&
+	       now - e->verified_at >= VERIFICATION_GAP_MS;
+}
+
+void incarnations_handle_answer(struct endpoint *e, clock_ms_t sent_at)
+{
+	if (!e->questioned_at || sent_at < e->questioned_at)
+		return;
+	log_info("endpoint has not ended, as was claimed", "ENDPOINT", e->id);
+	e->questioned_at = 0;
+	endpoint_set_announced(e, NULL);
+}
+
+void incarnations_adopt_announced(struct manager *m, clock_ms_t now, struct endpoint *e)
+{
+	struct endpoint_heartbeat *hb = e->announced;
+	bool is_silent =
+		e->unanswered_calls && !e->runs->len && e->last_alive_at < e->questioned_at;
+	bool has_answered = hb && hb->incarnation_wall_ms == e->incarnation_wall_ms;
+
+	if (!hb || (!has_answered && !e->terminated && !is_silent))
+		return;
+	/* An order that shut the endpoint down also shut down its later incarnation. */
+	if (e->terminated && e->end == ENDPOINT_END_EXPECTED) {
+		endpoint_set_announced(e, NULL);
+		return;
+	}
+	e->announced = NULL;
+	if (hb->incarnation_wall_ms > e->incarnation_wall_ms)
+		incarnations_handle_restart(m, now, e, hb->incarnation_wall_ms);
+	incarnations_handle_heartbeat(m, e->announced_at, hb);
+	endpoint_heartbeat_clear(hb);
+	g_free(hb);
+}
+
 /// Clears the ordered shutdown when a heartbeat after the machine order proves that the endpoint
 /// still runs.
 static void record_alive_proof(struct endpoint *e, clock_ms_t reported_at)
@@ -154,17 +205,47 @@
 	return true;
 }
 
+/// Tells whether a heartbeat names a pool in which its endpoint may be used, or whose removal from
+/// the configuration its endpoint has outlived.
+static bool has_known_pool(const struct manager *m, const struct endpoint *e,
+			   const struct endpoint_heartbeat *hb)
+{
+	if (!m->jobs->config.config_version || jobs_pool(m->jobs, hb->pool))
+		return true;
+	return e && e->incarnation_wall_ms == hb->incarnation_wall_ms &&
+	       g_str_equal(e->pool, hb->pool);
+}
+
+static void log_unknown_pool(struct manager *m, clock_ms_t now, const struct endpoint_heartbeat *hb)
+{
+	if (now < m->unknown_pool_log_at)
+		return;
+	m->unknown_pool_log_at = now + UNKNOWN_POOL_LOG_INTERVAL_MS;
+	log_info("heartbeat of a pool that no configuration names is ignored", "ENDPOINT", hb->id,
+		 "POOL", hb->pool, "ADDRESS", hb->address);
+}
+
 void incarnations_handle_heartbeat(struct manager *m, clock_ms_t now,
 				   const struct endpoint_heartbeat *hb)
 {
 	struct endpoint *e = incarnations_find_endpoint(m, hb->id);
 	bool is_new = !e || !e->has_heartbeat;
 
+	if (!has_known_pool(m, e, hb)) {
+		log_unknown_pool(m, now, hb);
+		return;
+	}
 	if (!e)
 		e = add_endpoint(m, hb->id);
 	if (hb->incarnation_wall_ms < e->incarnation_wall_ms)
 		return;
 	if (hb->incarnation_wall_ms > e->incarnation_wall_ms) {
+		if (e->incarnation_wall_ms && !e->terminated_at) {
+			endpoint_set_announced(e, hb);
+			e->announced_at = now;
+			question(e, now, hb->id);
+			return;
+		}
 		if (e->incarnation_wall_ms)
 			incarnations_handle_restart(m, now, e, hb->incarnation_wall_ms);
 		e->incarnation_wall_ms = hb->incarnation_wall_ms;
@@ -180,7 +261,7 @@
 		return;
 	/* Orders of earlier leaders to this endpoint may still be in flight. */
 	e->needs_fencing |= m->term > 1 && now - m->leader_since < LATE_ORDER_MAX_MS;
-	terminate_earlier_at_address(m, now, e);
+	question_earlier_at_address(m, now, e);
 	manager_mark_capacity_changed(m, e);
 }
 
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -145,11 +145,14 @@
 
 static void send_status_query(struct manager *m, clock_ms_t now, struct endpoint *e)
 {
+	bool verifies = incarnations_needs_verification(e, now);
 	struct order *o;
 	uint32_t wait_ms = 0;
 	bool grants_lease;
 
-	if (e->runs->len && e->fenced && !e->unanswered_calls)
+	if (verifies)
+		e->verified_at = now;
+	else if (e->runs->len && e->fenced && !e->unanswered_calls)
 		wait_ms = suspects_job_on_trial(e) ? SUSPECTS_START_MS
 			  : is_shared(e)	   ? STATUS_WAIT_SHARED_MS
 						   : STATUS_WAIT_MS;
@@ -160,8 +163,10 @@
 	if (e->runs->len && e->clock_ms >= 0 && !e->unanswered_calls)
 		o->lease_until_ms = extend_lease(e, now, now);
 	grants_lease = o->lease_until_ms > 0;
-	e->status_query_open = true;
+	e->status_query_open |= !verifies;
 	effects_send_order(m, now, o, e, NULL, 0);
+	if (verifies)
+		e->verification = m->next_order;
 	if (grants_lease)
 		e->lease_query = m->next_order;
 }
@@ -439,6 +444,16 @@
 	m->round_wanted = true;
 }
 
+/// Handles an answer that another incarnation gave under the id of an endpoint.
+static void handle_restart_answer(struct manager *m, clock_ms_t now, struct endpoint *e,
+				  int64_t incarnation_wall_ms)
+{
+	if (e->incarnation_wall_ms)
+		incarnations_handle_restart(m, now, e, incarnation_wall_ms);
+	e->incarnation_wall_ms = incarnation_wall_ms;
+	incarnations_adopt_announced(m, now, e);
+}
+
 void runs_handle_result(struct manager *m, clock_ms_t now, const struct pending_order *p,
 			const struct order_result *result)
 {
@@ -450,15 +465,21 @@
 	if (r && r->attempt == p->attempt && r->endpoint == e && p->type == ORDER_START)
 		r->not_executed |= result->status == ORDER_WRONG_INSTANCE;
 	if (result->incarnation_wall_ms > e->incarnation_wall_ms) {
-		if (e->incarnation_wall_ms)
-			incarnations_handle_restart(m, now, e, result->incarnation_wall_ms);
-		e->incarnation_wall_ms = result->incarnation_wall_ms;
+		handle_restart_answer(m, now, e, result->incarnation_wall_ms);
 		return;
 	}
 	if (p->incarnation_wall_ms != e->incarnation_wall_ms && e->incarnation_wall_ms)
 		return;
-	if (p->type == ORDER_STATUS_QUERY)
+	/* Only a false announcement can have put a later incarnation in the place of this one. */
+	if (result->incarnation_wall_ms && result->incarnation_wall_ms < e->incarnation_wall_ms) {
+		handle_restart_answer(m, now, e, result->incarnation_wall_ms);
+		return;
+	}
+	if (p->type == ORDER_STATUS_QUERY && p->id != e->verification)
 		e->status_query_open = false;
+	if (p->type == ORDER_STATUS_QUERY && result->status == ORDER_OK &&
+	    result->incarnation_wall_ms == e->incarnation_wall_ms)
+		incarnations_handle_answer(e, p->sent_at);
 	record_response(m, now, e, p->type, result);
 	if (e->terminated || m->fenced_off)
 		return;
@@ -641,12 +662,15 @@
 		for (guint i = 0; i < e->runs->len; i++)
 			check_run(m, now, e->runs->pdata[i]);
 	}
-	if (needs_status_query(e, now))
+	if (needs_status_query(e, now) || incarnations_needs_verification(e, now))
 		send_status_query(m, now, e);
+	else if (e->announced)
+		incarnations_adopt_announced(m, now, e);
 }
 
 void runs_tick(struct manager *m, clock_ms_t now)
 {
+	g_autoptr(GPtrArray) succeeded = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer value;
 
@@ -664,9 +688,13 @@
 		if (e->terminated) {
 			g_hash_table_iter_steal(&iter);
 			g_hash_table_replace(m->terminated_endpoints, e->id, e);
+			if (e->announced)
+				g_ptr_array_add(succeeded, e);
 		} else if (now - e->last_heartbeat_at > FORGET_ENDPOINT_MS) {
 			g_ptr_array_remove_fast(m->capacity_changed, e);
 			g_hash_table_iter_remove(&iter);
 		}
 	}
+	for (guint i = 0; i < succeeded->len; i++)
+		incarnations_adopt_announced(m, now, succeeded->pdata[i]);
 }
--- a/tests/model/fleet_model.cc
+++ b/tests/model/fleet_model.cc
@@ -432,7 +432,9 @@
 	a.draining = hb.draining;
 	a.sequence = hb.sequence;
 	a.clock_ms = hb.clock_ms;
-	record_known_incarnation(hb.id, hb.incarnation_wall_ms);
+	/* The heartbeat of a later incarnation only makes the leader ask; its answer counts. */
+	if (!hb.foreign && !known_incarnations.count(hb.id))
+		record_known_incarnation(hb.id, hb.incarnation_wall_ms);
 	manager_handle_call(manager, now, now, ++next_token, &c);
 	call_clear(&c);
 }
@@ -453,8 +455,8 @@
 	e.sequence++;
 	if (e.draining && !e.drain_reported_at)
 		e.drain_reported_at = now;
-	hb = {e.id,  e.address, e.pool,	    e.machine,	e.incarnation_wall_ms,
-	      e.cpu, e.mem,	e.draining, e.sequence, clock_of(e)};
+	hb = {e.id,	  e.address,  e.pool,	   e.machine, e.incarnation_wall_ms, e.cpu, e.mem,
+	      e.draining, e.sequence, clock_of(e), false};
 	if (chance(fault.lost_percent)) {
 		restart_shrink_notice(e);
 		return;
@@ -469,6 +471,28 @@
 		held_heartbeats.emplace(now + 300 + static_cast<clock_ms_t>(random() % 9700), hb);
 }
 
+void Fleet::send_foreign_heartbeat(unsigned int i, bool own_id, bool known_pool)
+{
+	Endpoint &e = *endpoints[i % endpoints.size()];
+	Heartbeat hb;
+
+	if (!is_reachable(e))
+		return;
+	trace(now, "foreign heartbeat", "", e.id, known_pool);
+	hb = {own_id ? e.id : "foreign",
+	      e.address,
+	      known_pool ? e.pool : "elsewhere",
+	      own_id ? e.machine : "foreign machine",
+	      kForeignIncarnation + ++foreign_heartbeats,
+	      e.cpu,
+	      e.mem,
+	      false,
+	      1,
+	      clock_of(e),
+	      true};
+	deliver_heartbeat(hb);
+}
+
 void Fleet::deliver_held_heartbeats()
 {
 	while (!held_heartbeats.empty() && held_heartbeats.begin()->first <= now) {
--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -58,6 +58,9 @@
 constexpr uint32_t kCpu = 8000;
 constexpr uint32_t kMem = 64000;
 
+/// Start time in heartbeats of another writer: later than any incarnation's.
+constexpr int64_t kForeignIncarnation = 1000000000;
+
 struct Endpoint {
 	std::string id, address, pool, machine;
 	/// Identifies the incarnation; the model uses a counter instead of a wall-clock time.
@@ -159,6 +162,11 @@
 	/// if there is one with that number.
 	/// @param cap highest number of machines that may be down at once
 	void wave(const std::vector<unsigned int> &endpoints, uint32_t cap, uint64_t number = 1);
+	/// Sends a heartbeat of another writer with the address of an endpoint and a start time
+	/// that is later than all others.
+	/// @param own_id  with the endpoint's id, otherwise with an id of its own
+	/// @param known_pool  of the endpoint's pool, otherwise of one that no configuration names
+	void send_foreign_heartbeat(unsigned int endpoint, bool own_id, bool known_pool);
 	/// Changes the capacity of an endpoint, which reports it with its next heartbeats.
 	void resize(unsigned int endpoint, uint32_t cpu, uint32_t mem);
 
@@ -232,6 +240,7 @@
 		bool draining;
 		uint64_t sequence;
 		clock_ms_t clock_ms;
+		bool foreign; ///< of another writer
 	};
 	/// A status query that the endpoint answers at the next completion or at `until`.
 	struct PendingStatusQuery {
@@ -306,6 +315,7 @@
 	/// By the time of their arrival.
 	std::multimap<clock_ms_t, Heartbeat> held_heartbeats;
 	int64_t next_incarnation_wall_ms = 1;
+	int64_t foreign_heartbeats = 0;
 	unsigned int next_endpoint_id = 0;
 
 	bool chance(int percent);
--- a/tests/property/property_jobs.cc
+++ b/tests/property/property_jobs.cc
@@ -47,12 +47,12 @@
 	return plan;
 }
 
-/// Shrinks or restores the capacity of an endpoint, repeats heartbeats late, or orders a second or
-/// third wave that shares machines with the first one.
+/// Shrinks or restores the capacity of an endpoint, repeats heartbeats late, sends one of another
+/// writer, or orders a second or third wave that shares machines with the first one.
 void apply_further_action(model::Fleet &fleet, uint32_t random)
 {
-	uint32_t kind = random % 8;
-	uint32_t r = random / 8;
+	uint32_t kind = random % 10;
+	uint32_t r = random / 10;
 
 	if (kind < 4)
 		fleet.resize(r, 1000 + r / 8 % 4 * 1000, r / 32 % 2 ? 2000 : model::kMem);
@@ -60,6 +60,8 @@
 		fleet.resize(r, model::kCpu, model::kMem);
 	else if (kind < 6)
 		fleet.fault.repeated_heartbeat_percent = static_cast<int>(r % 30);
+	else if (kind < 8)
+		fleet.send_foreign_heartbeat(r, r / 8 % 2, r / 16 % 2);
 	else
 		fleet.wave({r % 8, (r + 1) % 8, (r + 2) % 8, (r + 3) % 8}, 1 + r / 8 % 2,
 			   2 + r / 16 % 2);
@@ -231,6 +233,48 @@
 	RC_ASSERT(fleet.phase("job1") == JOB_COMPLETED);
 }
 
+/// Heartbeats of another writer claim for each endpoint in turn, and under any id, that it has been
+/// replaced. No other fault: all attempts run where they are, and each endpoint stays in use.
+void foreign_heartbeats_change_nothing(uint32_t seed)
+{
+	constexpr unsigned int kEndpoints = 4;
+	model::Fleet fleet(seed, 1, kEndpoints);
+	model::JobPlan plan;
+	job_step step = {};
+	uint64_t starts;
+
+	step.count = 2 * kEndpoints;
+	step.cpu_milli = 3000;
+	step.mem_mb = 1000;
+	step.long_running = true;
+	step.max_unavailable = 1;
+	plan.id = "job0";
+	plan.pool = "pool0";
+	plan.steps = {step};
+	try {
+		fleet.submit(plan);
+		fleet.advance(3000);
+		starts = fleet.starts;
+		for (unsigned int i = 0; i < 4 * kEndpoints; i++) {
+			fleet.send_foreign_heartbeat(seed + i, (seed + i) / kEndpoints % 2,
+						     (seed + i) / kEndpoints / 2 % 2);
+			fleet.advance(1 + seed % 700);
+		}
+		fleet.advance(8000);
+		RC_ASSERT(fleet.starts == starts);
+		plan.id = "job1"; /* fills the rest of all endpoints */
+		plan.steps[0].count = kEndpoints;
+		plan.steps[0].cpu_milli = 2000;
+		plan.steps[0].long_running = false;
+		plan.steps[0].max_unavailable = 0;
+		fleet.submit(plan);
+		fleet.advance(1000);
+	} catch (const model::RuleViolation &broken) {
+		RC_FAIL(broken.what());
+	}
+	RC_ASSERT(fleet.phase("job1") == JOB_COMPLETED);
+}
+
 /// A wave covers all machines that run the long-running tasks of one step, of which one may be
 /// unavailable at once. Each machine must wait until the previous task is ready again, but no
 /// longer, or the wave misses its deadline.
@@ -425,6 +469,9 @@
 	property.check("endpoints_cut_off_in_turn_are_used_again", [] {
 		endpoints_cut_off_in_turn_are_used_again(*rc::gen::inRange<uint32_t>(0, 1000));
 	});
+	property.check("foreign_heartbeats_change_nothing", [] {
+		foreign_heartbeats_change_nothing(*rc::gen::inRange<uint32_t>(0, 1000));
+	});
 	property.check("wave_over_one_step_meets_deadline", [] {
 		wave_over_one_step_meets_deadline(*rc::gen::inRange<uint32_t>(0, 1000));
 	});
--- a/tests/unit/unit_runs.c
+++ b/tests/unit/unit_runs.c
@@ -15,30 +15,32 @@
 struct world {
 	struct manager *m;
 	clock_ms_t now;
-	unsigned int starts;	     ///< start orders
-	struct order *start;	     ///< the latest start order
-	bool mute;		     ///< status queries and stops get no answer
-	bool start_is_answered;	     ///< starts are accepted, by an unknown incarnation
-	int64_t incarnation_wall_ms; ///< of the endpoint that got the first start
-	bool listed;		     ///< status answers of that endpoint list the attempt
-	int64_t clock_offset_ms;     ///< of that endpoint's clock
-	uint32_t other_attempt;	     ///< the attempt that the other endpoint runs; 0: none
-	uint64_t sequence;	     ///< of the latest heartbeat
-	bool done;		     ///< status answers of that endpoint list the attempt's end
-	unsigned int accepted;	     ///< start orders that it accepted
-	bool stops_are_lost;	     ///< stops get no answer
-	bool queries_wait;	     ///< status queries are not answered yet
-	uint64_t waiting_query;	     ///< id of the latest of them
-	unsigned int stops;	     ///< stop orders that it got
-	unsigned int queries_sent;   ///< status queries sent to that endpoint
-	unsigned int starts_sent;    ///< start orders sent to it
-	unsigned int queries;	     ///< status queries that it answered
-	uint64_t ack_through;	     ///< acknowledgement in the latest of them
+	unsigned int starts;	///< start orders
+	struct order *start;	///< the latest start order
+	bool mute;		///< status queries and stops get no answer
+	bool start_is_answered; ///< starts are accepted, by an unknown incarnation
+	/// Of the endpoint that got the first start; 0: as its heartbeats said.
+	int64_t incarnation_wall_ms;
+	bool listed;		   ///< status answers of that endpoint list the attempt
+	int64_t clock_offset_ms;   ///< of that endpoint's clock
+	bool replaced;		   ///< another endpoint answers at the address of that endpoint
+	uint32_t other_attempt;	   ///< the attempt that the other endpoint runs; 0: none
+	uint64_t sequence;	   ///< of the latest heartbeat
+	bool done;		   ///< status answers of that endpoint list the attempt's end
+	unsigned int accepted;	   ///< start orders that it accepted
+	bool stops_are_lost;	   ///< stops get no answer
+	bool queries_wait;	   ///< status queries are not answered yet
+	uint64_t waiting_query;	   ///< id of the latest of them
+	unsigned int stops;	   ///< stop orders that it got
+	unsigned int queries_sent; ///< status queries sent to that endpoint
+	unsigned int starts_sent;  ///< start orders sent to it
+	unsigned int queries;	   ///< status queries that it answered
+	uint64_t ack_through;	   ///< acknowledgement in the latest of them
 };
 
 static void world_init(struct world *w)
 {
-	*w = (struct world){.now = FIXTURE_START_MS, .incarnation_wall_ms = 1};
+	*w = (struct world){.now = FIXTURE_START_MS};
 	w->m = fixture_manager(w->now);
 	fixture_put_config(w->m, w->now);
 }
@@ -49,16 +51,16 @@
 	order_free(w->start);
 }
 
-static void send_heartbeat(struct world *w, const char *id, int64_t incarnation_wall_ms,
-			   int64_t clock_ms)
+static void send_heartbeat_from(struct world *w, const char *id, int64_t incarnation_wall_ms,
+				int64_t clock_ms, const char *address, const char *pool)
 {
 	struct call c = {.type = CALL_HEARTBEAT};
 
 	c.heartbeat = (struct endpoint_heartbeat){
 		.id = g_strdup(id),
 		.incarnation_wall_ms = incarnation_wall_ms,
-		.address = g_strdup_printf("10.1.0.%s:80", id + 2),
-		.pool = g_strdup("p"),
+		.address = g_strdup(address),
+		.pool = g_strdup(pool),
 		.zone = g_strdup("z"),
 		.machine = g_strdup_printf("m-%s", id + 2),
 		.labels = g_ptr_array_new_with_free_func(g_free),
@@ -71,6 +73,22 @@
 	call_clear(&c);
 }
 
+static void send_heartbeat(struct world *w, const char *id, int64_t incarnation_wall_ms,
+			   int64_t clock_ms)
+{
+	g_autofree char *address = g_strdup_printf("10.1.0.%s:80", id + 2);
+
+	send_heartbeat_from(w, id, incarnation_wall_ms, clock_ms, address, "p");
+}
+
+/// A heartbeat of another writer with the address of the endpoint that got the first start.
+static void send_foreign_heartbeat(struct world *w, const char *id, const char *pool)
+{
+	g_autofree char *address = g_strdup(w->start->address);
+
+	send_heartbeat_from(w, id, INT64_MAX, w->now, address, pool);
+}
+
 /// A heartbeat of each endpoint but the one that got the first start.
 static void send_other_heartbeats(struct world *w)
 {
@@ -116,6 +134,12 @@
 	return r;
 }
 
+/// @return incarnation of the endpoint that got the first start
+static int64_t incarnation_of(const struct world *w)
+{
+	return w->incarnation_wall_ms ? w->incarnation_wall_ms : w->start->instance[2] - '0';
+}
+
 /// @return result of an order, or NULL if it has none yet
 static struct order_result *result_of(struct world *w, const struct order *o)
 {
@@ -125,6 +149,8 @@
 		return order_result_new(o->id, ORDER_TRY_LATER); /* the machine service */
 	if (!w->start || g_strcmp0(o->instance, w->start->instance) != 0)
 		return other_result(w, o);
+	if (w->replaced && g_str_equal(o->address, w->start->address))
+		return order_result_new(o->id, ORDER_WRONG_INSTANCE);
 	w->stops += o->type == ORDER_STOP;
 	w->queries_sent += o->type == ORDER_STATUS_QUERY;
 	w->starts_sent += o->type == ORDER_START;
@@ -143,7 +169,7 @@
 		return r;
 	w->queries++;
 	w->ack_through = o->ack_through;
-	r->incarnation_wall_ms = w->incarnation_wall_ms;
+	r->incarnation_wall_ms = incarnation_of(w);
 	if (w->listed)
 		add_listed_attempt(w, r, w->start->attempt);
 	if (w->done)
@@ -425,7 +451,6 @@
 	w->start_is_answered = true;
 	w->listed = true;
 	start_task(w);
-	w->incarnation_wall_ms = w->start->instance[2] - '0';
 	run_for(w, 500);
 	w->mute = true;
 	w->start_is_answered = false;
@@ -440,7 +465,7 @@
 static void run_with_heartbeats(struct world *w, unsigned int heartbeats)
 {
 	for (unsigned int i = 0; i < heartbeats; i++) {
-		send_heartbeat(w, w->start->instance, w->incarnation_wall_ms, w->now);
+		send_heartbeat(w, w->start->instance, incarnation_of(w), w->now);
 		run_for(w, 1000);
 	}
 }
@@ -482,6 +507,124 @@
 	world_clear(&w);
 }
 
+/// Runs the task, then sends a foreign heartbeat. The task must run on where it is, and its
+/// endpoint must stay in use.
+static void check_foreign_heartbeat(const char *id, const char *pool, bool own_heartbeats)
+{
+	struct world w;
+
+	world_init(&w);
+	w.start_is_answered = true;
+	w.listed = true;
+	start_task(&w);
+	run_for(&w, 1000);
+	send_foreign_heartbeat(&w, id ? id : w.start->instance, pool);
+	if (own_heartbeats)
+		run_with_heartbeats(&w, 2);
+	else
+		run_for(&w, 2000);
+	g_assert_cmpuint(w.starts, ==, 1);
+	w.accepted = 0;
+	fixture_submit(w.m, w.now, "k", 14);
+	run_for(&w, 50);
+	g_assert_cmpuint(w.accepted, >=, 6);
+	world_clear(&w);
+}
+
+/// One heartbeat of another writer, of a pool that is not named and with the address of an
+/// endpoint, ended that endpoint for the leader: its tasks ran twice (review/3, TWICE).
+static void test_foreign_heartbeat_ends_no_endpoint(void)
+{
+	for (int own_heartbeats = 0; own_heartbeats < 2; own_heartbeats++) {
+		check_foreign_heartbeat("i-9", "elsewhere", own_heartbeats);
+		check_foreign_heartbeat("i-9", "p", own_heartbeats);
+		check_foreign_heartbeat(NULL, "elsewhere", own_heartbeats);
+		check_foreign_heartbeat(NULL, "p", own_heartbeats);
+	}
+}
+
+/// An endpoint at the address of an earlier one: the earlier one's tasks start elsewhere as soon as
+/// the address answers for another endpoint.
+static void test_replaced_endpoint_is_noticed_at_once(void)
+{
+	struct world w;
+
+	world_init(&w);
+	w.start_is_answered = true;
+	w.listed = true;
+	start_task(&w);
+	run_for(&w, 1000);
+	w.replaced = true;
+	w.queries_wait = true;
+	send_foreign_heartbeat(&w, "i-3", "p");
+	run_for(&w, 300);
+	g_assert_cmpuint(w.starts, ==, 2);
+	world_clear(&w);
+}
+
+/// A leader hears first of an incarnation that does not exist. The answer of the present one, which
+/// seems to be an earlier one, must win: its heartbeats were ignored.
+static void test_answer_corrects_false_incarnation(void)
+{
+	struct manager *earlier;
+	struct world w;
+
+	world_init(&w);
+	w.start_is_answered = true;
+	w.listed = true;
+	start_task(&w);
+	w.listed = false;
+	w.done = true;
+	run_for(&w, 1000);
+	earlier = w.m;
+	w.m = fixture_next_manager(earlier->jobs, 2, w.now, w.now);
+	manager_free(earlier);
+	send_foreign_heartbeat(&w, w.start->instance, "p");
+	run_with_heartbeats(&w, 3);
+	w.accepted = 0;
+	fixture_submit(w.m, w.now, "k", 14);
+	run_for(&w, 50);
+	g_assert_cmpuint(w.accepted, >=, 6);
+	world_clear(&w);
+}
+
+static void put_config_with_pool(struct world *w, const char *pool)
+{
+	struct call c = {.type = CALL_CONFIG_PUT};
+	job_queue *q = calloc(1, sizeof(*q));
+	job_pool *p = calloc(1, sizeof(*p));
+
+	*q = (job_queue){.key = strdup("h /q/"), .pool = strdup(pool), .max_attempts = 2};
+	*p = (job_pool){.name = strdup(pool)};
+	c.config.config_version = 2;
+	c.config.queues.queues_len = 1;
+	c.config.queues.queues_val = q;
+	c.config.pools.pools_len = 1;
+	c.config.pools.pools_val = p;
+	manager_handle_call(w->m, w->now, w->now, 3, &c);
+	call_clear(&c);
+}
+
+/// Endpoints of a pool that a later configuration names come into use.
+static void test_pool_named_later_comes_into_use(void)
+{
+	struct world w;
+
+	world_init(&w);
+	w.start_is_answered = true;
+	w.listed = true;
+	send_heartbeat_from(&w, "i-3", 3, w.now, "10.1.0.3:80", "later");
+	run_for(&w, 1000);
+	put_config_with_pool(&w, "later");
+	fixture_submit(w.m, w.now, "j", 1);
+	run_for(&w, 500);
+	send_heartbeat_from(&w, "i-3", 3, w.now, "10.1.0.3:80", "later");
+	run_for(&w, 100);
+	g_assert_cmpuint(w.starts, ==, 1);
+	g_assert_cmpstr(w.start->instance, ==, "i-3");
+	world_clear(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -506,6 +649,14 @@
 			test_endpoint_that_was_cut_off_gets_work_again);
 	g_test_add_func("/runs/endpoint_that_does_not_answer_is_probed_at_a_pace",
 			test_endpoint_that_does_not_answer_is_probed_at_a_pace);
+	g_test_add_func("/runs/foreign_heartbeat_ends_no_endpoint",
+			test_foreign_heartbeat_ends_no_endpoint);
+	g_test_add_func("/runs/replaced_endpoint_is_noticed_at_once",
+			test_replaced_endpoint_is_noticed_at_once);
+	g_test_add_func("/runs/answer_corrects_false_incarnation",
+			test_answer_corrects_false_incarnation);
+	g_test_add_func("/runs/pool_named_later_comes_into_use",
+			test_pool_named_later_comes_into_use);
 	g_test_add_func("/runs/cancel_of_failed_job_stops_its_tasks",
 			test_cancel_of_failed_job_stops_its_tasks);
 	return g_test_run();
--- a/tests/unit/unit_sched.c
+++ b/tests/unit/unit_sched.c
@@ -225,12 +225,13 @@
 	struct jobs *state; ///< committed state
 	clock_ms_t now;
 	uint64_t term;
-	GPtrArray *starts;	   ///< struct order: starts, oldest first
-	enum order_status answer;  ///< to starts
-	bool holds_starts;	   ///< starts get no answer for now
-	bool mute;		   ///< other orders get none at all
-	uint32_t running;	   ///< count of the latest starts that status answers list
-	const struct order *ended; ///< status answers list the end of this attempt; NULL: of none
+	GPtrArray *starts;	     ///< struct order: starts, oldest first
+	enum order_status answer;    ///< to starts
+	bool holds_starts;	     ///< starts get no answer for now
+	bool mute;		     ///< other orders get none at all
+	uint32_t running;	     ///< count of the latest starts that status answers list
+	int64_t incarnation_wall_ms; ///< of the endpoint, in status answers; 0: unknown
+	const struct order *ended;   ///< status answers list the end of this attempt; NULL: of none
 	enum attempt_outcome outcome; ///< of that attempt
 };
 
@@ -274,6 +275,7 @@
 	struct order_result *r = order_result_new(id, ORDER_OK);
 
 	r->clock_ms = w->now;
+	r->incarnation_wall_ms = w->incarnation_wall_ms;
 	for (guint i = w->starts->len; i > w->starts->len - w->running; i--) {
 		const struct order *o = w->starts->pdata[i - 1];
 		struct running_attempt row = {
@@ -436,7 +438,8 @@
 }
 
 /// An endpoint that restarts has lost the attempts that its earlier incarnation listed; one that
-/// only a start order's answer confirmed may run at either incarnation.
+/// only a start order's answer confirmed may run at either incarnation. The heartbeat of the later
+/// incarnation proves nothing, its answer does.
 static void test_job_whose_endpoint_restarted_waits_again(void)
 {
 	for (int listed = 0; listed < 2; listed++) {
@@ -452,6 +455,11 @@
 		w.mute = true;
 		w.holds_starts = true;
 		fixture_heartbeat(w.m, w.now, "i-1", "m-1", 2);
+		g_assert_cmpuint(count_waiting(&w), ==, 0);
+		w.mute = false;
+		w.running = 0;
+		w.incarnation_wall_ms = 2;
+		run_for(&w, 2 * MANAGER_TICK_MS);
 		g_assert_cmpuint(count_waiting(&w), ==, 1);
 		world_clear(&w);
 	}
