fix(jobs): a task that lasts is never given up

Cause: the limit on endpoints that crash under a task, JOBS_CRASHES_MAX, held for tasks that last as well, to which no limit on attempts applies. Class: a bound on retries for work whose contract has none.

Change: only tasks of bounded run time are given up. A lasting one is still counted and tried apart from other jobs, where least is lost.

--- a/src/sesamewood/jobs/jobs.c
+++ b/src/sesamewood/jobs/jobs.c
@@ -406,7 +406,9 @@
 	task->crashes++;
 	task->early_crashes += e->cause != JOB_ATTEMPT_LOST;
 	task->singled_out |= e->cause == JOB_ATTEMPT_CRASHED_ALONE;
-	if (!job_task_is_given_up(task))
+	/* A task that lasts is restarted however it ends. */
+	if (job->image.spec.steps.steps_val[e->task.step].long_running ||
+	    !job_task_is_given_up(task))
 		return;
 	task->phase = JOB_TASK_FAILED;
 	end_job(job, JOB_FAILED, 0);
--- a/src/sesamewood/jobs/jobs.h
+++ b/src/sesamewood/jobs/jobs.h
@@ -11,7 +11,8 @@
 #include <glib.h>
 #include <stdbool.h>
 
-/// A task is given up after so many crashes of endpoints right after its start.
+/// A task is given up after so many crashes of endpoints right after its start. A long-running task
+/// never is: for the same counts it is only tried apart (sched/suspects.h).
 #define JOBS_EARLY_CRASHES_MAX 3
 
 /// The same, if only its job can have caused one of them.
@@ -96,7 +97,7 @@
 /// @return the endpoint incarnation with that number, or NULL
 struct job_incarnation_state *jobs_incarnation(const struct jobs *j, uint32_t number);
 
-/// Tells whether a task is given up for the crashes that are counted in it.
+/// Tells whether a task is given up for the crashes that are counted in it, unless it lasts.
 bool job_task_is_given_up(const job_task *task);
 
 /// @return true if the job has completed, failed or been cancelled
--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -61,6 +61,9 @@
 /// Start time in heartbeats of another writer: later than any incarnation's.
 constexpr int64_t kForeignIncarnation = 1000000000;
 
+/// From a crash until the next incarnation is up.
+constexpr clock_ms_t kRestartMs = 3000;
+
 struct Endpoint {
 	std::string id, address, pool, machine;
 	/// Identifies the incarnation; the model uses a counter instead of a wall-clock time.
@@ -191,6 +194,8 @@
 	uint64_t moves = 0;
 	/// Endpoints crashed by their tasks.
 	uint64_t crashes_by_tasks = 0;
+	/// Of these, by long-running tasks.
+	uint64_t lasting_crashes = 0;
 	/// Commands proposed and orders sent.
 	uint64_t commands = 0, orders = 0;
 	/// Ids of jobs whose submission or cancellation was acknowledged.
