fix(runs): silence of an endpoint counts against a task only once it is proved

Cause: an endpoint whose leases expired unheard counted at once as one that its tasks may have crashed. Class: silence taken for proof.

Change: such an attempt is released without a count, and the loss is kept with the endpoint. It counts (JOB_ATTEMPT_LOSS_CONFIRMED) when the endpoint proves to have ended unexpectedly, or is not heard for 30 s; it is dropped when the endpoint answers again or was shut down by an order. A task whose losses would reach the limit if all were confirmed waits until that is known, so that it starts as rarely as before under a true cause. A new leader does not inherit kept losses.

--- a/src/sesamewood/jobs/jobs.c
+++ b/src/sesamewood/jobs/jobs.c
@@ -398,27 +398,49 @@
 		task->crashes = 0;
 }
 
-static void crash_attempt(struct jobs *j, struct job *job, const job_attempt_end *e, job_task *task)
+/// Counts the crash of an endpoint under a task, and gives the task up when there were too many.
+static void count_crash(struct job *job, const job_attempt_end *e, job_task *task)
 {
-	if (task->phase != JOB_TASK_ASSIGNED)
-		return;
-	release_task(j, job, task);
 	task->crashes++;
-	task->early_crashes += e->cause != JOB_ATTEMPT_LOST;
+	task->early_crashes +=
+		e->cause == JOB_ATTEMPT_CRASHED || e->cause == JOB_ATTEMPT_CRASHED_ALONE;
 	task->singled_out |= e->cause == JOB_ATTEMPT_CRASHED_ALONE;
 	/* A task that lasts is restarted however it ends. */
 	if (job->image.spec.steps.steps_val[e->task.step].long_running ||
 	    !job_task_is_given_up(task))
 		return;
-	task->phase = JOB_TASK_FAILED;
+	if (task->phase == JOB_TASK_WAITING) /* a later attempt is stopped, as its job has ended */
+		task->phase = JOB_TASK_FAILED;
 	end_job(job, JOB_FAILED, 0);
 }
 
+static void crash_attempt(struct jobs *j, struct job *job, const job_attempt_end *e, job_task *task)
+{
+	if (task->phase != JOB_TASK_ASSIGNED)
+		return;
+	release_task(j, job, task);
+	count_crash(job, e, task);
+}
+
+/// Counts a loss that was confirmed after the attempt was released.
+static void confirm_loss(struct job *job, const job_attempt_end *e, job_task *task)
+{
+	if (task->phase >= JOB_TASK_DONE || job_has_ended(job) || e->attempt > task->attempt ||
+	    (e->attempt == task->attempt && task->phase == JOB_TASK_ASSIGNED))
+		return;
+	count_crash(job, e, task);
+	drop_ended_job_details(job);
+}
+
 static void apply_attempt_end(struct jobs *j, const job_attempt_end *e)
 {
 	struct job *job = jobs_find(j, e->task.job);
 	job_task *task = jobs_task(j, &e->task);
 
+	if (task && e->cause == JOB_ATTEMPT_LOSS_CONFIRMED) {
+		confirm_loss(job, e, task);
+		return;
+	}
 	if (!task || task->attempt != e->attempt || task->phase >= JOB_TASK_DONE)
 		return;
 	if (*e->checkpoint)
@@ -439,6 +461,8 @@
 	case JOB_ATTEMPT_CRASHED_ALONE:
 		crash_attempt(j, job, e, task);
 		break;
+	case JOB_ATTEMPT_LOSS_CONFIRMED:
+		break; /* handled above */
 	}
 	drop_ended_job_details(job);
 }
--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -68,6 +68,7 @@
 				   settings->holder_lease_ms);
 	order_budget_init(&m->order_budget, settings->machine_orders_per_s, now);
 	m->capacity_changed = g_ptr_array_new();
+	m->unconfirmed_losses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	m->failed_at = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->active = g_ptr_array_new();
 	incarnations_inherit(m, now);
@@ -91,6 +92,7 @@
 	g_hash_table_unref(m->ratios);
 	g_hash_table_unref(m->maintenance_by_machine);
 	g_hash_table_unref(m->machines);
+	g_hash_table_unref(m->unconfirmed_losses);
 	g_hash_table_unref(m->failed_at);
 	cooldown_free(m->cooldown);
 	g_hash_table_unref(m->due_machines);
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -51,6 +51,8 @@
 	clock_ms_t pool_shortage_at;	 ///< when a pool last needed more machines
 	clock_ms_t next_shortage_log_at; ///< earliest time to log pools without enough machines
 	clock_ms_t unknown_pool_log_at;	 ///< earliest time to log heartbeats of unknown pools
+	/// Count of losses that are not confirmed yet, by task name; see struct lost_attempt.
+	GHashTable *unconfirmed_losses;
 	GHashTable *failed_at;	   ///< id of the endpoint where a task failed last, by task name
 	struct cooldown *cooldown; ///< recent machine orders, of earlier leaders as well
 	struct order_budget order_budget;   ///< of machine orders
--- a/src/sesamewood/rpc/sesamewood.x
+++ b/src/sesamewood/rpc/sesamewood.x
@@ -303,9 +303,11 @@
 	JOB_ATTEMPT_DONE = 0,
 	JOB_ATTEMPT_FAILED = 1,                /* counts towards max_attempts */
 	JOB_ATTEMPT_RELEASED = 2,              /* did not run, or was stopped or interrupted */
-	JOB_ATTEMPT_LOST = 3,                  /* its endpoint may have crashed under it */
+	JOB_ATTEMPT_LOST = 3,                  /* its endpoint has ended, perhaps because of it */
 	JOB_ATTEMPT_CRASHED = 4,               /* its endpoint crashed right after its start */
-	JOB_ATTEMPT_CRASHED_ALONE = 5          /* the same, and only its job can be the cause */
+	JOB_ATTEMPT_CRASHED_ALONE = 5,         /* the same, and only its job can be the cause */
+	JOB_ATTEMPT_LOSS_CONFIRMED = 6         /* released when its endpoint fell silent, which has
+	                                          crashed, as is known by now */
 };
 
 /* How long an attempt is known to have run. */
--- a/src/sesamewood/runs/attempts.c
+++ b/src/sesamewood/runs/attempts.c
@@ -139,6 +139,82 @@
 	attempts_untrack(m, r);
 }
 
+/// Changes the count of losses of a task that are not confirmed.
+static void count_unconfirmed(struct manager *m, const job_task_ref *ref, int by)
+{
+	char *name = attempts_task_name(ref);
+	int n = GPOINTER_TO_INT(g_hash_table_lookup(m->unconfirmed_losses, name)) + by;
+
+	if (n > 0) {
+		g_hash_table_replace(m->unconfirmed_losses, name, GINT_TO_POINTER(n));
+		return;
+	}
+	g_hash_table_remove(m->unconfirmed_losses, name);
+	g_free(name);
+}
+
+bool attempts_await_confirmation(const struct manager *m, const struct job *job,
+				 const job_task_ref *ref)
+{
+	const job_task *task;
+	g_autofree char *name = NULL;
+	unsigned int n;
+
+	if (!g_hash_table_size(m->unconfirmed_losses) ||
+	    job->image.spec.steps.steps_val[ref->step].long_running)
+		return false;
+	name = attempts_task_name(ref);
+	n = GPOINTER_TO_UINT(g_hash_table_lookup(m->unconfirmed_losses, name));
+	task = jobs_task(m->jobs, ref);
+	return n && task && task->crashes + n >= JOBS_CRASHES_MAX;
+}
+
+void attempts_release_silent(struct manager *m, struct run *r)
+{
+	if (r->loss != JOB_ATTEMPT_RELEASED) {
+		endpoint_add_lost(r->endpoint, r);
+		count_unconfirmed(m, &r->ref, 1);
+	}
+	r->loss = JOB_ATTEMPT_RELEASED;
+	attempts_release(m, r, JOB_ATTEMPT_RELEASED, r->checkpoint);
+}
+
+void attempts_confirm_losses(struct manager *m, struct endpoint *e)
+{
+	for (guint i = 0; i < e->lost->len; i++) {
+		const struct lost_attempt *a = e->lost->pdata[i];
+		const struct job *job = jobs_find(m->jobs, a->ref.job);
+		bool was_open = job && !job_has_ended(job);
+		job_command c = {
+			.type = JOB_COMMAND_ATTEMPT_END,
+			.job_command_u.end =
+				{
+					.attempt = a->attempt,
+					.task = a->ref,
+					.cause = JOB_ATTEMPT_LOSS_CONFIRMED,
+					.age = JOB_ATTEMPT_STARTING,
+					.checkpoint = (char *)"",
+				},
+		};
+
+		if (!was_open)
+			continue;
+		effects_propose(m, &c);
+		log_info("endpoint that fell silent under an attempt has crashed", "JOB",
+			 a->ref.job, "ATTEMPT", log_number(a->attempt), "ENDPOINT", e->id,
+			 "GIVEN_UP", job_has_ended(job) ? "true" : "false");
+	}
+	attempts_drop_losses(m, e);
+}
+
+void attempts_drop_losses(struct manager *m, struct endpoint *e)
+{
+	for (guint i = 0; i < e->lost->len; i++)
+		count_unconfirmed(m, &((const struct lost_attempt *)e->lost->pdata[i])->ref, -1);
+	m->round_wanted |= e->lost->len > 0;
+	g_ptr_array_set_size(e->lost, 0);
+}
+
 void attempts_release_all(struct manager *m, struct endpoint *e)
 {
 	while (e->runs->len) {
@@ -253,8 +329,11 @@
 		e->terminated_at = now;
 	if (e->status_query_open && now - e->terminated_at < TERMINATION_WAIT_MS)
 		return;
-	if (e->end != ENDPOINT_END_EXPECTED && !e->terminated)
+	if (e->end != ENDPOINT_END_EXPECTED && !e->terminated) {
 		attempts_judge_loss(m, now, e, e->end);
+		attempts_confirm_losses(m, e);
+	}
+	attempts_drop_losses(m, e);
 	log_info("endpoint terminated; releasing its attempts", "ENDPOINT", e->id, "RUNS",
 		 log_number(e->runs->len));
 	attempts_release_all(m, e);
--- a/src/sesamewood/runs/attempts.h
+++ b/src/sesamewood/runs/attempts.h
@@ -31,6 +31,21 @@
 void attempts_release(struct manager *m, struct run *r, job_attempt_end_cause cause,
 		      const char *checkpoint);
 
+/// Releases an attempt at an endpoint that is silent: it has certainly ended, but its endpoint may
+/// not. A loss that its task may have caused is kept until that is known.
+void attempts_release_silent(struct manager *m, struct run *r);
+
+/// Counts the losses kept for an endpoint, which has ended unexpectedly, against their tasks.
+void attempts_confirm_losses(struct manager *m, struct endpoint *e);
+
+/// Drops the losses kept for an endpoint, which was only unreachable or was shut down by an order.
+void attempts_drop_losses(struct manager *m, struct endpoint *e);
+
+/// Tells whether a task waits until it is known whether endpoints that fell silent under it have
+/// crashed: it would be given up then.
+bool attempts_await_confirmation(const struct manager *m, const struct job *job,
+				 const job_task_ref *ref);
+
 /// Releases all attempts at an endpoint with their last reported checkpoints.
 void attempts_release_all(struct manager *m, struct endpoint *e);
 
--- a/src/sesamewood/runs/endpoint.c
+++ b/src/sesamewood/runs/endpoint.c
@@ -10,6 +10,14 @@
 /// Allowance for rounding of clock readings to whole milliseconds.
 #define CLOCK_ROUNDING_MS 50
 
+static void lost_attempt_free(void *p)
+{
+	struct lost_attempt *a = p;
+
+	g_free(a->ref.job);
+	g_free(a);
+}
+
 struct endpoint *endpoint_new(const char *id)
 {
 	struct endpoint *e = g_new0(struct endpoint, 1);
@@ -22,6 +30,7 @@
 	e->labels = g_ptr_array_new_with_free_func(g_free);
 	e->clock_ms = -1;
 	e->runs = g_ptr_array_new();
+	e->lost = g_ptr_array_new_with_free_func(lost_attempt_free);
 	e->candidate_index = -1;
 
 	return e;
@@ -38,6 +47,7 @@
 	g_free(e->machine);
 	g_ptr_array_unref(e->labels);
 	g_ptr_array_unref(e->runs);
+	g_ptr_array_unref(e->lost);
 	g_free(e->failed_job);
 	endpoint_set_announced(e, NULL);
 	g_free(e);
@@ -166,6 +176,15 @@
 	add_to_usage(e, r, -1);
 }
 
+void endpoint_add_lost(struct endpoint *e, const struct run *r)
+{
+	struct lost_attempt *a = g_new0(struct lost_attempt, 1);
+
+	*a = (struct lost_attempt){.ref = r->ref, .attempt = r->attempt};
+	a->ref.job = g_strdup(r->ref.job);
+	g_ptr_array_add(e->lost, a);
+}
+
 struct resources endpoint_free_capacity(const struct endpoint *e)
 {
 	return (struct resources){
--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -66,6 +66,13 @@
 	bool pace_in_flight; ///< a pace order is in flight
 };
 
+/// An attempt that was released when its endpoint fell silent. The loss counts against its task if
+/// the endpoint proves to have ended, and not if it answers again.
+struct lost_attempt {
+	job_task_ref ref;
+	uint32_t attempt;
+};
+
 /// Why it is known that an endpoint has ended.
 enum endpoint_end {
 	ENDPOINT_END_EXPECTED,	///< it was ordered or announced, or the endpoint has not ended
@@ -131,6 +138,7 @@
 	clock_ms_t terminated_at; ///< when its termination became known; 0: not terminated
 	clock_ms_t lost_at;	  ///< when its latest incarnation that ended unexpectedly was last
 				  ///< alive; 0: none
+	GPtrArray *lost;	  ///< of struct lost_attempt; owned
 	enum endpoint_end end;	  ///< how its termination became known
 	bool fenced;		  ///< it has seen this leader's fencing token
 	bool needs_fencing; ///< a later incarnation uses its id: late orders for the earlier one
@@ -143,7 +151,7 @@
 	uint64_t acked_completion; ///< completion records up to this number are acknowledged
 	uint32_t unanswered_calls; ///< consecutive calls without an answer; while there are any,
 				   ///< the endpoint gets no new work, but is probed
-	clock_ms_t unanswered_at; ///< when the latest of them counted as unanswered
+	clock_ms_t unanswered_at;  ///< when the latest of them counted as unanswered
 	clock_ms_t quarantined_until;
 	char *failed_job;	  ///< of the latest counted failure, or NULL
 	uint32_t failures;	  ///< failures of different jobs since the last success
@@ -205,6 +213,9 @@
 /// Removes an attempt and its resources.
 void endpoint_remove_run(struct endpoint *e, struct run *r);
 
+/// Notes an attempt that is released because the endpoint is silent.
+void endpoint_add_lost(struct endpoint *e, const struct run *r);
+
 /// @return capacity that is not in use
 struct resources endpoint_free_capacity(const struct endpoint *e);
 
--- a/src/sesamewood/runs/incarnations.c
+++ b/src/sesamewood/runs/incarnations.c
@@ -78,8 +78,11 @@
 {
 	guint runs = e->runs->len;
 
-	if (!e->terminated && !attempts_end_is_expected(m, now, e))
+	if (!e->terminated && !attempts_end_is_expected(m, now, e)) {
 		attempts_judge_loss(m, now, e, ENDPOINT_END_RESTARTED);
+		attempts_confirm_losses(m, e);
+	}
+	attempts_drop_losses(m, e);
 	for (guint i = e->runs->len; i > 0; i--) {
 		struct run *r = e->runs->pdata[i - 1];
 
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -478,8 +478,10 @@
 	if (p->type == ORDER_STATUS_QUERY && p->id != e->verification)
 		e->status_query_open = false;
 	if (p->type == ORDER_STATUS_QUERY && result->status == ORDER_OK &&
-	    result->incarnation_wall_ms == e->incarnation_wall_ms)
+	    result->incarnation_wall_ms == e->incarnation_wall_ms) {
 		incarnations_handle_answer(e, p->sent_at);
+		attempts_drop_losses(m, e);
+	}
 	record_response(m, now, e, p->type, result);
 	if (e->terminated || m->fenced_off)
 		return;
@@ -625,7 +627,7 @@
 		struct run *r = e->runs->pdata[i - 1];
 
 		if (lease_has_ended(m, r, now))
-			attempts_release(m, r, JOB_ATTEMPT_RELEASED, r->checkpoint);
+			attempts_release_silent(m, r);
 	}
 }
 
@@ -691,6 +693,7 @@
 			if (e->announced)
 				g_ptr_array_add(succeeded, e);
 		} else if (now - e->last_heartbeat_at > FORGET_ENDPOINT_MS) {
+			attempts_confirm_losses(m, e);
 			g_ptr_array_remove_fast(m->capacity_changed, e);
 			g_hash_table_iter_remove(&iter);
 		}
--- a/src/sesamewood/sched/schedule.c
+++ b/src/sesamewood/sched/schedule.c
@@ -1,5 +1,6 @@
 #include "sched/schedule.h"
 
+#include "runs/attempts.h"
 #include "runs/runs.h"
 #include "sched/advice.h"
 #include "sched/estimates.h"
@@ -164,6 +165,14 @@
 		   w->needs_placement_advice && c->ticket ? c->ticket : "");
 }
 
+static bool awaits_confirmation(const struct manager *m, const struct waiting_step *w,
+				uint32_t index)
+{
+	const job_task_ref ref = {w->job->image.spec.id, w->occurrence, w->step, index};
+
+	return attempts_await_confirmation(m, w->job, &ref);
+}
+
 /// Prepares a request for a task that may crash its endpoint. A long-running task must run again
 /// soon, and a gang needs several endpoints at once: they may exceed the limit on trials.
 static void set_suspected(struct place_request *q, const struct pool_capacity *pc, bool suspected)
@@ -210,7 +219,7 @@
 		int at;
 		struct place_candidate *c;
 
-		if (s->tasks.tasks_val[i].phase != JOB_TASK_WAITING)
+		if (s->tasks.tasks_val[i].phase != JOB_TASK_WAITING || awaits_confirmation(m, w, i))
 			continue;
 		if (s->tasks.tasks_val[i].singled_out != q->singled_out) {
 			w->has_singled_out |= !q->singled_out;
@@ -292,7 +301,7 @@
 	bool suspected = false;
 
 	for (u_int i = 0; i < s->tasks.tasks_len; i++) {
-		if (s->tasks.tasks_val[i].phase != JOB_TASK_WAITING)
+		if (s->tasks.tasks_val[i].phase != JOB_TASK_WAITING || awaits_confirmation(m, w, i))
 			return true;
 		attempt = MAX(attempt, s->tasks.tasks_val[i].attempt);
 		suspected |= suspects_is_suspected(&s->tasks.tasks_val[i]);
--- a/tests/model/fleet_model.cc
+++ b/tests/model/fleet_model.cc
@@ -556,7 +556,7 @@
 	for (const auto &run : e.running)
 		task_history[run.first].record_end(now, false);
 	start_incarnation(e, same_id);
-	e.down_until = now + kRestartMs;
+	e.down_until = now + restart_ms;
 }
 
 void Fleet::drain(unsigned int i)
--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -157,7 +157,7 @@
 	/// seconds.
 	/// @param same_id keeps the endpoint's id; otherwise it gets a new one
 	void crash(unsigned int endpoint, bool same_id);
-	/// Crashes an endpoint as crash() does; the next incarnation is up after kRestartMs.
+	/// Crashes an endpoint as crash() does; the next incarnation is up after restart_ms.
 	void crash_and_stay_down(unsigned int endpoint, bool same_id);
 	/// Marks an endpoint as draining and sends a heartbeat that reports it.
 	void drain(unsigned int endpoint);
@@ -194,7 +194,10 @@
 	uint64_t moves = 0;
 	/// Endpoints crashed by their tasks.
 	uint64_t crashes_by_tasks = 0;
-	/// Of these, by long-running tasks.
+	/// From a crash under a task, or by crash_and_stay_down(), until the next incarnation is
+	/// up.
+	clock_ms_t restart_ms = kRestartMs;
+	/// Of the crashes by tasks, those by long-running ones.
 	uint64_t lasting_crashes = 0;
 	/// Commands proposed and orders sent.
 	uint64_t commands = 0, orders = 0;
--- a/tests/property/property_jobs.cc
+++ b/tests/property/property_jobs.cc
@@ -409,6 +409,72 @@
 			      [](const auto &e) { return e->running.count("job0.0.0.0") > 0; }));
 }
 
+/// The endpoint that runs the same task of bounded run time is cut off time after time. Silence is
+/// no crash that the task may have caused: its job was shown as failed after five cuts.
+void cuts_fail_no_job(uint32_t seed)
+{
+	constexpr unsigned int kCuts = 7;
+	constexpr clock_ms_t kCutMs = 5500, kRunMs = 2000;
+	model::Fleet fleet(seed, 1, 8);
+	model::JobPlan plan;
+	job_step step = {};
+	unsigned int cuts = 0;
+
+	step.count = 1 + seed % 3;
+	step.cpu_milli = 2000;
+	step.mem_mb = 1000;
+	plan.id = "job0";
+	plan.pool = "pool0";
+	plan.task_ms = 8000;
+	plan.steps = {step};
+	fleet.fault.unreachable = seed % 2;
+	try {
+		fleet.submit(plan);
+		fleet.advance(kRunMs);
+		for (clock_ms_t t = 0; t < kRecoveryMs * 3 && cuts < kCuts; t += kRunMs) {
+			for (auto &e : fleet.endpoints) {
+				if (!e->running.count("job0.0.0.0"))
+					continue;
+				cuts++;
+				e->cut = true;
+				fleet.advance(kCutMs);
+				e->cut = false;
+				break;
+			}
+			fleet.advance(kRunMs);
+		}
+		fleet.advance(20000);
+	} catch (const model::RuleViolation &broken) {
+		RC_FAIL(broken.what());
+	}
+	RC_ASSERT(cuts == kCuts);
+	RC_ASSERT(fleet.phase("job0") == JOB_COMPLETED);
+}
+
+/// A task crashes each endpoint that starts it, and the endpoint returns only after its leases have
+/// expired: it was silent first. The task must be given up all the same.
+void task_that_silences_endpoints_is_given_up(uint32_t seed)
+{
+	model::Fleet fleet(seed, 1, 8);
+	model::JobPlan plan = plan_of(0, 4);
+
+	plan.pool = "pool0";
+	plan.steps.resize(1);
+	plan.task_ms = 2000;
+	plan.crashes_after_ms = seed % 2 ? seed % 20 : seed % 1500;
+	fleet.restart_ms = 6000 + seed % 6000;
+	try {
+		fleet.submit(plan);
+		for (clock_ms_t t = 0; t < 3 * kRecoveryMs && fleet.phase("job0") != JOB_FAILED;
+		     t += 1000)
+			fleet.advance(1000);
+	} catch (const model::RuleViolation &broken) {
+		RC_FAIL(broken.what());
+	}
+	RC_ASSERT(fleet.phase("job0") == JOB_FAILED);
+	RC_ASSERT(fleet.crashes_by_tasks <= 8U);
+}
+
 /// Half of the endpoints crash together, three times, while jobs run that crash none. No job may
 /// fail.
 void crashes_of_endpoints_fail_no_job(uint32_t seed)
@@ -542,6 +608,11 @@
 	property.check("lasting_job_outlives_losses", [] {
 		lasting_job_outlives_losses(*rc::gen::inRange<uint32_t>(0, 1000000));
 	});
+	property.check("cuts_fail_no_job",
+		       [] { cuts_fail_no_job(*rc::gen::inRange<uint32_t>(0, 1000000)); });
+	property.check("task_that_silences_endpoints_is_given_up", [] {
+		task_that_silences_endpoints_is_given_up(*rc::gen::inRange<uint32_t>(0, 1000000));
+	});
 	property.check("crashes_of_endpoints_fail_no_job", [] {
 		crashes_of_endpoints_fail_no_job(*rc::gen::inRange<uint32_t>(0, 1000000));
 	});
--- a/tests/unit/unit_suspects.c
+++ b/tests/unit/unit_suspects.c
@@ -192,6 +192,37 @@
 	g_assert_cmpuint(attempts_until_failed(true, causes, NULL, G_N_ELEMENTS(causes)), ==, 0);
 }
 
+/// Endpoints that fell silent under a task prove to have crashed while its next attempt runs. They
+/// count, and the job that is given up can still be forgotten once that attempt has ended.
+static void test_loss_confirmed_later_counts(void)
+{
+	struct jobs *j = state_with_job(false);
+	job_command c = {.type = JOB_COMMAND_ATTEMPT_START};
+
+	for (unsigned int i = 1; i <= JOBS_CRASHES_MAX + 1; i++) {
+		g_assert_cmpint(jobs_find(j, "j")->image.phase, !=, JOB_FAILED);
+		c.type = JOB_COMMAND_ATTEMPT_START;
+		c.job_command_u.start =
+			(job_attempt_start){.endpoint = 1, .attempt = i, .task = {.job = "j"}};
+		jobs_apply(j, &c);
+		c.type = JOB_COMMAND_ATTEMPT_END;
+		c.job_command_u.end =
+			(job_attempt_end){.attempt = i, .task = {.job = "j"}, .checkpoint = ""};
+		c.job_command_u.end.cause = JOB_ATTEMPT_LOSS_CONFIRMED;
+		jobs_apply(j, &c); /* not of the attempt that is assigned */
+		c.job_command_u.end.attempt = i - 1;
+		if (i > 1)
+			jobs_apply(j, &c);
+		c.job_command_u.end.attempt = i;
+		c.job_command_u.end.cause = RELEASED;
+		jobs_apply(j, &c);
+		restore(&j);
+	}
+	g_assert_cmpint(jobs_find(j, "j")->image.phase, ==, JOB_FAILED);
+	g_assert_cmpuint(jobs_find(j, "j")->assigned, ==, 0);
+	jobs_free(j);
+}
+
 /// A task that outlives its start is no suspect any more, and one that has run for long starts
 /// afresh.
 static void test_survival_clears_crashes(void)
@@ -224,6 +255,7 @@
 			test_task_is_given_up_after_crashes);
 	g_test_add_func("/suspects/lasting_task_is_never_given_up",
 			test_lasting_task_is_never_given_up);
+	g_test_add_func("/suspects/loss_confirmed_later_counts", test_loss_confirmed_later_counts);
 	g_test_add_func("/suspects/survival_clears_crashes", test_survival_clears_crashes);
 	g_test_add_func("/suspects/few_endpoints_have_trials", test_few_endpoints_have_trials);
 	return g_test_run();
