--- a/src/sesamewood/control/control.c
+++ b/src/sesamewood/control/control.c
@@ -1,6 +1,7 @@
 #include "control/control.h"
 
 #include "base/codec.h"
+#include "base/log.h"
 #include "control/admin.h"
 #include "control/moves.h"
 #include "control/sessions.h"
@@ -290,22 +291,31 @@
 static void take_snapshot(struct control *c)
 {
 	uint64_t behind = raft_applied_index(c->raft) - raft_snapshot_index(c->raft);
-	g_autoptr(GByteArray) data = NULL;
+	g_autoptr(GBytes) data = NULL;
+	GByteArray *bytes;
 
 	if (behind < c->settings.snapshot_records)
 		return;
-	data = fleet_snapshot(c->fleet);
+	bytes = fleet_snapshot(c->fleet);
+	if (!bytes) {
+		log_error("cannot encode the state; the log is not compacted");
+		return;
+	}
+	data = g_byte_array_free_to_bytes(bytes);
 	raft_compact(c->raft, data);
 }
 
 /// Restores the state machine from a snapshot that the leader sent, if it is newer.
 static void install_snapshot(struct control *c)
 {
-	const raft_snapshot *s = raft_latest_snapshot(c->raft);
+	const struct raft_image *s = raft_latest_snapshot(c->raft);
+	gsize len;
+	const void *data;
 
 	if (s->index <= c->fleet->applied_index)
 		return;
-	fleet_restore(c->fleet, s->data.sw_blob_val, s->data.sw_blob_len);
+	data = g_bytes_get_data(s->data, &len);
+	fleet_restore(c->fleet, data, len);
 	c->view_index = s->index;
 }
 
@@ -423,8 +433,8 @@
 	c->rollouts = g_array_new(FALSE, FALSE, sizeof(struct rollout));
 	c->replies = g_ptr_array_new_with_free_func(reply_free);
 	if (recovered->snapshot.index)
-		fleet_restore(c->fleet, recovered->snapshot.data.sw_blob_val,
-			      recovered->snapshot.data.sw_blob_len);
+		fleet_restore(c->fleet, g_bytes_get_data(recovered->snapshot.data, NULL),
+			      g_bytes_get_size(recovered->snapshot.data));
 	c->view_index = c->fleet->applied_index;
 	c->raft = raft_new(&settings->raft, recovered, now);
 	return c;
--- a/src/sesamewood/control/raft.c
+++ b/src/sesamewood/control/raft.c
@@ -1,6 +1,7 @@
 #include "control/raft_internal.h"
 
 #include "base/codec.h"
+#include "base/log.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -93,6 +94,7 @@
 		p->match = 0;
 		p->next = raft_last_index(r) + 1;
 		p->in_flight_until = 0;
+		raft_image_clear(&p->image);
 		p->acked_send_ms = INT64_MIN / 2;
 		p->last_reply_at = now;
 	}
@@ -161,20 +163,6 @@
 
 /* Replication. */
 
-static void send_snapshot(struct raft *r, struct peer *p, clock_ms_t now)
-{
-	raft_message *m = raft_send_to(r, p->node, p->uid, RAFT_SNAPSHOT);
-
-	m->index = r->snapshot.index;
-	m->log_term = r->snapshot.term;
-	m->commit = r->commit;
-	m->echo_ms = now;
-	codec_copy(CODEC_PROC(sw_members), &r->snapshot.members, &m->members, sizeof(m->members));
-	codec_copy(CODEC_PROC(sw_blob), &r->snapshot.data, &m->snapshot, sizeof(m->snapshot));
-	p->in_flight_until = now + RESEND_MS;
-	p->batch_sent_at = now;
-}
-
 static void fill_records(const struct raft *r, const struct peer *p, raft_message *m)
 {
 	uint64_t last = raft_last_index(r);
@@ -218,10 +206,10 @@
 	if (!p->uid)
 		return;
 	if (!can_append(r, p)) {
-		if (!busy)
-			send_snapshot(r, p, now);
+		raft_send_snapshot(r, p, now);
 		return;
 	}
+	raft_image_clear(&p->image);
 	m = raft_send_to(r, p->node, p->uid, RAFT_APPEND);
 	m->index = p->next - 1;
 	m->log_term = raft_term_at(r, m->index);
@@ -475,29 +463,27 @@
 
 static void receive_snapshot(struct raft *r, clock_ms_t now, const raft_message *m)
 {
+	struct raft_image image;
 	struct raft_effect *e;
 
 	if (!accept_leader(r, now, m))
 		return;
 	if (m->index <= r->commit) {
+		raft_drop_incoming(r);
 		reply_append(r, m, r->commit, false);
 		return;
 	}
-	codec_free(CODEC_PROC(raft_snapshot), &r->snapshot);
-	memset(&r->snapshot, 0, sizeof(r->snapshot));
-	r->snapshot.index = m->index;
-	r->snapshot.term = m->log_term;
-	codec_copy(CODEC_PROC(sw_members), &m->members, &r->snapshot.members,
-		   sizeof(r->snapshot.members));
-	codec_copy(CODEC_PROC(sw_blob), &m->snapshot, &r->snapshot.data, sizeof(r->snapshot.data));
+	if (!raft_receive_part(r, m, &image))
+		return;
+	raft_image_clear(&r->snapshot);
+	r->snapshot = image;
 	g_ptr_array_set_size(r->log, 0);
 	r->commit = m->index;
 	r->applied = m->index;
 	r->persisted = m->index;
 	raft_reload_members(r);
 	e = raft_add_effect(r, RAFT_SAVE_SNAPSHOT);
-	codec_copy(CODEC_PROC(raft_snapshot), &r->snapshot, &e->u.save.snapshot,
-		   sizeof(raft_snapshot));
+	raft_image_copy(&r->snapshot, &e->u.save.snapshot);
 	e->u.save.keep_from = m->index + 1;
 	e->u.save.reset = true;
 	reply_append(r, m, m->index, false);
@@ -529,6 +515,8 @@
 		p->in_flight_until = 0;
 	p->match = MAX(p->match, m->index);
 	p->next = MAX(p->next, p->match + 1);
+	if (p->image.index <= p->match)
+		raft_image_clear(&p->image);
 	advance_commit(r);
 	if (p->learner)
 		promote_learner(r, p, now);
@@ -546,6 +534,7 @@
 	    raft_is_member(r, m->from, m->from_uid))
 		return;
 	p->uid = m->from_uid;
+	raft_image_clear(&p->image);
 	p->last_reply_at = now;
 	p->learner = true;
 	p->match = 0;
@@ -581,6 +570,9 @@
 	case RAFT_SNAPSHOT:
 		receive_snapshot(r, now, m);
 		break;
+	case RAFT_SNAPSHOT_REPLY:
+		raft_receive_snapshot_reply(r, now, m);
+		break;
 	case RAFT_APPEND_REPLY:
 		receive_append_reply(r, now, m);
 		break;
@@ -660,21 +652,20 @@
 	return raft_record_at(r, r->applied);
 }
 
-void raft_compact(struct raft *r, GByteArray *data)
+void raft_compact(struct raft *r, GBytes *data)
 {
+	struct raft_image image;
 	struct raft_effect *e;
-	uint64_t term = raft_term_at(r, r->applied);
 	uint64_t keep_from;
-	sw_members members;
 
 	if (r->members_index > r->applied || r->applied <= r->snapshot.index)
 		return;
-	codec_copy(CODEC_PROC(sw_members), &r->members, &members, sizeof(members));
-	codec_free(CODEC_PROC(raft_snapshot), &r->snapshot);
-	r->snapshot = (raft_snapshot){.index = r->applied, .term = term, .members = members};
-	r->snapshot.data.sw_blob_len = data->len;
-	r->snapshot.data.sw_blob_val = malloc(data->len);
-	memcpy(r->snapshot.data.sw_blob_val, data->data, data->len);
+	if (!raft_image_init(&image, r->applied, raft_term_at(r, r->applied), &r->members, data)) {
+		log_error("cannot copy the membership; the log is not compacted");
+		return;
+	}
+	raft_image_clear(&r->snapshot);
+	r->snapshot = image;
 	keep_from =
 		r->applied > r->settings.keep_records ? r->applied - r->settings.keep_records : 0;
 	if (keep_from > r->first_index) {
@@ -682,8 +673,7 @@
 		r->first_index = keep_from;
 	}
 	e = raft_add_effect(r, RAFT_SAVE_SNAPSHOT);
-	codec_copy(CODEC_PROC(raft_snapshot), &r->snapshot, &e->u.save.snapshot,
-		   sizeof(raft_snapshot));
+	raft_image_copy(&r->snapshot, &e->u.save.snapshot);
 	e->u.save.keep_from = keep_from;
 }
 
@@ -729,7 +719,10 @@
 	g_ptr_array_unref(r->effects);
 	g_ptr_array_unref(r->log);
 	codec_free(CODEC_PROC(raft_meta), &r->meta);
-	codec_free(CODEC_PROC(raft_snapshot), &r->snapshot);
+	raft_image_clear(&r->snapshot);
+	raft_drop_incoming(r);
+	for (unsigned int i = 0; i < r->n_peers; i++)
+		raft_image_clear(&r->peers[i].image);
 	codec_free(CODEC_PROC(sw_members), &r->members);
 	g_free(r);
 }
@@ -768,7 +761,7 @@
 	return r->snapshot.index;
 }
 
-const raft_snapshot *raft_latest_snapshot(const struct raft *r)
+const struct raft_image *raft_latest_snapshot(const struct raft *r)
 {
 	return &r->snapshot;
 }
--- a/src/sesamewood/control/raft.h
+++ b/src/sesamewood/control/raft.h
@@ -7,6 +7,7 @@
 /// docs/design/replication.md.
 
 #include "base/clock.h"
+#include "control/raft_image.h"
 #include "rpc/generated/sesamewood.h"
 
 #include <glib.h>
@@ -49,8 +50,8 @@
 /// State read from storage at start.
 struct raft_recovered {
 	raft_meta meta;
-	raft_snapshot snapshot; ///< index 0: none
-	GPtrArray *records;	///< of struct raft_log_record, or NULL
+	struct raft_image snapshot; ///< index 0: none
+	GPtrArray *records;	    ///< of struct raft_log_record, or NULL
 };
 
 enum raft_effect_type {
@@ -66,7 +67,7 @@
 		raft_meta meta;
 		GPtrArray *records; ///< of struct raft_log_record
 		struct {
-			raft_snapshot snapshot;
+			struct raft_image snapshot;
 			uint64_t keep_from;
 			bool reset; ///< drop all records: they may conflict with the snapshot
 		} save;
@@ -117,8 +118,8 @@
 /// Replaces the applied prefix of the log with a snapshot. Does nothing while the latest membership
 /// change is not applied yet, or when nothing was applied since the last snapshot.
 ///
-/// @param data encoded state machine as of the applied index; copied
-void raft_compact(struct raft *r, GByteArray *data);
+/// @param data encoded state machine as of the applied index; shared
+void raft_compact(struct raft *r, GBytes *data);
 
 /// @return effects added since the last call, array of struct raft_effect; owned by the caller
 GPtrArray *raft_take_effects(struct raft *r);
@@ -132,7 +133,7 @@
 uint64_t raft_last_index(const struct raft *r);
 uint64_t raft_snapshot_index(const struct raft *r);
 /// @return the latest snapshot, taken here or received from the leader; index 0: none
-const raft_snapshot *raft_latest_snapshot(const struct raft *r);
+const struct raft_image *raft_latest_snapshot(const struct raft *r);
 /// @return node of the known leader, or 0
 uint32_t raft_leader(const struct raft *r);
 /// @return when a leader was last heard; a leader itself counts while a quorum follows it
--- a/src/sesamewood/control/raft_internal.h
+++ b/src/sesamewood/control/raft_internal.h
@@ -19,6 +19,9 @@
 				    ///< acknowledged message
 	clock_ms_t last_reply_at;   ///< last reply to this leader, or start of its term
 	bool granted;		    ///< it voted for this replica in the current election
+	struct raft_image image;    ///< snapshot that is being sent to it; index 0: none
+	uint64_t image_received;    ///< bytes of it that have arrived
+	uint64_t image_sent;	    ///< offset of its end in the latest part
 	bool learner;		    ///< receives records but has no vote, until it has caught up
 };
 
@@ -30,7 +33,11 @@
 	raft_meta meta;
 	GPtrArray *log;	      ///< of struct raft_log_record, from snapshot.index + 1 or earlier
 	uint64_t first_index; ///< index of log->pdata[0]
-	raft_snapshot snapshot;
+	struct raft_image snapshot;
+	GByteArray *incoming;	 ///< parts of a snapshot received so far, or NULL
+	uint64_t incoming_index; ///< its place in the log
+	uint64_t incoming_size;
+	uint64_t incoming_from; ///< term of the leader that sends it
 	sw_members members;	///< latest membership in the log
 	uint64_t members_index; ///< index of the record that set them
 
@@ -81,6 +88,20 @@
 /// @param uid identity of the receiver, or 0 for any
 raft_message *raft_send_to(struct raft *r, uint32_t node, uint64_t uid, raft_message_type type);
 
+/* raft_snapshot.c */
+
+/// Sends the next part of a snapshot, or a heartbeat while a part is in flight.
+void raft_send_snapshot(struct raft *r, struct peer *p, clock_ms_t now);
+/// Handles the reply to a part: sends the next one.
+void raft_receive_snapshot_reply(struct raft *r, clock_ms_t now, const raft_message *m);
+/// Adds a received part, and replies unless it was the last one.
+///
+/// @param[out] out the snapshot, released with raft_image_clear()
+/// @return true if all parts have arrived
+bool raft_receive_part(struct raft *r, const raft_message *m, struct raft_image *out);
+/// Drops the parts received so far.
+void raft_drop_incoming(struct raft *r);
+
 /* raft_bootstrap.c */
 
 /// @return true if this replica belongs to a cluster, so that its membership is not empty
--- a/src/sesamewood/control/raft_log.c
+++ b/src/sesamewood/control/raft_log.c
@@ -28,7 +28,7 @@
 		g_ptr_array_unref(e->u.records);
 		break;
 	case RAFT_SAVE_SNAPSHOT:
-		codec_free(CODEC_PROC(raft_snapshot), &e->u.save.snapshot);
+		raft_image_clear(&e->u.save.snapshot);
 		break;
 	case RAFT_SEND:
 		codec_free(CODEC_PROC(raft_message), &e->u.message);
@@ -235,8 +235,10 @@
 	for (unsigned int i = 0; !p && i < r->n_peers; i++)
 		if (is_replaceable_peer(r, &r->peers[i]))
 			p = &r->peers[i];
-	if (p)
+	if (p) {
+		raft_image_clear(&p->image);
 		*p = (struct peer){.node = node, .next = 1};
+	}
 	return p;
 }
 
--- a/src/sesamewood/control/storage.c
+++ b/src/sesamewood/control/storage.c
@@ -18,6 +18,8 @@
 /// less than SW_LIST_MAX.
 #define FRAME_RECORDS_MAX 8000
 #define SEGMENT_BYTES ((gsize)4 * 1024 * 1024) ///< a new segment is started above this size
+/// A larger snapshot is written in pieces of this size, between which records are written.
+#define SNAPSHOT_PIECE_BYTES ((gsize)1024 * 1024)
 
 /// Header before the XDR payload of each frame; big-endian on disk.
 struct frame_header {
@@ -32,10 +34,19 @@
 	gsize size;
 };
 
+/// A snapshot that is written, or is to be written.
+struct pending_snapshot {
+	struct raft_image image; ///< index 0: none
+	uint64_t keep_from;
+};
+
 struct storage {
 	struct fs fs;
 	GPtrArray *segments; ///< of struct segment, oldest first
 	uint64_t sequence;   ///< number of the newest segment
+	struct pending_snapshot writing;
+	gsize written; ///< bytes of its data in the temporary file
+	struct pending_snapshot next;
 };
 
 static void segment_free(void *p)
@@ -61,16 +72,20 @@
 
 /* Frames. */
 
+/// @return the frame, or NULL with errno set when the value exceeds a limit of its type
 static GByteArray *encode_frame(xdrproc_t proc, const void *value)
 {
 	g_autoptr(GByteArray) payload = codec_encode(proc, value);
-	GByteArray *out = g_byte_array_new();
-	struct frame_header h = {
-		.magic = GUINT32_TO_BE(FRAME_MAGIC),
-		.len = GUINT32_TO_BE(payload->len),
-		.hash = GUINT64_TO_BE(XXH64(payload->data, payload->len, payload->len)),
-	};
+	GByteArray *out;
+	struct frame_header h = {.magic = GUINT32_TO_BE(FRAME_MAGIC)};
 
+	if (!payload) {
+		errno = EMSGSIZE;
+		return NULL;
+	}
+	h.len = GUINT32_TO_BE(payload->len);
+	h.hash = GUINT64_TO_BE(XXH64(payload->data, payload->len, payload->len));
+	out = g_byte_array_new();
 	g_byte_array_append(out, (const guint8 *)&h, sizeof(h));
 	g_byte_array_append(out, payload->data, payload->len);
 	return out;
@@ -111,6 +126,60 @@
 	return true;
 }
 
+/// Decodes the file of an earlier build, which is one frame.
+static bool decode_old_snapshot(const guint8 *payload, gsize len, struct raft_image *out)
+{
+	raft_snapshot old;
+	g_autoptr(GBytes) data = NULL;
+	bool ok;
+
+	if (!codec_decode(CODEC_PROC(raft_snapshot), payload, len, &old, sizeof(old)))
+		return false;
+	data = g_bytes_new(old.data.sw_blob_val, old.data.sw_blob_len);
+	ok = raft_image_init(out, old.index, old.term, &old.members, data);
+	codec_free(CODEC_PROC(raft_snapshot), &old);
+	return ok;
+}
+
+/// Decodes a snapshot file whose first frame has @p frame_len bytes.
+static bool decode_snapshot(GBytes *file, gsize frame_len, struct raft_image *out)
+{
+	gsize len;
+	const guint8 *bytes = g_bytes_get_data(file, &len);
+	const guint8 *payload = bytes + sizeof(struct frame_header);
+	gsize size = len - frame_len;
+	raft_snapshot_head head;
+	bool ok;
+
+	if (!codec_decode(CODEC_PROC(raft_snapshot_head), payload,
+			  frame_len - sizeof(struct frame_header), &head, sizeof(head)))
+		return !size &&
+		       decode_old_snapshot(payload, len - sizeof(struct frame_header), out);
+	ok = head.size == size && XXH64(bytes + frame_len, size, size) == head.hash;
+	if (ok) {
+		g_autoptr(GBytes) data = g_bytes_new_from_bytes(file, frame_len, size);
+
+		ok = raft_image_init(out, head.index, head.term, &head.members, data);
+	}
+	codec_free(CODEC_PROC(raft_snapshot_head), &head);
+	return ok;
+}
+
+static bool read_snapshot(const struct storage *s, struct raft_image *out, GError **error)
+{
+	GByteArray *contents = s->fs.ops->read(s->fs.ctx, SNAPSHOT_NAME);
+	g_autoptr(GBytes) file = NULL;
+	gsize frame_len;
+
+	if (!contents)
+		return true;
+	file = g_byte_array_free_to_bytes(contents);
+	frame_len = check_frame(g_bytes_get_data(file, NULL), g_bytes_get_size(file));
+	if (!frame_len || !decode_snapshot(file, frame_len, out))
+		return set_corrupt_error(error, SNAPSHOT_NAME, "checksum does not match");
+	return true;
+}
+
 /// Replaces a file atomically with one frame: writes and syncs a temporary file and renames it.
 static bool write_whole_file(struct storage *s, const char *temporary, const char *name,
 			     xdrproc_t proc, const void *value, GError **error)
@@ -119,8 +188,9 @@
 	const struct fs_ops *ops = s->fs.ops;
 	void *ctx = s->fs.ctx;
 
-	if (!ops->remove(ctx, temporary) || !ops->append(ctx, temporary, frame->data, frame->len) ||
-	    !ops->sync(ctx, temporary) || !ops->rename(ctx, temporary, name) || !ops->sync_dir(ctx))
+	if (!frame || !ops->remove(ctx, temporary) ||
+	    !ops->append(ctx, temporary, frame->data, frame->len) || !ops->sync(ctx, temporary) ||
+	    !ops->rename(ctx, temporary, name) || !ops->sync_dir(ctx))
 		return set_io_error(error, "cannot write", name);
 	return true;
 }
@@ -264,15 +334,13 @@
 static bool load_all(struct storage *s, struct raft_recovered *out, GError **error)
 {
 	bool has_meta;
-	bool has_snapshot;
 
 	if (!read_whole_file(s, META_NAME, CODEC_PROC(raft_meta), &out->meta, sizeof(out->meta),
 			     &has_meta, error) ||
-	    !read_whole_file(s, SNAPSHOT_NAME, CODEC_PROC(raft_snapshot), &out->snapshot,
-			     sizeof(out->snapshot), &has_snapshot, error) ||
+	    !read_snapshot(s, &out->snapshot, error) ||
 	    !load_segments(s, out->snapshot.index, out->records, error))
 		return false;
-	if (!has_meta && (has_snapshot || out->records->len))
+	if (!has_meta && (out->snapshot.index || out->records->len))
 		return set_corrupt_error(error, META_NAME, "missing");
 	if (!out->records->len || records_continue_snapshot(out))
 		return true;
@@ -283,7 +351,7 @@
 static void release_recovered(struct raft_recovered *r)
 {
 	codec_free(CODEC_PROC(raft_meta), &r->meta);
-	codec_free(CODEC_PROC(raft_snapshot), &r->snapshot);
+	raft_image_clear(&r->snapshot);
 	g_ptr_array_unref(r->records);
 	memset(r, 0, sizeof(*r));
 }
@@ -306,6 +374,8 @@
 void storage_free(struct storage *s)
 {
 	g_ptr_array_unref(s->segments);
+	raft_image_clear(&s->writing.image);
+	raft_image_clear(&s->next.image);
 	g_free(s);
 }
 
@@ -381,7 +451,7 @@
 	if (created)
 		segment = new_segment(s);
 	frame = encode_records(records, segment);
-	if (!s->fs.ops->append(s->fs.ctx, segment->name, frame->data, frame->len) ||
+	if (!frame || !s->fs.ops->append(s->fs.ctx, segment->name, frame->data, frame->len) ||
 	    !s->fs.ops->sync(s->fs.ctx, segment->name))
 		return set_io_error(error, "cannot append to", segment->name);
 	if (created && !s->fs.ops->sync_dir(s->fs.ctx))
@@ -390,11 +460,96 @@
 	return true;
 }
 
+/// Starts the temporary file of the snapshot to be written.
+static bool begin_snapshot(struct storage *s, GError **error)
+{
+	const struct raft_image *image = &s->writing.image;
+	gsize size;
+	const void *data = g_bytes_get_data(image->data, &size);
+	const raft_snapshot_head head = {
+		.index = image->index,
+		.term = image->term,
+		.members = image->members,
+		.size = size,
+		.hash = XXH64(data, size, size),
+	};
+	g_autoptr(GByteArray) frame = encode_frame(CODEC_PROC(raft_snapshot_head), &head);
+
+	s->written = 0;
+	if (!frame || !s->fs.ops->remove(s->fs.ctx, SNAPSHOT_NEW) ||
+	    !s->fs.ops->append(s->fs.ctx, SNAPSHOT_NEW, frame->data, frame->len))
+		return set_io_error(error, "cannot write", SNAPSHOT_NEW);
+	return true;
+}
+
+/// Puts the snapshot, which has been written whole, in the place of the one before it, and removes
+/// the segments that it replaces.
+static bool finish_snapshot(struct storage *s, bool reset, GError **error)
+{
+	const struct fs_ops *ops = s->fs.ops;
+
+	if (!ops->sync(s->fs.ctx, SNAPSHOT_NEW) ||
+	    !ops->rename(s->fs.ctx, SNAPSHOT_NEW, SNAPSHOT_NAME) || !ops->sync_dir(s->fs.ctx))
+		return set_io_error(error, "cannot write", SNAPSHOT_NAME);
+	raft_image_clear(&s->writing.image);
+	return drop_segments(s, s->writing.keep_from, reset, error);
+}
+
+/// Writes the next piece of the snapshot.
+static bool write_piece(struct storage *s, GError **error)
+{
+	gsize size;
+	const guint8 *data = g_bytes_get_data(s->writing.image.data, &size);
+	gsize len = MIN(size - s->written, SNAPSHOT_PIECE_BYTES);
+
+	/* The last piece is synced when the snapshot is finished. */
+	if (!s->fs.ops->append(s->fs.ctx, SNAPSHOT_NEW, data + s->written, len) ||
+	    (s->written + len < size && !s->fs.ops->sync(s->fs.ctx, SNAPSHOT_NEW)))
+		return set_io_error(error, "cannot write", SNAPSHOT_NEW);
+	s->written += len;
+	return true;
+}
+
+bool storage_has_work(const struct storage *s)
+{
+	return s->writing.image.index || s->next.image.index;
+}
+
+bool storage_work(struct storage *s, GError **error)
+{
+	if (!s->writing.image.index) {
+		s->writing = s->next;
+		s->next = (struct pending_snapshot){0};
+		return !s->writing.image.index || begin_snapshot(s, error);
+	}
+	if (!write_piece(s, error))
+		return false;
+	return s->written < g_bytes_get_size(s->writing.image.data) ||
+	       finish_snapshot(s, false, error);
+}
+
+/// Stores a snapshot: at once if it is small or replaces all records, otherwise in later calls of
+/// storage_work().
 static bool write_snapshot(struct storage *s, const struct raft_effect *e, GError **error)
 {
-	return write_whole_file(s, SNAPSHOT_NEW, SNAPSHOT_NAME, CODEC_PROC(raft_snapshot),
-				&e->u.save.snapshot, error) &&
-	       drop_segments(s, e->u.save.keep_from, e->u.save.reset, error);
+	const struct raft_image *image = &e->u.save.snapshot;
+
+	raft_image_clear(&s->next.image);
+	if (!image->data || !raft_image_copy(image, &s->next.image)) {
+		errno = EINVAL;
+		return set_io_error(error, "cannot write", SNAPSHOT_NAME);
+	}
+	s->next.keep_from = e->u.save.keep_from;
+	if (!e->u.save.reset && g_bytes_get_size(image->data) > SNAPSHOT_PIECE_BYTES)
+		return true;
+	raft_image_clear(&s->writing.image);
+	if (!storage_work(s, error))
+		return false;
+	do {
+		if (!write_piece(s, error))
+			return false;
+	} while (s->written < g_bytes_get_size(s->writing.image.data));
+	return finish_snapshot(s, e->u.save.reset, error);
 }
 
 bool storage_write(struct storage *s, GPtrArray *effects, GError **error)
--- a/src/sesamewood/control/storage.h
+++ b/src/sesamewood/control/storage.h
@@ -27,9 +27,19 @@
 /// Releases the memory; files stay as they are.
 void storage_free(struct storage *s);
 
-/// Writes and syncs the effects in order; RAFT_SEND is skipped.
+/// Writes and syncs the effects in order; RAFT_SEND is skipped. A large snapshot taken here is only
+/// noted: storage_work() writes it, and its records stay until then.
 ///
 /// @return false with @p error set; the process must then exit, since the state on disk is unknown
 bool storage_write(struct storage *s, GPtrArray *effects, GError **error);
 
+/// Tells whether storage_work() has a snapshot to write.
+bool storage_has_work(const struct storage *s);
+
+/// Writes the next piece of a noted snapshot; after the last one the snapshot replaces the earlier
+/// one and its records.
+///
+/// @return false as storage_write()
+bool storage_work(struct storage *s, GError **error);
+
 #endif
--- a/src/sesamewood/control/storage_thread.c
+++ b/src/sesamewood/control/storage_thread.c
@@ -21,14 +21,19 @@
 	struct storage_thread *t = p;
 
 	for (;;) {
-		GPtrArray *effects = g_async_queue_pop(t->queued_batches);
+		bool has_work = storage_has_work(t->storage);
+		GPtrArray *effects = has_work ? g_async_queue_try_pop(t->queued_batches)
+					      : g_async_queue_pop(t->queued_batches);
 		g_autoptr(GError) error = NULL;
 
-		if (!storage_write(t->storage, effects, &error)) {
+		if ((effects && !storage_write(t->storage, effects, &error)) ||
+		    (has_work && !storage_work(t->storage, &error))) {
 			log_error("cannot write to the data directory; exiting", "ERROR",
 				  error->message);
 			exit(EXIT_STORAGE);
 		}
+		if (!effects)
+			continue;
 		g_async_queue_push(t->written_batches, effects);
 		ev_async_send(t->loop, &t->wake);
 	}
--- a/src/sesamewood/manager/control_loop.c
+++ b/src/sesamewood/manager/control_loop.c
@@ -132,14 +132,36 @@
 		sh->machine_orders_seen_at = received_by(sh, index);
 }
 
+/// Replaces the applied records by a snapshot. If the state cannot be encoded, all records stay.
+static void take_snapshot(struct shell *sh)
+{
+	clock_ms_t from = clock_monotonic();
+	GByteArray *bytes = jobs_snapshot(sh->state);
+	g_autoptr(GBytes) data = NULL;
+
+	sh->next_snapshot_index = sh->state_index + SNAPSHOT_RECORDS;
+	if (!bytes) {
+		log_error("cannot encode the state; the log is not compacted", "INDEX",
+			  log_number(sh->state_index));
+		return;
+	}
+	data = g_byte_array_free_to_bytes(bytes);
+	raft_compact(sh->raft, data);
+	log_info("snapshot taken", "INDEX", log_number(sh->state_index), "BYTES",
+		 log_number(g_bytes_get_size(data)), "TOOK_MS",
+		 log_number((uint64_t)(clock_monotonic() - from)));
+}
+
 static void apply_committed(struct shell *sh)
 {
-	const raft_snapshot *snapshot = raft_latest_snapshot(sh->raft);
+	const struct raft_image *snapshot = raft_latest_snapshot(sh->raft);
 	const struct raft_log_record *record;
 
 	if (snapshot->index > sh->state_index) {
-		if (!jobs_restore(sh->state, snapshot->data.sw_blob_val,
-				  snapshot->data.sw_blob_len)) {
+		gsize len;
+		const void *data = g_bytes_get_data(snapshot->data, &len);
+
+		if (!jobs_restore(sh->state, data, len)) {
 			log_error("cannot decode the snapshot; exiting");
 			exit(EXIT_DISK);
 		}
@@ -161,11 +183,9 @@
 			apply_job_command(sh, record->index, &c.sw_command_u.job);
 		codec_free(CODEC_PROC(sw_command), &c);
 	}
-	if (sh->state_index > raft_snapshot_index(sh->raft) + SNAPSHOT_RECORDS) {
-		g_autoptr(GByteArray) data = jobs_snapshot(sh->state);
-
-		raft_compact(sh->raft, data);
-	}
+	if (sh->state_index > raft_snapshot_index(sh->raft) + SNAPSHOT_RECORDS &&
+	    sh->state_index >= sh->next_snapshot_index)
+		take_snapshot(sh);
 }
 
 static void send_message(struct shell *sh, const raft_message *m)
--- a/src/sesamewood/manager/control_shell_internal.h
+++ b/src/sesamewood/manager/control_shell_internal.h
@@ -41,11 +41,12 @@
 	uint32_t node;
 	struct raft *raft;
 	struct storage_thread *storage;
-	bool writing;		  ///< the storage thread is writing a batch
-	uint64_t writing_to;	  ///< last log record of the batch that is being written
-	GPtrArray *unsent;	  ///< raft effects that wait for the disk
-	struct jobs *state;	  ///< committed job state
-	uint64_t state_index;	  ///< last log record applied to state
+	bool writing;		      ///< the storage thread is writing a batch
+	uint64_t writing_to;	      ///< last log record of the batch that is being written
+	GPtrArray *unsent;	      ///< raft effects that wait for the disk
+	struct jobs *state;	      ///< committed job state
+	uint64_t state_index;	      ///< last log record applied to state
+	uint64_t next_snapshot_index; ///< earliest index of the next try to take a snapshot
 	bool is_cut_off;	  ///< no contact with a leader for longer than an election takes
 	uint64_t recovered_index; ///< last log record found on disk at the start
 	clock_ms_t started_at;
--- a/src/sesamewood/rpc/sesamewood.x
+++ b/src/sesamewood/rpc/sesamewood.x
@@ -460,7 +460,8 @@
 	RAFT_JOIN = 7,
 	RAFT_PROBE = 8,
 	RAFT_PROBE_REPLY = 9,
-	RAFT_TIMEOUT_NOW = 10           /* from the leader: start an election at once */
+	RAFT_TIMEOUT_NOW = 10,          /* from the leader: start an election at once */
+	RAFT_SNAPSHOT_REPLY = 11
 };
 
 struct raft_record {
@@ -486,7 +487,16 @@
 	                             * help to create one; of vote requests: the leader transfers
 	                             * its leadership, so that the receiver ignores its lease */
 	raft_record records<SW_LIST_MAX>;
-	sw_blob snapshot;
+	sw_blob snapshot;           /* encoded raft_snapshot_part, of snapshots and their replies */
+};
+
+const SW_SNAPSHOT_PART_MAX = 262144;
+
+/* Part of a snapshot's data. In a reply: offset up to which the data has arrived. */
+struct raft_snapshot_part {
+	unsigned hyper offset;
+	unsigned hyper size;        /* of all parts together */
+	opaque data<SW_SNAPSHOT_PART_MAX>; /* empty: a heartbeat */
 };
 
 /* Contents of the files of a control replica. */
@@ -498,6 +508,7 @@
 	sw_members base;      /* members before the first record of the log */
 };
 
+/* A whole file of earlier builds. */
 struct raft_snapshot {
 	unsigned hyper index;
 	unsigned hyper term;
@@ -505,6 +516,15 @@
 	sw_blob data;
 };
 
+/* First frame of the file; the data follows without a frame. */
+struct raft_snapshot_head {
+	unsigned hyper index;
+	unsigned hyper term;
+	sw_members members;
+	unsigned hyper size;        /* of the data */
+	unsigned hyper hash;        /* xxh64 of the data, seeded with its size */
+};
+
 struct raft_frame {
 	raft_record records<SW_LIST_MAX>;
 };
--- a/tests/property/property_raft.cc
+++ b/tests/property/property_raft.cc
@@ -48,6 +48,9 @@
 	GByteArray *bytes;
 };
 
+GBytes *snapshot_of(uint64_t log_hash);
+uint64_t hash_in_snapshot(GBytes *data);
+
 class Cluster
 {
       public:
@@ -128,7 +131,7 @@
 	node.applied = recovered.snapshot.index;
 	node.log_hash = 0;
 	if (node.applied)
-		memcpy(&node.log_hash, recovered.snapshot.data.sw_blob_val, sizeof(node.log_hash));
+		node.log_hash = hash_in_snapshot(recovered.snapshot.data);
 	check_log_hash(node);
 	node.raft = raft_new(&settings, &recovered, now);
 }
@@ -160,12 +163,12 @@
 
 void Cluster::apply(Node &node)
 {
-	const raft_snapshot *snapshot = raft_latest_snapshot(node.raft);
+	const struct raft_image *snapshot = raft_latest_snapshot(node.raft);
 
 	if (snapshot->index > node.applied) {
 		counters.snapshots_installed++;
 		node.applied = snapshot->index;
-		memcpy(&node.log_hash, snapshot->data.sw_blob_val, sizeof(node.log_hash));
+		node.log_hash = hash_in_snapshot(snapshot->data);
 		RC_ASSERT(committed_hashes.count(node.applied) == 1U);
 		check_log_hash(node);
 	}
@@ -196,7 +199,8 @@
 			g_ptr_array_unref(effects);
 			return;
 		}
-		stored = storage_write(node.storage, effects, &error);
+		stored = storage_write(node.storage, effects, &error) &&
+			 (!storage_has_work(node.storage) || storage_work(node.storage, &error));
 		g_clear_error(&error);
 		if (!stored) {
 			counters.disk_failures++;
@@ -264,17 +268,40 @@
 	flush(node);
 }
 
+/// Starts with the hash; by the hash it fits into a message or a piece of a write, or takes
+/// several.
+GBytes *snapshot_of(uint64_t log_hash)
+{
+	static const gsize sizes[] = {0, 100, 300 * 1024, 2500 * 1024};
+	gsize size = sizeof(log_hash) + sizes[log_hash % 64 < 4 ? log_hash % 4 : 0];
+	auto *data = static_cast<guint8 *>(g_malloc(size));
+
+	memset(data, static_cast<int>(log_hash % 251), size);
+	memcpy(data, &log_hash, sizeof(log_hash));
+	return g_bytes_new_take(data, size);
+}
+
+uint64_t hash_in_snapshot(GBytes *data)
+{
+	uint64_t log_hash;
+	GBytes *expected;
+
+	memcpy(&log_hash, g_bytes_get_data(data, nullptr), sizeof(log_hash));
+	expected = snapshot_of(log_hash);
+	RC_ASSERT(g_bytes_equal(data, expected));
+	g_bytes_unref(expected);
+	return log_hash;
+}
+
 void Cluster::compact(Node &node)
 {
-	GByteArray *data;
+	GBytes *data;
 
 	if (!node.raft)
 		return;
-	data = g_byte_array_new();
-	g_byte_array_append(data, reinterpret_cast<guint8 *>(&node.log_hash),
-			    sizeof(node.log_hash));
+	data = snapshot_of(node.log_hash);
 	raft_compact(node.raft, data);
-	g_byte_array_unref(data);
+	g_bytes_unref(data);
 	flush(node);
 }
 
