fix(jobs): occurrences that are not due, or are done, take no room

Cause: all tasks of all occurrences of a schedule were created when it was accepted and kept until it ended. Class: room taken for work long before it is needed.

Change: an occurrence is created when it is due (by the leader for its decisions, by all replicas with its first attempt), and one that is done keeps no tasks. Passes over occurrences start at the first open one.

Tests: /job_state/schedule_takes_no_room_before_it_is_due (100 schedules in under 50 KB), schedule_completes, occurrences_start_when_due. They need the new state and can't be built on the code before.

--- a/src/sesamewood/jobs/jobs.c
+++ b/src/sesamewood/jobs/jobs.c
@@ -166,13 +166,24 @@
 	return true;
 }
 
+const job_step_state *job_step_tasks(const struct job *job, uint32_t occurrence, uint32_t step)
+{
+	const job_occurrence *o;
+
+	if (occurrence >= job->image.occurrences.occurrences_len)
+		return NULL;
+	o = &job->image.occurrences.occurrences_val[occurrence];
+	return step < o->steps.steps_len ? &o->steps.steps_val[step] : NULL;
+}
+
 bool job_step_is_ready(const struct job *job, uint32_t occurrence, uint32_t step)
 {
 	const job_step *s = &job->image.spec.steps.steps_val[step];
-	const job_occurrence *o = &job->image.occurrences.occurrences_val[occurrence];
 
+	if (!job_step_tasks(job, occurrence, step))
+		return false;
 	for (u_int i = 0; i < s->after.after_len; i++)
-		if (!step_is_done(&o->steps.steps_val[s->after.after_val[i]]))
+		if (!step_is_done(job_step_tasks(job, occurrence, s->after.after_val[i])))
 			return false;
 	return true;
 }
@@ -200,31 +211,78 @@
 	index_queues(j);
 }
 
-static void create_tasks(struct job *job)
+uint32_t job_occurrences(const struct job *job)
 {
-	const job_spec *spec = &job->image.spec;
-	u_int n = MAX(spec->occurrences, 1);
+	return MAX(job->image.spec.occurrences, 1);
+}
 
-	job->image.occurrences.occurrences_len = n;
-	job->image.occurrences.occurrences_val = calloc(n, sizeof(job_occurrence));
-	for (u_int k = 0; k < n; k++) {
-		job_occurrence *o = &job->image.occurrences.occurrences_val[k];
-
-		o->steps.steps_len = spec->steps.steps_len;
-		o->steps.steps_val = calloc(spec->steps.steps_len, sizeof(job_step_state));
-		for (u_int s = 0; s < spec->steps.steps_len; s++) {
-			job_step_state *state = &o->steps.steps_val[s];
-			u_int count = spec->steps.steps_val[s].count;
-
-			state->tasks.tasks_len = count;
-			state->tasks.tasks_val = calloc(count ? count : 1, sizeof(job_task));
-			for (u_int i = 0; i < count; i++)
-				state->tasks.tasks_val[i].checkpoint = strdup("");
-			job->unfinished += count;
-		}
+static void create_tasks(const job_spec *spec, job_occurrence *o)
+{
+	o->steps.steps_len = spec->steps.steps_len;
+	o->steps.steps_val = calloc(spec->steps.steps_len, sizeof(job_step_state));
+	for (u_int s = 0; s < spec->steps.steps_len; s++) {
+		job_step_state *state = &o->steps.steps_val[s];
+		u_int count = spec->steps.steps_val[s].count;
+
+		state->tasks.tasks_len = count;
+		state->tasks.tasks_val = calloc(count ? count : 1, sizeof(job_task));
+		for (u_int i = 0; i < count; i++)
+			state->tasks.tasks_val[i].checkpoint = strdup("");
 	}
 }
 
+/// Creates the occurrences before number @p n.
+static void create_occurrences(struct job *job, uint32_t n)
+{
+	job_image *image = &job->image;
+	u_int from = image->occurrences.occurrences_len;
+
+	n = MIN(n, job_occurrences(job));
+	if (n <= from)
+		return;
+	image->occurrences.occurrences_val =
+		realloc(image->occurrences.occurrences_val, n * sizeof(job_occurrence));
+	image->occurrences.occurrences_len = n;
+	memset(&image->occurrences.occurrences_val[from], 0, (n - from) * sizeof(job_occurrence));
+	for (u_int k = from; k < n; k++)
+		create_tasks(&image->spec, &image->occurrences.occurrences_val[k]);
+}
+
+void job_create_due(struct job *job, int64_t wall_ms)
+{
+	const job_spec *spec = &job->image.spec;
+	uint32_t n = job->image.occurrences.occurrences_len;
+
+	while (spec->steps.steps_len && n < job_occurrences(job) &&
+	       (!spec->occurrences || wall_ms >= job_due_wall_ms(job, n)))
+		n++;
+	create_occurrences(job, n);
+}
+
+static uint32_t tasks_per_occurrence(const struct job *job)
+{
+	uint32_t n = 0;
+
+	for (u_int s = 0; s < job->image.spec.steps.steps_len; s++)
+		n += job->image.spec.steps.steps_val[s].count;
+	return n;
+}
+
+/// Frees the tasks of an occurrence if all are done.
+static void drop_done_occurrence(struct job *job, uint32_t occurrence)
+{
+	job_occurrence *o = &job->image.occurrences.occurrences_val[occurrence];
+
+	for (u_int s = 0; s < o->steps.steps_len; s++)
+		if (!step_is_done(&o->steps.steps_val[s]))
+			return;
+	codec_free(CODEC_PROC(job_occurrence), o);
+	memset(o, 0, sizeof(*o));
+	while (job->first_open < job->image.occurrences.occurrences_len &&
+	       !job->image.occurrences.occurrences_val[job->first_open].steps.steps_len)
+		job->first_open++;
+}
+
 static void apply_accept(struct jobs *j, const job_spec *spec)
 {
 	struct job *job;
@@ -233,7 +291,8 @@
 		return;
 	job = g_new0(struct job, 1);
 	codec_copy(CODEC_PROC(job_spec), spec, &job->image.spec, sizeof(job_spec));
-	create_tasks(job);
+	job->unfinished = tasks_per_occurrence(job) * job_occurrences(job);
+	create_occurrences(job, spec->occurrences ? 0 : 1);
 	job->may_have_ready_tasks = true;
 	g_hash_table_insert(j->by_id, job->image.spec.id, job);
 }
@@ -316,9 +375,12 @@
 static void apply_attempt_start(struct jobs *j, const job_attempt_start *s)
 {
 	struct job *job = jobs_find(j, s->task.job);
-	job_task *task = jobs_task(j, &s->task);
 	struct job_incarnation_state *incarnation = jobs_incarnation(j, s->endpoint);
+	job_task *task;
 
+	if (job && job->image.spec.steps.steps_len && s->task.occurrence < job_occurrences(job))
+		create_occurrences(job, s->task.occurrence + 1);
+	task = jobs_task(j, &s->task);
 	if (!task || !incarnation || task->phase != JOB_TASK_WAITING)
 		return;
 	task->phase = JOB_TASK_ASSIGNED;
@@ -357,6 +419,7 @@
 	complete_task(j, job, task);
 	for (u_int i = 0; step->gang && i < state->tasks.tasks_len; i++)
 		complete_task(j, job, &state->tasks.tasks_val[i]);
+	drop_done_occurrence(job, e->task.occurrence);
 	if (!job->unfinished)
 		end_job(job, JOB_COMPLETED, 0);
 }
@@ -589,10 +652,15 @@
 static void restore_counters(struct jobs *j, struct job *job)
 {
 	const job_image *image = &job->image;
+	u_int n = image->occurrences.occurrences_len;
 
-	for (u_int k = 0; k < image->occurrences.occurrences_len; k++) {
+	if (!job_has_ended(job))
+		job->unfinished = tasks_per_occurrence(job) * (job_occurrences(job) - n);
+	for (u_int k = 0; k < n; k++) {
 		const job_occurrence *o = &image->occurrences.occurrences_val[k];
 
+		job->has_results |= image->spec.steps.steps_len && !o->steps.steps_len;
+		job->first_open += job->first_open == k && !o->steps.steps_len;
 		for (u_int s = 0; s < o->steps.steps_len; s++)
 			for (u_int i = 0; i < o->steps.steps_val[s].tasks.tasks_len; i++) {
 				const job_task *t = &o->steps.steps_val[s].tasks.tasks_val[i];
--- a/src/sesamewood/jobs/jobs.h
+++ b/src/sesamewood/jobs/jobs.h
@@ -24,8 +24,11 @@
 
 /// A job with its stored image and counters that are derived from it.
 struct job {
+	/// Of its occurrences, those that are not due yet need not exist: none of their tasks has
+	/// been started. Those that are done have no steps.
 	job_image image;
-	uint32_t unfinished;	   ///< tasks that are not done
+	uint32_t first_open;	   ///< all occurrences before this one are done
+	uint32_t unfinished;	   ///< tasks that are not done, of all occurrences
 	uint32_t assigned;	   ///< tasks with an attempt that may run
 	uint32_t started;	   ///< attempts ordered so far, executed or not
 	uint32_t confirmed;	   ///< attempts in state RUN_CONFIRMED; kept by runs/attempts.c
@@ -78,6 +81,16 @@
 /// @return the task, or NULL when there is none
 job_task *jobs_task(const struct jobs *j, const job_task_ref *ref);
 
+/// @return number of occurrences of a job; 1 for one without
+uint32_t job_occurrences(const struct job *job);
+
+/// Creates the occurrences that are due.
+void job_create_due(struct job *job, int64_t wall_ms);
+
+/// @return tasks of a step in an occurrence, or NULL if the occurrence is done or does not exist
+/// yet
+const job_step_state *job_step_tasks(const struct job *job, uint32_t occurrence, uint32_t step);
+
 /// @return the queue of that key, or NULL
 const job_queue *jobs_queue(const struct jobs *j, const char *key);
 
--- a/src/sesamewood/runs/incarnations.c
+++ b/src/sesamewood/runs/incarnations.c
@@ -294,13 +294,12 @@
 
 		if (job->assigned || !job_has_ended(job))
 			g_ptr_array_add(m->active, job);
-		for (u_int k = 0; job->assigned && k < job->image.occurrences.occurrences_len; k++)
+		for (u_int k = job->first_open;
+		     job->assigned && k < job->image.occurrences.occurrences_len; k++)
 			for (u_int s = 0; s < job->image.spec.steps.steps_len; s++) {
-				const job_step_state *state =
-					&job->image.occurrences.occurrences_val[k]
-						 .steps.steps_val[s];
+				const job_step_state *state = job_step_tasks(job, k, s);
 
-				for (u_int i = 0; i < state->tasks.tasks_len; i++) {
+				for (u_int i = 0; state && i < state->tasks.tasks_len; i++) {
 					const job_task *t = &state->tasks.tasks_val[i];
 					const struct job_incarnation_state *incarnation =
 						jobs_incarnation(m->jobs, t->endpoint);
--- a/src/sesamewood/sched/demand.c
+++ b/src/sesamewood/sched/demand.c
@@ -7,8 +7,7 @@
 		       uint32_t step, struct demand *d)
 {
 	const job_step *s = &job->image.spec.steps.steps_val[step];
-	const job_step_state *state =
-		&job->image.occurrences.occurrences_val[occurrence].steps.steps_val[step];
+	const job_step_state *state = job_step_tasks(job, occurrence, step);
 	uint32_t max_together = s->count;
 	uint32_t waiting = 0;
 	bool suspected = false;
@@ -55,7 +54,7 @@
 			d = g_new0(struct demand, 1);
 			g_hash_table_insert(pools, (char *)pool, d);
 		}
-		for (u_int k = 0; k < job->image.occurrences.occurrences_len; k++) {
+		for (u_int k = job->first_open; k < job->image.occurrences.occurrences_len; k++) {
 			if (job->image.spec.occurrences && wall_ms < job_due_wall_ms(job, k))
 				break;
 			for (u_int s = 0; s < job->image.spec.steps.steps_len; s++)
--- a/src/sesamewood/sched/estimates.c
+++ b/src/sesamewood/sched/estimates.c
@@ -51,10 +51,9 @@
 
 static bool step_is_open(const struct job *job, uint32_t occurrence, uint32_t step)
 {
-	const job_step_state *s =
-		&job->image.occurrences.occurrences_val[occurrence].steps.steps_val[step];
+	const job_step_state *s = job_step_tasks(job, occurrence, step);
 
-	for (u_int i = 0; i < s->tasks.tasks_len; i++)
+	for (u_int i = 0; s && i < s->tasks.tasks_len; i++)
 		if (s->tasks.tasks_val[i].phase != JOB_TASK_DONE)
 			return true;
 	return false;
--- a/src/sesamewood/sched/schedule.c
+++ b/src/sesamewood/sched/schedule.c
@@ -62,10 +62,9 @@
 
 static bool has_waiting_task(const struct job *job, uint32_t occurrence, uint32_t step)
 {
-	const job_step_state *s =
-		&job->image.occurrences.occurrences_val[occurrence].steps.steps_val[step];
+	const job_step_state *s = job_step_tasks(job, occurrence, step);
 
-	for (u_int i = 0; i < s->tasks.tasks_len; i++)
+	for (u_int i = 0; s && i < s->tasks.tasks_len; i++)
 		if (s->tasks.tasks_val[i].phase == JOB_TASK_WAITING)
 			return true;
 	return false;
@@ -108,7 +107,8 @@
 	bool may_wait = spec->occurrences > 0;
 
 	estimates_prepare(m, job);
-	for (u_int k = 0; k < job->image.occurrences.occurrences_len; k++) {
+	job_create_due(job, wall_ms);
+	for (u_int k = job->first_open; k < job->image.occurrences.occurrences_len; k++) {
 		struct waiting_step w = {.job = job, .occurrence = k, .capacity = capacity};
 		bool has_key = false;
 
--- /dev/null
+++ b/tests/unit/unit_jobs.c
@@ -0,0 +1,181 @@
+/// @file
+/// The job state: schedules, and commands that cannot be stored.
+
+#include "base/codec.h"
+#include "manager/manager_internal.h"
+#include "manager_fixture.h"
+
+#include <string.h>
+
+#define TIMES 60000
+#define TASKS 2
+
+static job_spec make_spec(const char *id, uint32_t times, uint32_t tasks, const char *payload)
+{
+	job_spec spec = {
+		.id = strdup(id),
+		.queue = strdup("h /q/"),
+		.pool = strdup("p"),
+		.payload = strdup(payload),
+		.max_attempts = 2,
+		.occurrences = times,
+		.first_wall_ms = FIXTURE_START_MS + 1000,
+		.interval_ms = 100,
+	};
+	job_step *step = calloc(1, sizeof(*step));
+
+	*step = (job_step){.count = tasks,
+			   .cpu_milli = 1000,
+			   .mem_mb = 10,
+			   .estimate_ms = 100,
+			   .label = strdup(""),
+			   .data_rack = strdup(""),
+			   .image = strdup("")};
+	spec.steps.steps_len = 1;
+	spec.steps.steps_val = step;
+	return spec;
+}
+
+static void accept_job(struct jobs *j, const char *id, uint32_t times, uint32_t tasks)
+{
+	job_command c = {.type = JOB_COMMAND_ACCEPT};
+
+	c.job_command_u.accept = make_spec(id, times, tasks, "");
+	jobs_apply(j, &c);
+	codec_free(CODEC_PROC(job_spec), &c.job_command_u.accept);
+}
+
+static gsize restore(struct jobs **j)
+{
+	g_autoptr(GByteArray) bytes = jobs_snapshot(*j);
+
+	jobs_free(*j);
+	*j = jobs_new();
+	g_assert_true(jobs_restore(*j, bytes->data, bytes->len));
+	return bytes->len;
+}
+
+/// Six schedules of 60,000 times each took 17 MB of a snapshot before any was due, more than it
+/// could hold (review/1, LOST).
+static void test_schedule_takes_no_room_before_it_is_due(void)
+{
+	struct jobs *j = jobs_new();
+
+	for (int i = 0; i < 100; i++) {
+		g_autofree char *id = g_strdup_printf("s%d", i);
+
+		accept_job(j, id, TIMES, 1);
+	}
+	g_assert_cmpuint(restore(&j), <, 100 * 512);
+	g_assert_cmpuint(jobs_find(j, "s7")->unfinished, ==, TIMES);
+	g_assert_cmpuint(jobs_find(j, "s7")->image.occurrences.occurrences_len, ==, 0);
+	jobs_free(j);
+}
+
+static void run_task(struct jobs *j, const char *id, uint32_t k, uint32_t index)
+{
+	job_command c = {.type = JOB_COMMAND_ATTEMPT_START};
+	job_task_ref ref = {.job = (char *)id, .occurrence = k, .index = index};
+
+	c.job_command_u.start = (job_attempt_start){.endpoint = 1, .attempt = 1, .task = ref};
+	jobs_apply(j, &c);
+	c.type = JOB_COMMAND_ATTEMPT_END;
+	c.job_command_u.end = (job_attempt_end){
+		.attempt = 1, .task = ref, .cause = JOB_ATTEMPT_DONE, .checkpoint = ""};
+	jobs_apply(j, &c);
+}
+
+/// Occurrences that are done take no room either; the job completes with the last one, whatever
+/// their order, and through snapshots.
+static void test_schedule_completes(void)
+{
+	const uint32_t order[] = {2, 0, 3, 1};
+	struct jobs *j = jobs_new();
+	job_command c = {
+		.type = JOB_COMMAND_INCARNATION,
+		.job_command_u.endpoint =
+			{.number = 1, .id = "i", .address = "a:1", .pool = "p", .machine = ""},
+	};
+
+	jobs_apply(j, &c);
+	accept_job(j, "s", G_N_ELEMENTS(order), TASKS);
+	for (guint i = 0; i < G_N_ELEMENTS(order); i++) {
+		g_assert_cmpint(jobs_find(j, "s")->image.phase, !=, JOB_COMPLETED);
+		for (uint32_t t = 0; t < TASKS; t++) {
+			run_task(j, "s", order[i], t);
+			restore(&j);
+		}
+		g_assert_null(job_step_tasks(jobs_find(j, "s"), order[i], 0));
+		if (i + 1 < G_N_ELEMENTS(order))
+			g_assert_cmpuint(jobs_find(j, "s")->unfinished, ==,
+					 TASKS * (G_N_ELEMENTS(order) - 1 - i));
+	}
+	g_assert_cmpint(jobs_find(j, "s")->image.phase, ==, JOB_COMPLETED);
+	run_task(j, "s", 1, 0); /* late: changes nothing */
+	g_assert_cmpuint(jobs_find(j, "s")->assigned, ==, 0);
+	jobs_free(j);
+}
+
+/// Submits a job and returns the status of the reply.
+static enum reply_status submit(struct manager *m, clock_ms_t now, const char *id, uint32_t times,
+				const char *payload)
+{
+	struct call c = {.type = CALL_SUBMIT, .host = g_strdup("h")};
+	enum reply_status status = REPLY_INVALID;
+	g_autoptr(GPtrArray) effects = NULL;
+
+	c.path = g_strconcat("/q/", id, NULL);
+	c.spec = make_spec(id, times, 1, payload);
+	manager_handle_call(m, now, now, 9, &c);
+	call_clear(&c);
+	effects = manager_take_effects(m);
+	for (guint i = 0; i < effects->len; i++) {
+		const struct effect *e = effects->pdata[i];
+
+		if (e->type == EFFECT_REPLY)
+			status = e->u.reply.reply.status;
+	}
+	return status;
+}
+
+static unsigned int count_starts(struct manager *m, clock_ms_t from, clock_ms_t until)
+{
+	unsigned int n = 0;
+
+	for (clock_ms_t now = from; now < until; now += MANAGER_TICK_MS) {
+		g_autoptr(GPtrArray) effects = NULL;
+
+		manager_tick(m, now, now);
+		effects = manager_take_effects(m);
+		for (guint i = 0; i < effects->len; i++) {
+			const struct effect *e = effects->pdata[i];
+
+			n += e->type == EFFECT_ORDER && e->u.order->type == ORDER_START;
+		}
+	}
+	return n;
+}
+
+/// Each occurrence starts when it is due.
+static void test_occurrences_start_when_due(void)
+{
+	struct manager *m = fixture_manager(FIXTURE_START_MS);
+
+	fixture_put_config(m, FIXTURE_START_MS);
+	fixture_heartbeat(m, FIXTURE_START_MS, "i-1", "m-1", 1);
+	g_assert_cmpint(submit(m, FIXTURE_START_MS, "s", 3, ""), ==, REPLY_OK);
+	g_assert_cmpuint(count_starts(m, FIXTURE_START_MS, FIXTURE_START_MS + 1000), ==, 0);
+	g_assert_cmpuint(count_starts(m, FIXTURE_START_MS + 1000, FIXTURE_START_MS + 1100), ==, 1);
+	g_assert_cmpuint(count_starts(m, FIXTURE_START_MS + 1100, FIXTURE_START_MS + 2000), ==, 2);
+	manager_free(m);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/job_state/schedule_takes_no_room_before_it_is_due",
+			test_schedule_takes_no_room_before_it_is_due);
+	g_test_add_func("/job_state/schedule_completes", test_schedule_completes);
+	g_test_add_func("/job_state/occurrences_start_when_due", test_occurrences_start_when_due);
+	return g_test_run();
+}
