fix(manager): what cannot be stored is not acknowledged

Class: the result of an encoding ignored.

Change: - effects_propose() returns whether the command was stored, and logs if not.

--- a/src/sesamewood/jobs/jobs.c
+++ b/src/sesamewood/jobs/jobs.c
@@ -639,7 +639,7 @@
 	s.waves.waves_val = g_new0(job_wave, j->waves->len + 1);
 	for (guint i = 0; i < j->waves->len; i++)
 		s.waves.waves_val[s.waves.waves_len++] = *(job_wave *)j->waves->pdata[i];
-	s.ordered_machines.ordered_machines_val = (sw_name *)j->ordered_machines->pdata;
+	s.ordered_machines.ordered_machines_val = (job_name *)j->ordered_machines->pdata;
 	s.ordered_machines.ordered_machines_len = j->ordered_machines->len;
 	out = codec_encode(CODEC_PROC(job_snapshot), &s);
 	g_free(s.endpoints.endpoints_val);
--- a/src/sesamewood/manager/agents.c
+++ b/src/sesamewood/manager/agents.c
@@ -150,6 +150,12 @@
 	return o;
 }
 
+/// Returns a copy of a text, or of "" if the message cannot hold it.
+static char *copy_bounded(const char *text, size_t max)
+{
+	return copy_text(text && strlen(text) <= max ? text : "");
+}
+
 void agents_queue_result(struct agents *a, uint32_t leader, uint64_t term,
 			 const struct order_result *from)
 {
@@ -167,9 +173,9 @@
 			&g_array_index(from->runs, struct running_attempt, i);
 
 		r.runs.runs_val[r.runs.runs_len++] = (sw_running_attempt){
-			.task = copy_text(row->task),
+			.task = copy_bounded(row->task, JOB_NAME_MAX),
 			.attempt = row->attempt,
-			.checkpoint = copy_text(row->checkpoint),
+			.checkpoint = copy_bounded(row->checkpoint, JOB_CHECKPOINT_MAX),
 			.percent = row->percent,
 			.usage = row->usage,
 		};
@@ -183,10 +189,10 @@
 		r.completions.completions_val[r.completions.completions_len++] =
 			(sw_completion_record){
 				.number = row->number,
-				.task = copy_text(row->task),
+				.task = copy_bounded(row->task, JOB_NAME_MAX),
 				.attempt = row->attempt,
 				.outcome = row->outcome,
-				.checkpoint = copy_text(row->checkpoint),
+				.checkpoint = copy_bounded(row->checkpoint, JOB_CHECKPOINT_MAX),
 			};
 	}
 	g_array_append_val(b->results, r);
--- a/src/sesamewood/manager/calls.c
+++ b/src/sesamewood/manager/calls.c
@@ -72,8 +72,7 @@
 	call->spec.max_attempts = q->max_attempts;
 	call->spec.accepted_wall_ms = wall_ms;
 	c.job_command_u.accept = call->spec;
-	effects_propose(m, &c);
-	if (!jobs_find(m->jobs, id)) /* a text exceeds the limit of the log record */
+	if (!effects_propose(m, &c))
 		return reply_with_status(REPLY_INVALID);
 	g_ptr_array_add(m->active, jobs_find(m->jobs, id));
 	pools_record_accepted_job(m, jobs_find(m->jobs, id));
@@ -129,12 +128,14 @@
 {
 	job_command c = {.type = JOB_COMMAND_CONFIG, .job_command_u.config = call->config};
 
-	if (call->config.config_version > m->jobs->config.config_version) {
-		log_info("configuration accepted", "VERSION",
-			 log_number(call->config.config_version), "BEFORE",
-			 log_number(m->jobs->config.config_version));
-		effects_propose(m, &c);
-	}
+	uint64_t before = m->jobs->config.config_version;
+
+	if (call->config.config_version <= before)
+		return reply_with_status(REPLY_OK);
+	if (!effects_propose(m, &c))
+		return reply_with_status(REPLY_INVALID);
+	log_info("configuration accepted", "VERSION", log_number(call->config.config_version),
+		 "BEFORE", log_number(before));
 	return reply_with_status(REPLY_OK);
 }
 
@@ -163,7 +164,8 @@
 		return reply_with_status(REPLY_UNAVAILABLE);
 	call->wave.due_wall_ms = wall_ms + (int64_t)call->wave_s * 1000;
 	c.job_command_u.wave = call->wave;
-	effects_propose(m, &c);
+	if (!effects_propose(m, &c))
+		return reply_with_status(REPLY_INVALID);
 	log_info("wave accepted", "WAVE", log_number(call->wave.number), "MACHINES",
 		 log_number(call->wave.machines.machines_len), "CAP", log_number(call->wave.cap));
 	return reply_with_status(REPLY_OK);
--- a/src/sesamewood/manager/effects.c
+++ b/src/sesamewood/manager/effects.c
@@ -1,6 +1,7 @@
 #include "manager/manager_internal.h"
 
 #include "base/codec.h"
+#include "base/log.h"
 
 /// A fencing token holds the leader's term and, in its lower bits, the number of restarts of the
 /// endpoint under the same id that this leader has seen: once a later incarnation has received a
@@ -17,16 +18,20 @@
 	return e;
 }
 
-void effects_propose(struct manager *m, const job_command *command)
+bool effects_propose(struct manager *m, const job_command *command)
 {
 	sw_command c = {.type = SW_COMMAND_JOB, .sw_command_u.job = *command};
 	GByteArray *bytes = codec_encode(CODEC_PROC(sw_command), &c);
 
-	if (!bytes)
-		return;
+	if (!bytes) {
+		log_error("a command exceeds the limits of a log record; it is dropped", "TYPE",
+			  log_number(command->type));
+		return false;
+	}
 	add_effect(m, EFFECT_PROPOSE)->u.command = g_byte_array_free_to_bytes(bytes);
 	jobs_apply(m->jobs, command);
 	m->round_wanted = true;
+	return true;
 }
 
 void effects_reply(struct manager *m, uint64_t token, struct reply reply)
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -79,9 +79,11 @@
 
 /* effects.c */
 
-/// Applies a command to the manager's state and proposes it. A command too large for the log is
-/// dropped: the caller finds the state unchanged.
-void effects_propose(struct manager *m, const job_command *command);
+/// Applies a command to the manager's state and proposes it.
+///
+/// @return false if a text exceeds the limit of the log record: nothing has changed, and what the
+/// command stands for must not be acknowledged or sent
+bool effects_propose(struct manager *m, const job_command *command);
 
 /// Emits the reply to the call of a token. Takes ownership of what @p reply holds.
 void effects_reply(struct manager *m, uint64_t token, struct reply reply);
--- a/src/sesamewood/rpc/sesamewood.x
+++ b/src/sesamewood/rpc/sesamewood.x
@@ -168,6 +168,11 @@
 /* Jobs. */
 
 const JOB_TEXT_MAX = 8192;
+/* Longest name of a pool or machine, and longest checkpoint, bytes. */
+const JOB_NAME_MAX = 256;
+const JOB_CHECKPOINT_MAX = 65536;
+typedef string job_name<JOB_NAME_MAX>;
+
 const JOB_TASKS_MAX = 65536;
 
 struct job_step {
@@ -195,7 +200,7 @@
 struct job_spec {
 	sw_name id;
 	string queue<1024>;                /* key of the queue */
-	sw_name pool;
+	job_name pool;
 	string payload<JOB_TEXT_MAX>;
 	job_step steps<256>;
 	unsigned int occurrences;          /* 0: runs once, without a delay */
@@ -229,7 +234,7 @@
 	unsigned int crashes;              /* attempts whose endpoint crashed, or may have crashed */
 	unsigned int early_crashes;        /* those whose endpoint crashed right after their start */
 	bool singled_out;                  /* in one of these, only its job can be the cause */
-	string checkpoint<256>;
+	string checkpoint<JOB_CHECKPOINT_MAX>;
 };
 
 struct job_step_state {
@@ -250,7 +255,7 @@
 
 struct job_queue {
 	string key<1024>;                  /* host, a space and path prefix */
-	sw_name pool;
+	job_name pool;
 	unsigned int timeout_ms;
 	unsigned int objective_ms;
 	unsigned int priority;             /* 0 is served first */
@@ -263,7 +268,7 @@
 };
 
 struct job_pool {
-	sw_name name;
+	job_name name;
 	bool guards;                       /* its endpoints reject tasks that do not fit */
 	bool standby;                      /* its machines are switched off until needed */
 };
@@ -278,11 +283,11 @@
 /* One incarnation of an endpoint. */
 struct job_incarnation {
 	unsigned int number;
-	string id<256>;
+	string id<JOB_NAME_MAX>;
 	hyper incarnation_wall_ms;
 	sw_address address;
-	sw_name pool;
-	string machine<256>;
+	job_name pool;
+	job_name machine;
 };
 
 struct job_task_ref {
@@ -322,7 +327,7 @@
 	job_task_ref task;
 	job_attempt_end_cause cause;
 	job_attempt_age age;
-	string checkpoint<256>;
+	string checkpoint<JOB_CHECKPOINT_MAX>;
 };
 
 struct job_cancel {
@@ -331,7 +336,7 @@
 };
 
 struct job_wave_machine {
-	string machine<256>;
+	job_name machine;
 	bool ordered;                      /* its maintenance was ordered and may have begun */
 	bool settled;                      /* its maintenance has begun, or it no longer exists */
 };
@@ -345,7 +350,7 @@
 
 struct job_wave_update {
 	unsigned hyper number;
-	string machine<256>;
+	job_name machine;
 	bool settled;                      /* false: its maintenance is only ordered so far */
 };
 
@@ -356,7 +361,7 @@
 /* Recorded before a leader sends an order for a machine, so that its successor knows for which
  * machines orders were sent recently. An empty name is a time mark: see sched/cooldown.h. */
 struct job_machine_order {
-	string machine<256>;
+	job_name machine;
 	unsigned int keep;         /* number of latest earlier orders that are still recent */
 };
 
@@ -403,7 +408,7 @@
 	job_incarnation endpoints<SW_LIST_MAX>;
 	job_image jobs<1048576>;
 	job_wave waves<SW_LIST_MAX>;
-	sw_name ordered_machines<SW_LIST_MAX>;
+	job_name ordered_machines<SW_LIST_MAX>;
 };
 
 union sw_command switch (sw_command_type type) {
@@ -703,11 +708,11 @@
 	string instance<256>;
 	unsigned int timeout_ms;
 	unsigned hyper fencing_token;
-	string task<256>;
+	string task<JOB_NAME_MAX>;
 	unsigned int attempt;
 	string payload<JOB_TEXT_MAX>;
-	string checkpoint<256>;
-	string ticket<256>;
+	string checkpoint<JOB_CHECKPOINT_MAX>;
+	string ticket<JOB_CHECKPOINT_MAX>;
 	hyper lease_until_ms;         /* lease end on the endpoint's clock */
 	unsigned hyper ack_through;   /* highest completion number acknowledged */
 	unsigned int wait_ms;         /* longest wait for a completion before the answer */
@@ -722,19 +727,19 @@
 };
 
 struct sw_running_attempt {
-	string task<256>;
+	string task<JOB_NAME_MAX>;
 	unsigned int attempt;
-	string checkpoint<256>;
+	string checkpoint<JOB_CHECKPOINT_MAX>;
 	unsigned int percent;
 	hyper usage;                  /* latency-sensitive: tail latency, ms; others: cpu in use */
 };
 
 struct sw_completion_record {
 	unsigned hyper number;        /* increases within one incarnation of the endpoint */
-	string task<256>;
+	string task<JOB_NAME_MAX>;
 	unsigned int attempt;
 	unsigned int outcome;         /* enum attempt_outcome */
-	string checkpoint<256>;
+	string checkpoint<JOB_CHECKPOINT_MAX>;
 };
 
 struct sw_order_result {
--- a/src/sesamewood/runs/attempts.c
+++ b/src/sesamewood/runs/attempts.c
@@ -125,6 +125,11 @@
 
 	log_debug("attempt released", "TASK", r->name, "ATTEMPT", log_number(r->attempt),
 		  "ENDPOINT", r->endpoint->id, "CAUSE", log_number(cause));
+	if (strlen(checkpoint) > JOB_CHECKPOINT_MAX) {
+		log_warning("checkpoint is too long to be stored; the task starts afresh", "TASK",
+			    r->name, "BYTES", log_number(strlen(checkpoint)));
+		c.job_command_u.end.checkpoint = (char *)"";
+	}
 	effects_propose(m, &c);
 	if (cause == JOB_ATTEMPT_FAILED)
 		log_info("attempt failed", "TASK", r->name, "ATTEMPT", log_number(r->attempt),
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -36,7 +36,8 @@
 #define UNASSIGNED_LOG_INTERVAL_MS 1000 /* of one endpoint */
 #define COMPLETIONS_PAGE_MAX 500	/* most completion records in one status answer */
 
-static void register_incarnation(struct manager *m, struct endpoint *e)
+/// @return false if the incarnation cannot be stored: it must get no attempt
+static bool register_incarnation(struct manager *m, struct endpoint *e)
 {
 	job_command c = {
 		.type = JOB_COMMAND_INCARNATION,
@@ -52,9 +53,9 @@
 	};
 
 	if (e->number && jobs_incarnation(m->jobs, e->number))
-		return;
+		return true;
 	e->number = m->jobs->next_endpoint;
-	effects_propose(m, &c);
+	return effects_propose(m, &c);
 }
 
 /* Orders. */
@@ -89,10 +90,12 @@
 {
 	const job_task *task = jobs_task(m->jobs, ref);
 	job_command c = {.type = JOB_COMMAND_ATTEMPT_START};
-	struct order *o = order_to(e, ORDER_START, CALL_TIMEOUT_MS);
+	struct order *o;
 	struct run *r;
 
-	register_incarnation(m, e);
+	if (!register_incarnation(m, e))
+		return;
+	o = order_to(e, ORDER_START, CALL_TIMEOUT_MS);
 	o->task = attempts_task_name(ref);
 	o->attempt = attempt;
 	o->payload = g_strdup(job->image.spec.payload);
@@ -277,7 +280,7 @@
 	c.job_command_u.end = (job_attempt_end){
 		.attempt = row->attempt,
 		.cause = JOB_ATTEMPT_DONE,
-		.checkpoint = row->checkpoint,
+		.checkpoint = (char *)"",
 	};
 	if (row->outcome != ATTEMPT_DONE ||
 	    !attempts_parse_task_name(row->task, id, sizeof(id), &c.job_command_u.end.task))
--- a/tests/unit/unit_jobs.c
+++ b/tests/unit/unit_jobs.c
@@ -4,6 +4,7 @@
 #include "base/codec.h"
 #include "manager/manager_internal.h"
 #include "manager_fixture.h"
+#include "runs/attempts.h"
 
 #include <string.h>
 
@@ -116,18 +117,14 @@
 	jobs_free(j);
 }
 
-/// Submits a job and returns the status of the reply.
-static enum reply_status submit(struct manager *m, clock_ms_t now, const char *id, uint32_t times,
-				const char *payload)
+/// Returns the status of the reply to a call, which is cleared.
+static enum reply_status send_call(struct manager *m, struct call *c)
 {
-	struct call c = {.type = CALL_SUBMIT, .host = g_strdup("h")};
-	enum reply_status status = REPLY_INVALID;
+	enum reply_status status = REPLY_UNAVAILABLE;
 	g_autoptr(GPtrArray) effects = NULL;
 
-	c.path = g_strconcat("/q/", id, NULL);
-	c.spec = make_spec(id, times, 1, payload);
-	manager_handle_call(m, now, now, 9, &c);
-	call_clear(&c);
+	manager_handle_call(m, FIXTURE_START_MS, FIXTURE_START_MS, 9, c);
+	call_clear(c);
 	effects = manager_take_effects(m);
 	for (guint i = 0; i < effects->len; i++) {
 		const struct effect *e = effects->pdata[i];
@@ -138,6 +135,17 @@
 	return status;
 }
 
+/// Submits a job and returns the status of the reply.
+static enum reply_status submit(struct manager *m, const char *id, uint32_t times,
+				const char *payload)
+{
+	struct call c = {.type = CALL_SUBMIT, .host = g_strdup("h")};
+
+	c.path = g_strconcat("/q/", id, NULL);
+	c.spec = make_spec(id, times, 1, payload);
+	return send_call(m, &c);
+}
+
 static unsigned int count_starts(struct manager *m, clock_ms_t from, clock_ms_t until)
 {
 	unsigned int n = 0;
@@ -163,13 +171,104 @@
 
 	fixture_put_config(m, FIXTURE_START_MS);
 	fixture_heartbeat(m, FIXTURE_START_MS, "i-1", "m-1", 1);
-	g_assert_cmpint(submit(m, FIXTURE_START_MS, "s", 3, ""), ==, REPLY_OK);
+	g_assert_cmpint(submit(m, "s", 3, ""), ==, REPLY_OK);
 	g_assert_cmpuint(count_starts(m, FIXTURE_START_MS, FIXTURE_START_MS + 1000), ==, 0);
 	g_assert_cmpuint(count_starts(m, FIXTURE_START_MS + 1000, FIXTURE_START_MS + 1100), ==, 1);
 	g_assert_cmpuint(count_starts(m, FIXTURE_START_MS + 1100, FIXTURE_START_MS + 2000), ==, 2);
 	manager_free(m);
 }
 
+static enum reply_status put_config(struct manager *m, uint64_t version, size_t name_len)
+{
+	g_autofree char *name = g_strnfill(name_len, 'n');
+	struct call c = {.type = CALL_CONFIG_PUT};
+	job_queue *q = calloc(1, sizeof(*q));
+	job_pool *p = calloc(1, sizeof(*p));
+
+	*q = (job_queue){.key = strdup("h /q/"), .pool = strdup(name), .max_attempts = 2};
+	*p = (job_pool){.name = strdup(name)};
+	c.config.config_version = version;
+	c.config.queues.queues_len = 1;
+	c.config.queues.queues_val = q;
+	c.config.pools.pools_len = 1;
+	c.config.pools.pools_val = p;
+	return send_call(m, &c);
+}
+
+/// A configuration with a name too long for the log was acknowledged and dropped.
+static void test_config_that_cannot_be_stored_is_refused(void)
+{
+	struct manager *m = fixture_manager(FIXTURE_START_MS);
+
+	g_assert_cmpint(put_config(m, 1, JOB_NAME_MAX), ==, REPLY_OK);
+	g_assert_cmpuint(m->jobs->config.config_version, ==, 1);
+	g_assert_cmpint(put_config(m, 2, JOB_NAME_MAX + 1), ==, REPLY_INVALID);
+	g_assert_cmpuint(m->jobs->config.config_version, ==, 1);
+	manager_free(m);
+}
+
+/// The same for a wave.
+static void test_wave_that_cannot_be_stored_is_refused(void)
+{
+	for (size_t len = JOB_NAME_MAX; len <= JOB_NAME_MAX + 1; len++) {
+		struct manager *m = fixture_manager(FIXTURE_START_MS);
+		struct call c = {.type = CALL_WAVE_PUT, .wave_s = 10};
+		g_autofree char *name = g_strnfill(len, 'm');
+
+		c.wave.number = 1;
+		c.wave.cap = 1;
+		c.wave.machines.machines_len = 1;
+		c.wave.machines.machines_val = calloc(1, sizeof(job_wave_machine));
+		c.wave.machines.machines_val[0].machine = strdup(name);
+		g_assert_cmpint(send_call(m, &c), ==,
+				len <= JOB_NAME_MAX ? REPLY_OK : REPLY_INVALID);
+		g_assert_cmpint(jobs_wave(m->jobs, 1) != NULL, ==, len <= JOB_NAME_MAX);
+		manager_free(m);
+	}
+}
+
+/// The end of an attempt with a long checkpoint was not recorded: its task stayed assigned.
+static void test_end_with_long_checkpoint_is_recorded(void)
+{
+	const size_t lengths[] = {300, JOB_CHECKPOINT_MAX, JOB_CHECKPOINT_MAX + 1};
+
+	for (guint i = 0; i < G_N_ELEMENTS(lengths); i++) {
+		struct manager *m = fixture_manager(FIXTURE_START_MS);
+		g_autofree char *checkpoint = g_strnfill(lengths[i], 'c');
+		const job_task *task;
+		struct run *r;
+
+		fixture_put_config(m, FIXTURE_START_MS);
+		fixture_heartbeat(m, FIXTURE_START_MS, "i-1", "m-1", 1);
+		fixture_submit(m, FIXTURE_START_MS, "j", 1);
+		count_starts(m, FIXTURE_START_MS, FIXTURE_START_MS + MANAGER_TICK_MS);
+		r = g_hash_table_lookup(m->runs, "j.0.0.0");
+		attempts_release(m, r, JOB_ATTEMPT_RELEASED, checkpoint);
+		task = &jobs_find(m->jobs, "j")
+				->image.occurrences.occurrences_val[0]
+				.steps.steps_val[0]
+				.tasks.tasks_val[0];
+		g_assert_cmpint(task->phase, ==, JOB_TASK_WAITING);
+		g_assert_cmpstr(task->checkpoint, ==,
+				lengths[i] <= JOB_CHECKPOINT_MAX ? checkpoint : "");
+		manager_free(m);
+	}
+}
+
+/// A snapshot must hold whatever commands have stored.
+static void test_longest_names_fit_into_snapshot(void)
+{
+	g_autofree char *name = g_strnfill(JOB_NAME_MAX, 'm');
+	struct jobs *j = jobs_new();
+	job_command c = {.type = JOB_COMMAND_MACHINE_ORDER};
+
+	c.job_command_u.machine_order = (job_machine_order){.machine = name, .keep = 1};
+	jobs_apply(j, &c);
+	restore(&j);
+	g_assert_cmpstr(j->ordered_machines->pdata[0], ==, name);
+	jobs_free(j);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -177,5 +276,13 @@
 			test_schedule_takes_no_room_before_it_is_due);
 	g_test_add_func("/job_state/schedule_completes", test_schedule_completes);
 	g_test_add_func("/job_state/occurrences_start_when_due", test_occurrences_start_when_due);
+	g_test_add_func("/job_state/config_that_cannot_be_stored_is_refused",
+			test_config_that_cannot_be_stored_is_refused);
+	g_test_add_func("/job_state/wave_that_cannot_be_stored_is_refused",
+			test_wave_that_cannot_be_stored_is_refused);
+	g_test_add_func("/job_state/end_with_long_checkpoint_is_recorded",
+			test_end_with_long_checkpoint_is_recorded);
+	g_test_add_func("/job_state/longest_names_fit_into_snapshot",
+			test_longest_names_fit_into_snapshot);
 	return g_test_run();
 }
