fix(platform): one odd body does not end the processes that read it

Operators elsewhere reported one odd entry among those of the executors after which the machines that read the list ended again and again.

Cause: the JSON library descends by recursion without a limit, and bodies went to it unchecked. Class: input bounded by its sender only.

Change: json_is_safe_to_parse() refuses, in one pass without recursion, what is nested over 16 deep or has anything outside strings that JSON has not (comments could hide brackets from it).

--- a/src/sesamewood/base/json_check.c
+++ b/src/sesamewood/base/json_check.c
@@ -1,10 +1,7 @@
 #include "base/json_check.h"
 
-#include <stdbool.h>
 #include <string.h>
 
-#define DEPTH_MAX 16
-
 struct scanner {
 	const char *p;
 	const char *end;
@@ -177,7 +174,7 @@
 {
 	bool ok;
 
-	if (++s->depth > DEPTH_MAX)
+	if (++s->depth > JSON_DEPTH_MAX)
 		return add_error(s, "nested too deeply");
 	ok = scan(s);
 	s->depth--;
@@ -197,6 +194,33 @@
 	return scan_number(s);
 }
 
+bool json_is_safe_to_parse(const char *text, size_t len)
+{
+	bool in_string = false;
+	int depth = 0;
+
+	for (size_t i = 0; i < len; i++) {
+		char c = text[i];
+
+		if (in_string) {
+			i += c == '\\';
+			in_string = c != '"';
+			continue;
+		}
+		if (c == '"')
+			in_string = true;
+		else if (c == '{' || c == '[')
+			depth++;
+		else if (c == '}' || c == ']')
+			depth--;
+		else if (!c || (!g_ascii_isalnum(c) && !strchr(" \t\r\n,:+-.", c)))
+			return false;
+		if (depth > JSON_DEPTH_MAX)
+			return false;
+	}
+	return true;
+}
+
 void json_check(const char *text, size_t len, GPtrArray *errors)
 {
 	g_autoptr(GString) path = g_string_new("$");
--- a/src/sesamewood/base/json_check.h
+++ b/src/sesamewood/base/json_check.h
@@ -7,8 +7,18 @@
 /// operator's mistake in a table.
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stddef.h>
 
+/// Deepest nesting of objects and arrays that is accepted. The JSON library descends by recursion
+/// without a limit of its own.
+#define JSON_DEPTH_MAX 16
+
+/// Tells whether text may be given to the JSON library: nothing stands outside strings that JSON
+/// does not have there, such as a comment, and nothing is nested more than JSON_DEPTH_MAX deep.
+/// Much cheaper than json_check(), which checks the whole syntax.
+bool json_is_safe_to_parse(const char *text, size_t len);
+
 /// Checks @p len bytes of @p text. Unless they are strict JSON, adds the first error in the form
 /// "JSON path: message".
 ///
--- a/src/sesamewood/manager/calls.c
+++ b/src/sesamewood/manager/calls.c
@@ -10,6 +10,9 @@
 #include <string.h>
 
 #define WAVES_MAX 256
+/// Limits of a schedule: JOB_TASKS_MAX intervals after the first time do not overflow.
+#define WALL_MS_MAX ((int64_t)1 << 53)
+#define INTERVAL_MS_MAX ((int64_t)1 << 40)
 
 static struct reply reply_with_status(enum reply_status status)
 {
@@ -48,7 +51,8 @@
 			if (step->after.after_val[i] >= s)
 				return false;
 	}
-	return tasks * MAX(spec->occurrences, 1) <= JOB_TASKS_MAX;
+	return tasks * MAX(spec->occurrences, 1) <= JOB_TASKS_MAX &&
+	       spec->first_wall_ms <= WALL_MS_MAX && spec->interval_ms <= INTERVAL_MS_MAX;
 }
 
 static struct reply submit(struct manager *m, clock_ms_t wall_ms, struct call *call)
@@ -202,6 +206,11 @@
 		reply = config_read(m);
 		break;
 	case CALL_HEARTBEAT:
+		if (!endpoint_heartbeat_is_plausible(&call->heartbeat)) {
+			log_info("heartbeat with an implausible number refused", "ENDPOINT",
+				 call->heartbeat.id, "ADDRESS", call->heartbeat.address);
+			break;
+		}
 		incarnations_handle_heartbeat(m, now, &call->heartbeat);
 		reply = (struct reply){.content = REPLY_CONTROL_ADDRESS};
 		break;
--- a/src/sesamewood/manager/manager_defs.c
+++ b/src/sesamewood/manager/manager_defs.c
@@ -17,6 +17,14 @@
 	memset(hb, 0, sizeof(*hb));
 }
 
+bool endpoint_heartbeat_is_plausible(const struct endpoint_heartbeat *hb)
+{
+	return hb->cpu_milli <= ENDPOINT_CPU_MILLI_MAX && hb->mem_mb <= ENDPOINT_MEM_MB_MAX &&
+	       hb->gpu <= ENDPOINT_GPU_MAX && hb->cold_ms <= ENDPOINT_COLD_MS_MAX &&
+	       hb->incarnation_wall_ms <= ENDPOINT_NUMBER_MAX &&
+	       hb->sequence <= (uint64_t)ENDPOINT_NUMBER_MAX && hb->clock_ms <= ENDPOINT_NUMBER_MAX;
+}
+
 static gpointer copy_label(gconstpointer label, gpointer ctx)
 {
 	(void)ctx;
--- a/src/sesamewood/manager/manager_defs.h
+++ b/src/sesamewood/manager/manager_defs.h
@@ -242,6 +242,19 @@
 /// Frees the contents of a heartbeat and zeroes it.
 void endpoint_heartbeat_clear(struct endpoint_heartbeat *hb);
 
+/// Largest capacity of one endpoint, and longest rest of a cold start. A heartbeat with more names
+/// no endpoint: work would be planned for room that is not there.
+#define ENDPOINT_CPU_MILLI_MAX 4096000
+#define ENDPOINT_MEM_MB_MAX (64 * 1024 * 1024)
+#define ENDPOINT_GPU_MAX 4096
+#define ENDPOINT_COLD_MS_MAX 600000
+/// Largest start time, sequence number and clock reading: the largest whole number that JSON
+/// numbers hold exactly. Sums of a few of them do not overflow.
+#define ENDPOINT_NUMBER_MAX ((int64_t)1 << 53)
+
+/// Returns whether the numbers of a heartbeat are within the limits above.
+bool endpoint_heartbeat_is_plausible(const struct endpoint_heartbeat *hb);
+
 /// Returns a copy of a heartbeat; release with endpoint_heartbeat_clear() and g_free().
 struct endpoint_heartbeat *endpoint_heartbeat_copy(const struct endpoint_heartbeat *hb);
 
--- a/tests/unit/unit_codec.c
+++ b/tests/unit/unit_codec.c
@@ -7,6 +7,10 @@
 
 #include <string.h>
 
+#define HEARTBEAT_MEMBERS                                                                          \
+	"\"backend\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"state\":\"ready\","        \
+	"\"labels\":[],\"sequence\":4,\"clockMs\":5,\"capacity\":{\"cpu\":1,\"memMb\":1}"
+
 static struct platform_codec codec = {
 	.control_address = "10.0.0.1:1", .advisor = "10.0.0.2:2", .machines = "10.0.0.3:3"};
 
@@ -74,6 +78,110 @@
 		g_assert_cmpint(type_of(true, "POST", "/q/a", bodies[i]), ==, CALL_INVALID);
 }
 
+/// Levels of nesting that overflow the stack of a parser which descends by recursion.
+#define DEEP_LEVELS 300000
+
+/// @return a JSON object with a deeply nested member beside others
+static char *deep_body(const char *members, char open, char close)
+{
+	g_autofree char *opening = g_strnfill(DEEP_LEVELS, open);
+	g_autofree char *closing = g_strnfill(DEEP_LEVELS, close);
+
+	return g_strdup_printf("{%s%s\"x\":%s%s}", members, *members ? "," : "", opening, closing);
+}
+
+/// One deeply nested body of another writer ended each process that read it.
+static void test_deep_nesting_is_refused(void)
+{
+	static const struct {
+		bool from_caller;
+		const char *target;
+		const char *members;
+	} requests[] = {
+		{true, "/q/a", "\"phases\":[{\"count\":1}]"},
+		{false, "/api/executors/i-1/heartbeat", HEARTBEAT_MEMBERS},
+		{false, "/api/executors/i-1/deregister", ""},
+		{false, "/api/config/replace", "\"version\":1,\"routes\":[],\"services\":[]"},
+		{false, "/api/wave-start", "\"wave\":1,\"machines\":[],\"cap\":1"},
+	};
+	struct wire wire = platform_wire(&codec);
+	g_autofree char *answer = deep_body("\"running\":[],\"endedRuns\":[]", '[', ']');
+
+	for (size_t i = 0; i < G_N_ELEMENTS(requests); i++) {
+		g_autofree char *arrays = deep_body(requests[i].members, '[', ']');
+		g_autofree char *commented =
+			g_strdup_printf("{/*\"*/\"x\":%s", strchr(arrays, '['));
+
+		g_assert_cmpint(
+			type_of(requests[i].from_caller, "POST", requests[i].target, arrays), ==,
+			CALL_INVALID);
+		g_assert_cmpint(
+			type_of(requests[i].from_caller, "POST", requests[i].target, commented), ==,
+			CALL_INVALID);
+	}
+	for (enum order_type type = ORDER_START; type <= ORDER_MACHINE_MAINTENANCE; type++) {
+		const struct order order = {.id = 1, .type = type};
+
+		order_result_free(
+			wire.decode_result(wire.ctx, &order, 200, answer, strlen(answer)));
+	}
+}
+
+/// Numbers out of range make a heartbeat invalid; one that cannot be told here is refused by the
+/// manager.
+static void test_odd_heartbeats_are_rejected(void)
+{
+	static const char *const odd[] = {
+		"\"address\":\"10.0.0.9:0\"",
+		"\"address\":\"10.0.0.9:99999\"",
+		"\"address\":\"10.0.0.1:1\"", /* the replica's own */
+		"\"sequence\":-1",
+		"\"sequence\":1e400",
+		"\"sequence\":99999999999999999999999",
+		"\"born\":99999999999999999999999",
+		"\"born\":-5",
+		"\"born\":1.5",
+		"\"clockMs\":99999999999999999999999",
+		"\"coldLeftMs\":4294967296",
+		"\"capacity\":{\"cpu\":4294967296,\"memMb\":1}",
+		"\"capacity\":{\"cpu\":-1,\"memMb\":1}",
+	};
+	g_autofree char *sound = g_strdup_printf("{%s}", HEARTBEAT_MEMBERS);
+
+	g_assert_cmpint(type_of(false, "POST", "/api/executors/i-1/heartbeat", sound), ==,
+			CALL_HEARTBEAT);
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		/* The library keeps the last of two equal members. */
+		g_autofree char *body = g_strdup_printf("{%s,%s}", HEARTBEAT_MEMBERS, odd[i]);
+
+		g_assert_cmpint(type_of(false, "POST", "/api/executors/i-1/heartbeat", body), ==,
+				CALL_INVALID);
+	}
+	g_assert_cmpint(type_of(false, "POST", "/api/executors/i-1/deregister", "{\"born\":-5}"),
+			==, CALL_INVALID);
+	g_assert_cmpint(type_of(false, "POST", "/api/executors/i-1/deregister", "{"), ==,
+			CALL_INVALID);
+	g_assert_cmpint(type_of(false, "POST", "/api/executors/i-1/deregister", ""), ==,
+			CALL_DEREGISTER);
+}
+
+/// Numbers of the operator that were cut to 32 bits, or undefined as such.
+static void test_odd_numbers_of_operator_are_rejected(void)
+{
+	g_assert_cmpint(type_of(false, "POST", "/api/wave-start",
+				"{\"wave\":1,\"machines\":[],\"cap\":4294967296,"
+				"\"completeByS\":1}"),
+			==, CALL_INVALID);
+	g_assert_cmpint(type_of(false, "POST", "/api/wave-start",
+				"{\"wave\":1,\"machines\":[],\"cap\":1,"
+				"\"completeByS\":1e300}"),
+			==, CALL_INVALID);
+	g_assert_cmpint(type_of(true, "POST", "/q/a",
+				"{\"phases\":[{\"count\":1},{\"count\":1,"
+				"\"after\":[4294967296]}]}"),
+			==, CALL_INVALID);
+}
+
 #define QUEUE                                                                                      \
 	"{\"name\":\"r\",\"hostname\":\"h\",\"pathPrefix\":\"/q/\",\"backend\":\"s\","             \
 	"\"timeoutMs\":3000,\"maxAttempts\":2,\"stretch\":1.6}"
@@ -179,6 +287,10 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/codec/deep_nesting_is_refused", test_deep_nesting_is_refused);
+	g_test_add_func("/codec/odd_heartbeats_are_rejected", test_odd_heartbeats_are_rejected);
+	g_test_add_func("/codec/odd_numbers_of_operator_are_rejected",
+			test_odd_numbers_of_operator_are_rejected);
 	g_test_add_func("/codec/decode_job", test_decode_job);
 	g_test_add_func("/codec/malformed_jobs_are_rejected", test_malformed_jobs_are_rejected);
 	g_test_add_func("/codec/decode_configuration", test_decode_configuration);
