fix(runs): odd numbers and foreign deregistrations do not outlive true heartbeats

Here a heartbeat with an absurd sequence number made the endpoint's own ones count as old, one with an absurd clock reading kept its leases from ever ending, one with another address or pool redirected its calls, one that said `draining` was believed for good, and a deregistration from anyone ended it while it ran (TWICE).

Cause: the latest heartbeat was believed whatever it contradicted. Class: a passing message that sets lasting state which only the same kind of message could correct, and was kept from correcting.

Change: - A heartbeat is old only if neither its sequence number nor its clock is later, at the leader and in the replicas' cache. If only old ones come for 2 s, the endpoint is asked. - An answer corrects a clock reading that is far ahead of it, and with it the latest lease end (endpoints cut leases to their limit) and the sequence. - An incarnation that has answered keeps address, pool and machine. - One that has not may be replaced by an announced earlier one, after a query. - `draining` follows the latest heartbeat. A deregistration stops new work until a later heartbeat says `ready`; it ends an endpoint only if that one had said that it drains and leaves a call since then unanswered.

Open, as the review saw it: a deregistration whose acknowledgement is lost while all calls to a draining endpoint are lost as well (TWICE).

--- a/src/sesamewood/manager/heartbeat_cache.c
+++ b/src/sesamewood/manager/heartbeat_cache.c
@@ -4,6 +4,7 @@
 /// they reach the leader, or their endpoints try another replica.
 #define LEADER_CONTACT_MS 800
 #define FORGET_MS 30000
+#define OLD_HEARTBEATS_MAX_MS 2000
 #define FORGET_PERIOD_MS 5000
 
 struct cached_heartbeat {
@@ -61,8 +62,9 @@
 	    h->incarnation_wall_ms != hb->incarnation_wall_ms ||
 	    h->digest != endpoint_heartbeat_digest(hb))
 		return false;
-	if (hb->sequence <= h->sequence)
-		return true;
+	/* As endpoint_is_old_heartbeat(). If only old ones come, the leader decides. */
+	if (hb->sequence <= h->sequence && hb->clock_ms <= h->clock_ms)
+		return now - h->last_heartbeat_at <= OLD_HEARTBEATS_MAX_MS;
 	h->sequence = hb->sequence;
 	h->clock_ms = hb->clock_ms;
 	h->cold_ms = hb->cold_ms;
@@ -85,6 +87,7 @@
 	h->digest = endpoint_heartbeat_digest(hb);
 	h->known_to_term = term;
 	h->sequence = hb->sequence;
+	h->clock_ms = hb->clock_ms;
 	h->last_heartbeat_at = now;
 	h->batch_pending = false;
 }
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -50,7 +50,7 @@
 	clock_ms_t next_pool_pass_at;	 ///< next evaluation of the pools
 	clock_ms_t pool_shortage_at;	 ///< when a pool last needed more machines
 	clock_ms_t next_shortage_log_at; ///< earliest time to log pools without enough machines
-	clock_ms_t unknown_pool_log_at;	 ///< earliest time to log heartbeats of unknown pools
+	clock_ms_t odd_heartbeat_log_at; ///< earliest time to log another ignored heartbeat
 	/// Count of losses that are not confirmed yet, by task name; see struct lost_attempt.
 	GHashTable *unconfirmed_losses;
 	GHashTable *failed_at;	   ///< id of the endpoint where a task failed last, by task name
--- a/src/sesamewood/runs/endpoint.c
+++ b/src/sesamewood/runs/endpoint.c
@@ -9,6 +9,9 @@
 #define REPORT_DELAY_MAX_MS 1500
 /// Allowance for rounding of clock readings to whole milliseconds.
 #define CLOCK_ROUNDING_MS 50
+/// Beyond this, an estimate that is ahead of an answer's reading is false, not only inexact: the
+/// clock may be 2% slow since a reading that is up to 10 s old.
+#define CLOCK_JUMP_MS 1000
 
 static void lost_attempt_free(void *p)
 {
@@ -29,6 +32,7 @@
 	e->machine = g_strdup("");
 	e->labels = g_ptr_array_new_with_free_func(g_free);
 	e->clock_ms = -1;
+	e->heartbeat_clock_ms = -1;
 	e->runs = g_ptr_array_new();
 	e->lost = g_ptr_array_new_with_free_func(lost_attempt_free);
 	e->candidate_index = -1;
@@ -98,8 +102,9 @@
 	e->mem_mb = hb->mem_mb;
 	e->gpu = hb->gpu;
 	e->has_heartbeat = true;
-	e->draining |= hb->draining;
+	e->draining = hb->draining;
 	e->sequence = hb->sequence;
+	e->heartbeat_clock_ms = hb->clock_ms;
 	e->digest = endpoint_heartbeat_digest(hb);
 	e->last_heartbeat_at = now;
 	e->cold_until = now + hb->cold_ms;
@@ -128,6 +133,27 @@
 	e->clock_at = now;
 }
 
+bool endpoint_correct_clock(struct endpoint *e, int64_t clock_ms, clock_ms_t sent_at,
+			    clock_ms_t now, clock_ms_t lease_max_ms)
+{
+	int64_t latest = clock_ms + (now - sent_at) + CLOCK_ROUNDING_MS;
+	bool is_false = e->clock_ms >= 0 && endpoint_clock_now_ms(e, now) > latest + CLOCK_JUMP_MS;
+
+	if (is_false) {
+		e->clock_ms = clock_ms;
+		e->clock_at = now;
+		e->sequence = 0;
+		e->heartbeat_clock_ms = -1;
+	}
+	e->lease_end_ms = MIN(e->lease_end_ms, latest + lease_max_ms);
+	return is_false;
+}
+
+bool endpoint_is_old_heartbeat(const struct endpoint *e, uint64_t sequence, int64_t clock_ms)
+{
+	return sequence <= e->sequence && clock_ms <= e->heartbeat_clock_ms;
+}
+
 void endpoint_record_report(struct endpoint *e, int64_t clock_ms, clock_ms_t arrived_at)
 {
 	e->report_offset_ms = clock_ms < 0 ? G_MAXINT64 : clock_ms - arrived_at;
--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -106,9 +106,11 @@
 			    ///< work
 	bool draining;
 	bool deregistered;
-	bool terminated;   ///< certainly terminated: it runs no attempt
-	uint64_t sequence; ///< of the latest heartbeat
-	uint64_t digest;   ///< of the latest full heartbeat
+	clock_ms_t deregistered_at;
+	bool terminated;	    ///< certainly terminated: it runs no attempt
+	uint64_t sequence;	    ///< of the latest heartbeat
+	int64_t heartbeat_clock_ms; ///< its clock reading; -1: none
+	uint64_t digest;	    ///< of the latest full heartbeat
 	clock_ms_t last_heartbeat_at;
 	clock_ms_t last_alive_at; ///< latest heartbeat or answer of this incarnation; 0: none
 	clock_ms_t cold_until;	  ///< end of its cold start, during which it runs slowly
@@ -193,6 +195,19 @@
 /// Records a reading of the endpoint's clock, taken no later than @p now.
 void endpoint_record_clock(struct endpoint *e, int64_t clock_ms, clock_ms_t now);
 
+/// Corrects the estimate of the endpoint's clock by its answer to a call that was sent at
+/// @p sent_at, and bounds the latest lease end by it. A heartbeat of another writer may have given
+/// a false reading, after which the endpoint's own heartbeats seem to be old.
+///
+/// @param lease_max_ms  the endpoint truncates longer leases to this
+/// @return true if the estimate was false
+bool endpoint_correct_clock(struct endpoint *e, int64_t clock_ms, clock_ms_t sent_at,
+			    clock_ms_t now, clock_ms_t lease_max_ms);
+
+/// Tells whether a heartbeat of the present incarnation is older than the latest one. A later
+/// reading of a steady clock proves that it is not, whatever the sequence numbers say.
+bool endpoint_is_old_heartbeat(const struct endpoint *e, uint64_t sequence, int64_t clock_ms);
+
 /// Records when the endpoint reported its present content, from the reading of its clock in the
 /// heartbeat (-1: unknown) and the time of arrival.
 void endpoint_record_report(struct endpoint *e, int64_t clock_ms, clock_ms_t arrived_at);
--- a/src/sesamewood/runs/incarnations.c
+++ b/src/sesamewood/runs/incarnations.c
@@ -6,7 +6,11 @@
 #define LATE_ORDER_MAX_MS 15000 /* an order is executed at most 12 s late */
 /// Least time between the queries that claims call for: one call timeout.
 #define VERIFICATION_GAP_MS 900
-#define UNKNOWN_POOL_LOG_INTERVAL_MS 1000
+/// The same after a deregistration; a few queries find the end of an endpoint that leaves.
+#define DEREGISTRATION_QUERY_GAP_MS 150
+/// Time without an accepted heartbeat after which one that seems old calls for a query.
+#define OLD_HEARTBEATS_MAX_MS 2000
+#define ODD_HEARTBEAT_LOG_INTERVAL_MS 1000
 
 static struct endpoint *add_endpoint(struct manager *m, const char *id)
 {
@@ -60,6 +64,7 @@
 	e->last_completion = 0;
 	e->acked_completion = 0;
 	e->sequence = 0;
+	e->heartbeat_clock_ms = -1;
 	e->draining = false;
 	e->deregistered = false;
 	e->has_heartbeat = false;
@@ -140,7 +145,11 @@
 
 bool incarnations_needs_verification(const struct endpoint *e, clock_ms_t now)
 {
-	return e->questioned_at && !e->terminated_at && e->verified_at < e->questioned_at &&
+	if (e->terminated_at)
+		return false;
+	if (e->deregistered && e->draining && now - e->verified_at >= DEREGISTRATION_QUERY_GAP_MS)
+		return true;
+	return e->questioned_at && e->verified_at < e->questioned_at &&
 	       now - e->verified_at >= VERIFICATION_GAP_MS;
 }
 
@@ -168,7 +177,7 @@
 		return;
 	}
 	e->announced = NULL;
-	if (hb->incarnation_wall_ms > e->incarnation_wall_ms)
+	if (hb->incarnation_wall_ms != e->incarnation_wall_ms)
 		incarnations_handle_restart(m, now, e, hb->incarnation_wall_ms);
 	incarnations_handle_heartbeat(m, e->announced_at, hb);
 	endpoint_heartbeat_clear(hb);
@@ -186,6 +195,16 @@
 	e->alive_proof_after = 0;
 }
 
+/// Revokes a deregistration that another writer sent: a later heartbeat shows that the endpoint is
+/// ready.
+static void revoke_deregistration(struct endpoint *e, clock_ms_t heard_at)
+{
+	if (!e->deregistered || e->draining || heard_at <= e->deregistered_at)
+		return;
+	log_info("endpoint is ready after its deregistration, which was false", "ENDPOINT", e->id);
+	e->deregistered = false;
+}
+
 bool incarnations_handle_short_heartbeat(struct manager *m, clock_ms_t now,
 					 const struct short_heartbeat *s)
 {
@@ -194,9 +213,10 @@
 
 	if (!e || !e->has_heartbeat || e->incarnation_wall_ms != s->incarnation_wall_ms)
 		return e && e->incarnation_wall_ms > s->incarnation_wall_ms;
-	if (e->terminated || s->sequence <= e->sequence)
+	if (e->terminated || endpoint_is_old_heartbeat(e, s->sequence, s->clock_ms))
 		return true;
 	e->sequence = s->sequence;
+	e->heartbeat_clock_ms = s->clock_ms;
 	e->last_heartbeat_at = MAX(e->last_heartbeat_at, at);
 	e->cold_until = at + s->cold_ms;
 	if (s->clock_ms >= 0)
@@ -205,6 +225,7 @@
 	if (e->digest != s->digest)
 		return false;
 	endpoint_record_report(e, s->clock_ms, at);
+	revoke_deregistration(e, at);
 	return true;
 }
 
@@ -219,13 +240,35 @@
 	       g_str_equal(e->pool, hb->pool);
 }
 
-static void log_unknown_pool(struct manager *m, clock_ms_t now, const struct endpoint_heartbeat *hb)
+static void log_ignored(struct manager *m, clock_ms_t now, const struct endpoint_heartbeat *hb,
+			const char *reason)
 {
-	if (now < m->unknown_pool_log_at)
+	if (now < m->odd_heartbeat_log_at)
 		return;
-	m->unknown_pool_log_at = now + UNKNOWN_POOL_LOG_INTERVAL_MS;
-	log_info("heartbeat of a pool that no configuration names is ignored", "ENDPOINT", hb->id,
-		 "POOL", hb->pool, "ADDRESS", hb->address);
+	m->odd_heartbeat_log_at = now + ODD_HEARTBEAT_LOG_INTERVAL_MS;
+	log_info("heartbeat ignored", "REASON", reason, "ENDPOINT", hb->id, "POOL", hb->pool,
+		 "ADDRESS", hb->address, "INCARNATION",
+		 log_number((uint64_t)hb->incarnation_wall_ms));
+}
+
+/// Tells whether a heartbeat contradicts what an incarnation that has answered said of itself,
+/// which does not change during its life.
+static bool contradicts(const struct endpoint *e, const struct endpoint_heartbeat *hb)
+{
+	return e->fenced && e->has_heartbeat &&
+	       (!g_str_equal(e->address, hb->address) || !g_str_equal(e->pool, hb->pool) ||
+		(*hb->machine && *e->machine && !g_str_equal(e->machine, hb->machine)));
+}
+
+/// Handles a heartbeat of another incarnation than the known one, which decides by its answer. Once
+/// it has answered, an earlier one is not asked about.
+static void announce(struct endpoint *e, clock_ms_t now, const struct endpoint_heartbeat *hb)
+{
+	if (hb->incarnation_wall_ms < e->incarnation_wall_ms && e->fenced)
+		return;
+	endpoint_set_announced(e, hb);
+	e->announced_at = now;
+	question(e, now, hb->id);
 }
 
 void incarnations_handle_heartbeat(struct manager *m, clock_ms_t now,
@@ -235,31 +278,40 @@
 	bool is_new = !e || !e->has_heartbeat;
 
 	if (!has_known_pool(m, e, hb)) {
-		log_unknown_pool(m, now, hb);
+		log_ignored(m, now, hb, "no configuration names its pool");
 		return;
 	}
 	if (!e)
 		e = add_endpoint(m, hb->id);
+	if (hb->incarnation_wall_ms != e->incarnation_wall_ms && e->incarnation_wall_ms &&
+	    !e->terminated_at) {
+		announce(e, now, hb);
+		return;
+	}
 	if (hb->incarnation_wall_ms < e->incarnation_wall_ms)
 		return;
 	if (hb->incarnation_wall_ms > e->incarnation_wall_ms) {
-		if (e->incarnation_wall_ms && !e->terminated_at) {
-			endpoint_set_announced(e, hb);
-			e->announced_at = now;
-			question(e, now, hb->id);
-			return;
-		}
 		if (e->incarnation_wall_ms)
 			incarnations_handle_restart(m, now, e, hb->incarnation_wall_ms);
 		e->incarnation_wall_ms = hb->incarnation_wall_ms;
 		is_new = true;
 	}
-	if (e->terminated || (!is_new && hb->sequence <= e->sequence))
+	if (e->terminated)
 		return;
+	if (!is_new && endpoint_is_old_heartbeat(e, hb->sequence, hb->clock_ms)) {
+		if (now - e->last_heartbeat_at > OLD_HEARTBEATS_MAX_MS)
+			question(e, now, hb->id);
+		return;
+	}
+	if (!is_new && contradicts(e, hb)) {
+		log_ignored(m, now, hb, "its incarnation has another address, pool or machine");
+		return;
+	}
 	if (e->draining != hb->draining && hb->draining)
 		log_info("endpoint is draining; it gets no new work", "ENDPOINT", e->id);
 	endpoint_update(e, hb, now);
 	record_alive_proof(e, now);
+	revoke_deregistration(e, now);
 	if (!is_new)
 		return;
 	/* Orders of earlier leaders to this endpoint may still be in flight. */
@@ -273,14 +325,12 @@
 {
 	struct endpoint *e = incarnations_find_endpoint(m, hb->id);
 
-	(void)now;
 	if (!e || e->deregistered ||
 	    (hb->incarnation_wall_ms && hb->incarnation_wall_ms != e->incarnation_wall_ms))
 		return;
 	log_info("endpoint deregistered", "ENDPOINT", e->id, "RUNS", log_number(e->runs->len));
 	e->deregistered = true;
-	e->draining = true;
-	e->last_heartbeat_at = now;
+	e->deregistered_at = now;
 }
 
 void incarnations_inherit(struct manager *m, clock_ms_t now)
--- a/src/sesamewood/runs/incarnations.h
+++ b/src/sesamewood/runs/incarnations.h
@@ -44,7 +44,8 @@
 /// has terminated, or is silent and runs nothing.
 void incarnations_adopt_announced(struct manager *m, clock_ms_t now, struct endpoint *e);
 
-/// Handles an endpoint's deregistration: it drains, and terminates after a delay.
+/// Handles an endpoint's deregistration: it gets no new work until a heartbeat shows that it is
+/// ready. One that drains is asked until it answers no more, which ends it.
 void incarnations_handle_deregistration(struct manager *m, clock_ms_t now,
 					const struct endpoint_heartbeat *hb);
 
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -188,7 +188,7 @@
 /* Results. */
 
 static void record_response(struct manager *m, clock_ms_t now, struct endpoint *e,
-			    enum order_type type, const struct order_result *result)
+			    const struct pending_order *p, const struct order_result *result)
 {
 	if (result->status == ORDER_FENCED) {
 		m->fenced_off = true;
@@ -200,7 +200,7 @@
 	}
 	if (result->status == ORDER_NO_ANSWER || result->status == ORDER_NOT_SENT) {
 		/* Other orders may be unsent only because they waited too long at this replica. */
-		if (result->status == ORDER_NO_ANSWER || type == ORDER_STATUS_QUERY) {
+		if (result->status == ORDER_NO_ANSWER || p->type == ORDER_STATUS_QUERY) {
 			e->unanswered_calls++;
 			e->unanswered_at = now;
 		}
@@ -216,6 +216,9 @@
 	/* Without a start time the reading may be of another incarnation's clock. */
 	if (result->clock_ms < 0 || result->incarnation_wall_ms != e->incarnation_wall_ms)
 		return;
+	if (endpoint_correct_clock(e, result->clock_ms, p->sent_at, now, m->settings.lease_max_ms))
+		log_info("clock reading of an endpoint was false; corrected by its answer",
+			 "ENDPOINT", e->id);
 	endpoint_record_clock(e, result->clock_ms, now);
 }
 
@@ -485,7 +488,7 @@
 		incarnations_handle_answer(e, p->sent_at);
 		attempts_drop_losses(m, e);
 	}
-	record_response(m, now, e, p->type, result);
+	record_response(m, now, e, p, result);
 	if (e->terminated || m->fenced_off)
 		return;
 	if (p->type == ORDER_STATUS_QUERY) {
@@ -646,12 +649,14 @@
 	return false;
 }
 
-/// Tells whether a deregistered endpoint has terminated. An attempt that it has not listed may run
-/// at a later incarnation, which a status query finds.
+/// Tells whether a deregistered endpoint has terminated: it had said that it drains, and answers no
+/// more. Anyone may send a deregistration, so otherwise its leases must expire. An attempt that it
+/// has not listed may run at a later incarnation, which a status query finds.
 static bool has_left(const struct endpoint *e, clock_ms_t now)
 {
-	return e->deregistered && now - e->last_heartbeat_at > DEREGISTRATION_DELAY_MS &&
-	       !has_unlisted_run(e);
+	return e->deregistered && e->draining &&
+	       now - e->deregistered_at > DEREGISTRATION_DELAY_MS && e->unanswered_calls &&
+	       e->unanswered_at > e->deregistered_at && !has_unlisted_run(e);
 }
 
 static void check_endpoint(struct manager *m, clock_ms_t now, struct endpoint *e)
--- a/tests/model/fleet_model.cc
+++ b/tests/model/fleet_model.cc
@@ -492,6 +492,34 @@
 	deliver_heartbeat(hb);
 }
 
+void Fleet::send_odd_heartbeat(unsigned int i, bool odd_clock)
+{
+	constexpr clock_ms_t kOddMs = 1000000000;
+	Endpoint &e = *endpoints[i % endpoints.size()];
+
+	if (!is_reachable(e))
+		return;
+	trace(now, "odd heartbeat", "", e.id, odd_clock);
+	deliver_heartbeat({e.id, e.address, e.pool, e.machine, e.incarnation_wall_ms, e.cpu, e.mem,
+			   e.draining, static_cast<uint64_t>(ENDPOINT_NUMBER_MAX),
+			   clock_of(e) + (odd_clock ? kOddMs : 0), true});
+}
+
+void Fleet::send_foreign_deregistration(unsigned int i)
+{
+	Endpoint &e = *endpoints[i % endpoints.size()];
+	struct call c = {};
+
+	/* Of one that drains, it is believed once a call is not answered. */
+	if (!manager || !is_reachable(e) || e.draining)
+		return;
+	trace(now, "foreign deregistration", "", e.id, 0);
+	c.type = CALL_DEREGISTER;
+	c.heartbeat.id = g_strdup(e.id.c_str());
+	manager_handle_call(manager, now, now, ++next_token, &c);
+	call_clear(&c);
+}
+
 void Fleet::deliver_held_heartbeats()
 {
 	while (!held_heartbeats.empty() && held_heartbeats.begin()->first <= now) {
--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -170,6 +170,11 @@
 	/// @param own_id  with the endpoint's id, otherwise with an id of its own
 	/// @param known_pool  of the endpoint's pool, otherwise of one that no configuration names
 	void send_foreign_heartbeat(unsigned int endpoint, bool own_id, bool known_pool);
+	/// Sends a heartbeat of the present incarnation of an endpoint with a sequence number, and
+	/// perhaps a clock reading, that are far too high.
+	void send_odd_heartbeat(unsigned int endpoint, bool odd_clock);
+	/// Sends a deregistration that the endpoint did not send.
+	void send_foreign_deregistration(unsigned int endpoint);
 	/// Changes the capacity of an endpoint, which reports it with its next heartbeats.
 	void resize(unsigned int endpoint, uint32_t cpu, uint32_t mem);
 
--- a/tests/property/property_jobs.cc
+++ b/tests/property/property_jobs.cc
@@ -61,8 +61,12 @@
 		fleet.resize(r, model::kCpu, model::kMem);
 	else if (kind < 6)
 		fleet.fault.repeated_heartbeat_percent = static_cast<int>(r % 30);
-	else if (kind < 8)
+	else if (kind < 8 && r / 32 % 2)
 		fleet.send_foreign_heartbeat(r, r / 8 % 2, r / 16 % 2);
+	else if (kind < 8 && r / 64 % 2)
+		fleet.send_odd_heartbeat(r, r / 8 % 2);
+	else if (kind < 8)
+		fleet.send_foreign_deregistration(r);
 	else
 		fleet.wave({r % 8, (r + 1) % 8, (r + 2) % 8, (r + 3) % 8}, 1 + r / 8 % 2,
 			   2 + r / 16 % 2);
@@ -259,6 +263,10 @@
 		for (unsigned int i = 0; i < 4 * kEndpoints; i++) {
 			fleet.send_foreign_heartbeat(seed + i, (seed + i) / kEndpoints % 2,
 						     (seed + i) / kEndpoints / 2 % 2);
+			if (i % 2)
+				fleet.send_odd_heartbeat(seed + i, i % 4 == 1);
+			else
+				fleet.send_foreign_deregistration(seed + i);
 			fleet.advance(1 + seed % 700);
 		}
 		fleet.advance(8000);
--- a/tests/unit/manager_fixture.c
+++ b/tests/unit/manager_fixture.c
@@ -104,6 +104,19 @@
 	call_clear(&c);
 }
 
+void fixture_drain(struct manager *m, clock_ms_t now, const char *id, const char *machine,
+		   int64_t incarnation_wall_ms)
+{
+	struct call c = {.type = CALL_HEARTBEAT};
+
+	c.heartbeat =
+		make_heartbeat(now, id, machine, incarnation_wall_ms, FIXTURE_CPU_MILLI, 8000);
+	c.heartbeat.draining = true;
+	c.heartbeat.sequence = 2;
+	manager_handle_call(m, now, now, 1, &c);
+	call_clear(&c);
+}
+
 void fixture_put_config(struct manager *m, clock_ms_t now)
 {
 	struct call c = {.type = CALL_CONFIG_PUT};
--- a/tests/unit/manager_fixture.h
+++ b/tests/unit/manager_fixture.h
@@ -38,6 +38,10 @@
 void fixture_heartbeat_sized(struct manager *m, clock_ms_t now, const char *id, const char *machine,
 			     int64_t incarnation_wall_ms, uint32_t cpu_milli, uint32_t mem_mb);
 
+/// Sends a full heartbeat of an endpoint that drains.
+void fixture_drain(struct manager *m, clock_ms_t now, const char *id, const char *machine,
+		   int64_t incarnation_wall_ms);
+
 /// Deregisters an endpoint.
 void fixture_deregister(struct manager *m, clock_ms_t now, const char *id,
 			int64_t incarnation_wall_ms);
--- a/tests/unit/unit_waves.c
+++ b/tests/unit/unit_waves.c
@@ -562,8 +562,8 @@
 	site_clear(&s);
 }
 
-/// Wave 1's orders for two machines are in doubt when wave 2 comes, which covers both and allows one
-/// machine less. Repeating both at once would exceed the cap of wave 2.
+/// Wave 1's orders for two machines are in doubt when wave 2 comes, which covers both and allows
+/// one machine less. Repeating both at once would exceed the cap of wave 2.
 static void test_repeated_orders_keep_cap_of_later_wave(void)
 {
 	const char *const machines[] = {"m-1", "m-2"};
