fix(manager): a full state refuses jobs; the log is compacted by size as well

Class: a resource without a bound, found full only after the 2xx.

Change: a job that would bring the state over 48 MiB, by an estimate of its memory, is refused with 429 and Retry-After before it is accepted.

--- a/src/sesamewood/control/raft.c
+++ b/src/sesamewood/control/raft.c
@@ -7,9 +7,10 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define BATCH_RECORDS_MAX 8000		     /* must be less than SW_LIST_MAX */
-#define BATCH_BYTES_MAX ((gsize)1024 * 1024) /* sent in 10 ms on the slowest replica link */
-#define LEADER_LEASE_PERCENT 90		     ///< of the minimum election timeout
+#define BATCH_RECORDS_MAX 8000			/* must be less than SW_LIST_MAX */
+#define BATCH_BYTES_MAX ((gsize)1024 * 1024)	/* sent in 10 ms on the slowest replica link */
+#define KEEP_BYTES_MAX ((gsize)4 * 1024 * 1024) ///< of records kept for slow followers
+#define LEADER_LEASE_PERCENT 90			///< of the minimum election timeout
 #define RESEND_MS 1000	   ///< a batch without any later reply is sent again after this time
 #define LEARNER_LAG_MAX 64 ///< records that a learner may lack when it becomes a member
 #define VOTERS_MAX 9	   ///< further nodes stay learners until a member is unresponsive
@@ -652,6 +653,21 @@
 	return raft_record_at(r, r->applied);
 }
 
+/// @return index of the first record to keep beside a snapshot of all applied ones
+static uint64_t first_kept(const struct raft *r)
+{
+	uint64_t from =
+		r->applied > r->settings.keep_records ? r->applied - r->settings.keep_records : 0;
+	gsize bytes = 0;
+
+	for (uint64_t at = r->applied; at > from && at >= r->first_index; at--) {
+		bytes += g_bytes_get_size(raft_record_at(r, at)->command);
+		if (bytes > KEEP_BYTES_MAX)
+			return at;
+	}
+	return from;
+}
+
 void raft_compact(struct raft *r, GBytes *data)
 {
 	struct raft_image image;
@@ -666,8 +682,7 @@
 	}
 	raft_image_clear(&r->snapshot);
 	r->snapshot = image;
-	keep_from =
-		r->applied > r->settings.keep_records ? r->applied - r->settings.keep_records : 0;
+	keep_from = first_kept(r);
 	if (keep_from > r->first_index) {
 		g_ptr_array_remove_range(r->log, 0, keep_from - r->first_index);
 		r->first_index = keep_from;
--- a/src/sesamewood/jobs/jobs.c
+++ b/src/sesamewood/jobs/jobs.c
@@ -5,6 +5,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Estimates with the overhead of the allocator; a job that has ended keeps only its names. */
+#define ENDED_JOB_BYTES 512
+#define STEP_BYTES 192
+#define TASK_BYTES 96
+
 static void job_free(void *p)
 {
 	struct job *job = p;
@@ -47,6 +52,7 @@
 	codec_free(CODEC_PROC(job_config), &j->config);
 	memset(&j->config, 0, sizeof(j->config));
 	g_hash_table_remove_all(j->by_id);
+	j->bytes = 0;
 	g_hash_table_remove_all(j->incarnations);
 	g_ptr_array_set_size(j->waves, 0);
 	g_ptr_array_set_size(j->ordered_machines, 0);
@@ -283,6 +289,22 @@
 		job->first_open++;
 }
 
+size_t job_estimate_bytes(const job_spec *spec)
+{
+	size_t bytes = ENDED_JOB_BYTES + strlen(spec->payload);
+
+	/* Of a schedule, few occurrences exist at a time. */
+	for (u_int s = 0; s < spec->steps.steps_len; s++)
+		bytes += STEP_BYTES + (size_t)spec->steps.steps_val[s].count * TASK_BYTES;
+	return bytes;
+}
+
+static void set_bytes(struct jobs *j, struct job *job, size_t bytes)
+{
+	j->bytes += bytes - job->bytes;
+	job->bytes = bytes;
+}
+
 static void apply_accept(struct jobs *j, const job_spec *spec)
 {
 	struct job *job;
@@ -293,12 +315,13 @@
 	codec_copy(CODEC_PROC(job_spec), spec, &job->image.spec, sizeof(job_spec));
 	job->unfinished = tasks_per_occurrence(job) * job_occurrences(job);
 	create_occurrences(job, spec->occurrences ? 0 : 1);
+	set_bytes(j, job, job_estimate_bytes(spec));
 	job->may_have_ready_tasks = true;
 	g_hash_table_insert(j->by_id, job->image.spec.id, job);
 }
 
 /// Frees the steps, tasks and payload of an ended job, since callers only query its state.
-static void drop_ended_job_details(struct job *job)
+static void drop_ended_job_details(struct jobs *j, struct job *job)
 {
 	job_spec *spec = &job->image.spec;
 	job_spec kept = {
@@ -323,6 +346,7 @@
 	job->image.occurrences.occurrences_len = 0;
 	job->image.occurrences.occurrences_val = NULL;
 	job->unfinished = 0;
+	set_bytes(j, job, ENDED_JOB_BYTES);
 	g_clear_pointer(&job->ratios, g_free);
 }
 
@@ -343,7 +367,7 @@
 	if (job->image.phase == JOB_FAILED && job->assigned)
 		job->image.phase = JOB_CANCELLED;
 	end_job(job, JOB_CANCELLED, c->at_wall_ms);
-	drop_ended_job_details(job);
+	drop_ended_job_details(j, job);
 }
 
 static void apply_incarnation(struct jobs *j, const job_incarnation *e)
@@ -486,13 +510,13 @@
 }
 
 /// Counts a loss that was confirmed after the attempt was released.
-static void confirm_loss(struct job *job, const job_attempt_end *e, job_task *task)
+static void confirm_loss(struct jobs *j, struct job *job, const job_attempt_end *e, job_task *task)
 {
 	if (task->phase >= JOB_TASK_DONE || job_has_ended(job) || e->attempt > task->attempt ||
 	    (e->attempt == task->attempt && task->phase == JOB_TASK_ASSIGNED))
 		return;
 	count_crash(job, e, task);
-	drop_ended_job_details(job);
+	drop_ended_job_details(j, job);
 }
 
 static void apply_attempt_end(struct jobs *j, const job_attempt_end *e)
@@ -501,7 +525,7 @@
 	job_task *task = jobs_task(j, &e->task);
 
 	if (task && e->cause == JOB_ATTEMPT_LOSS_CONFIRMED) {
-		confirm_loss(job, e, task);
+		confirm_loss(j, job, e, task);
 		return;
 	}
 	if (!task || task->attempt != e->attempt || task->phase >= JOB_TASK_DONE)
@@ -527,7 +551,7 @@
 	case JOB_ATTEMPT_LOSS_CONFIRMED:
 		break; /* handled above */
 	}
-	drop_ended_job_details(job);
+	drop_ended_job_details(j, job);
 }
 
 static void apply_wave(struct jobs *j, const job_wave *wave)
@@ -568,8 +592,10 @@
 	for (u_int i = 0; i < f->ids.ids_len; i++) {
 		struct job *job = jobs_find(j, f->ids.ids_val[i]);
 
-		if (job && job_has_ended(job) && !job->assigned)
-			g_hash_table_remove(j->by_id, f->ids.ids_val[i]);
+		if (!job || !job_has_ended(job) || job->assigned)
+			continue;
+		set_bytes(j, job, 0);
+		g_hash_table_remove(j->by_id, f->ids.ids_val[i]);
 	}
 	g_hash_table_foreach_remove(j->incarnations, is_unused, NULL);
 }
@@ -693,6 +719,7 @@
 		job->image = s->jobs.jobs_val[i];
 		memset(&s->jobs.jobs_val[i], 0, sizeof(job_image));
 		restore_counters(j, job);
+		set_bytes(j, job, job_estimate_bytes(&job->image.spec));
 		job->may_have_ready_tasks = true;
 		g_hash_table_insert(j->by_id, job->image.spec.id, job);
 	}
--- a/src/sesamewood/jobs/jobs.h
+++ b/src/sesamewood/jobs/jobs.h
@@ -27,6 +27,7 @@
 	/// Of its occurrences, those that are not due yet need not exist: none of their tasks has
 	/// been started. Those that are done have no steps.
 	job_image image;
+	size_t bytes;		   ///< estimate of the memory that it takes
 	uint32_t first_open;	   ///< all occurrences before this one are done
 	uint32_t unfinished;	   ///< tasks that are not done, of all occurrences
 	uint32_t assigned;	   ///< tasks with an attempt that may run
@@ -50,6 +51,7 @@
 	job_config config;
 	GHashTable *queues;	     ///< queue key to index into config.queues plus 1
 	GHashTable *by_id;	     ///< struct job by id
+	size_t bytes;		     ///< estimate of the memory that all jobs take
 	GHashTable *incarnations;    ///< struct job_incarnation_state by number
 	uint32_t next_endpoint;	     ///< number of the next endpoint incarnation
 	GPtrArray *waves;	     ///< of job_wave *, oldest first
@@ -84,6 +86,9 @@
 /// @return number of occurrences of a job; 1 for one without
 uint32_t job_occurrences(const struct job *job);
 
+/// @return estimate of the memory that a job takes once it is accepted, bytes
+size_t job_estimate_bytes(const job_spec *spec);
+
 /// Creates the occurrences that are due.
 void job_create_due(struct job *job, int64_t wall_ms);
 
--- a/src/sesamewood/manager/calls.c
+++ b/src/sesamewood/manager/calls.c
@@ -10,6 +10,10 @@
 #include <string.h>
 
 #define WAVES_MAX 256
+/// Memory that jobs may take, by estimate. A leader holds the state twice, and up to two encoded
+/// snapshots of it.
+#define JOBS_BYTES_MAX ((size_t)48 * 1024 * 1024)
+#define STATE_FULL_RETRY_S 5
 /// Limits of a schedule: JOB_TASKS_MAX intervals after the first time do not overflow.
 #define WALL_MS_MAX ((int64_t)1 << 53)
 #define INTERVAL_MS_MAX ((int64_t)1 << 40)
@@ -70,6 +74,11 @@
 		return reply_with_status(find_job(m, q, id) ? REPLY_OK : REPLY_INVALID);
 	if (!job_spec_is_valid(&call->spec))
 		return reply_with_status(REPLY_INVALID);
+	if (m->jobs->bytes + job_estimate_bytes(&call->spec) > JOBS_BYTES_MAX) {
+		log_info("job refused because the state is full", "JOB", id, "STATE_BYTES",
+			 log_number(m->jobs->bytes));
+		return (struct reply){.status = REPLY_BUSY, .retry_after_s = STATE_FULL_RETRY_S};
+	}
 	codec_set_string(&call->spec.id, id);
 	codec_set_string(&call->spec.queue, q->key);
 	codec_set_string(&call->spec.pool, q->pool);
--- a/src/sesamewood/manager/control_loop.c
+++ b/src/sesamewood/manager/control_loop.c
@@ -8,6 +8,8 @@
 #include <stdlib.h>
 
 #define SNAPSHOT_RECORDS 8000 /* about 2 MB of log */
+/// The same by size, since a record may be large: the disk also holds two snapshots.
+#define SNAPSHOT_LOG_BYTES ((gsize)16 * 1024 * 1024)
 /// For callers' requests per pass of the loop; replication must not wait longer.
 #define REQUEST_PASS_MS 25
 #define SLOW_COMMIT_MS 300 /* ten times the usual duration */
@@ -140,6 +142,7 @@
 	g_autoptr(GBytes) data = NULL;
 
 	sh->next_snapshot_index = sh->state_index + SNAPSHOT_RECORDS;
+	sh->log_bytes = 0;
 	if (!bytes) {
 		log_error("cannot encode the state; the log is not compacted", "INDEX",
 			  log_number(sh->state_index));
@@ -174,6 +177,7 @@
 		sw_command c;
 
 		sh->state_index = record->index;
+		sh->log_bytes += len;
 		if (!codec_decode(CODEC_PROC(sw_command), data, len, &c, sizeof(c))) {
 			log_error("cannot decode a log record; skipping it", "INDEX",
 				  log_number(record->index));
@@ -183,8 +187,9 @@
 			apply_job_command(sh, record->index, &c.sw_command_u.job);
 		codec_free(CODEC_PROC(sw_command), &c);
 	}
-	if (sh->state_index > raft_snapshot_index(sh->raft) + SNAPSHOT_RECORDS &&
-	    sh->state_index >= sh->next_snapshot_index)
+	if ((sh->state_index > raft_snapshot_index(sh->raft) + SNAPSHOT_RECORDS &&
+	     sh->state_index >= sh->next_snapshot_index) ||
+	    sh->log_bytes > SNAPSHOT_LOG_BYTES)
 		take_snapshot(sh);
 }
 
--- a/src/sesamewood/manager/control_shell_internal.h
+++ b/src/sesamewood/manager/control_shell_internal.h
@@ -46,6 +46,7 @@
 	GPtrArray *unsent;	      ///< raft effects that wait for the disk
 	struct jobs *state;	      ///< committed job state
 	uint64_t state_index;	      ///< last log record applied to state
+	gsize log_bytes;	      ///< of the records applied since the last snapshot
 	uint64_t next_snapshot_index; ///< earliest index of the next try to take a snapshot
 	bool is_cut_off;	  ///< no contact with a leader for longer than an election takes
 	uint64_t recovered_index; ///< last log record found on disk at the start
--- a/tests/unit/unit_jobs.c
+++ b/tests/unit/unit_jobs.c
@@ -195,6 +195,38 @@
 	return send_call(m, &c);
 }
 
+/// A state that would take more memory than the processes have is refused before the job is
+/// accepted, with a time to come back; once jobs have ended there is room again.
+static void test_full_state_refuses_jobs(void)
+{
+	struct manager *m = fixture_manager(FIXTURE_START_MS);
+	g_autofree char *payload = g_strnfill(4000, 'x');
+	unsigned int accepted = 0;
+
+	fixture_put_config(m, FIXTURE_START_MS);
+	for (;; accepted++) {
+		g_autofree char *id = g_strdup_printf("j%u", accepted);
+		enum reply_status status = submit(m, id, 0, payload);
+
+		if (status != REPLY_OK) {
+			g_assert_cmpint(status, ==, REPLY_BUSY);
+			g_assert_null(jobs_find(m->jobs, id));
+			break;
+		}
+	}
+	g_assert_cmpuint(accepted, >, 9000);
+	g_assert_cmpuint(accepted, <, 16000);
+	for (int i = 0; i < 10; i++) {
+		job_command c = {.type = JOB_COMMAND_CANCEL};
+		g_autofree char *id = g_strdup_printf("j%d", i);
+
+		c.job_command_u.cancel.id = id;
+		jobs_apply(m->jobs, &c);
+	}
+	g_assert_cmpint(submit(m, "k", 0, payload), ==, REPLY_OK);
+	manager_free(m);
+}
+
 /// A configuration with a name too long for the log was acknowledged and dropped.
 static void test_config_that_cannot_be_stored_is_refused(void)
 {
@@ -272,10 +304,12 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_log_set_always_fatal(G_LOG_FATAL_MASK); /* a dropped command is logged as an error */
 	g_test_add_func("/job_state/schedule_takes_no_room_before_it_is_due",
 			test_schedule_takes_no_room_before_it_is_due);
 	g_test_add_func("/job_state/schedule_completes", test_schedule_completes);
 	g_test_add_func("/job_state/occurrences_start_when_due", test_occurrences_start_when_due);
+	g_test_add_func("/job_state/full_state_refuses_jobs", test_full_state_refuses_jobs);
 	g_test_add_func("/job_state/config_that_cannot_be_stored_is_refused",
 			test_config_that_cannot_be_stored_is_refused);
 	g_test_add_func("/job_state/wave_that_cannot_be_stored_is_refused",
