--- a/tests/soak/soak_endpoint.c
+++ b/tests/soak/soak_endpoint.c
@@ -37,6 +37,9 @@
 };
 
 /// A request to answer later: a status query that waits for a completion, or a delayed order.
+#define ODD_NESTING_LEVELS 300000 /* overflow the stack of a parser without a limit */
+#define ODD_LATER_MS 1000000
+
 struct deferred_request {
 	struct http_request *req;
 	clock_ms_t due_at;
@@ -557,6 +560,31 @@
 		++e->sequence);
 }
 
+char *soak_endpoint_odd_message(const struct soak_endpoint *e, enum soak_odd_message kind,
+				char **path)
+{
+	g_autofree char *nested =
+		g_strnfill(kind == SOAK_ODD_NESTING ? ODD_NESTING_LEVELS : 0, '[');
+
+	*path = g_strdup_printf("/api/executors/%s/%s",
+				kind == SOAK_ODD_OTHER_ID ? "foreign" : e->id,
+				kind == SOAK_ODD_DEREGISTRATION ? "deregister" : "heartbeat");
+	if (kind == SOAK_ODD_DEREGISTRATION)
+		return g_strdup("");
+	return g_strdup_printf(
+		"{\"backend\":\"%s\",\"address\":\"%s\",\"zone\":\"zone-a\",\"version\":\"v1\","
+		"\"slots\":8,\"state\":\"ready\",\"coldLeftMs\":0,\"capacity\":{\"cpu\":%d,"
+		"\"memMb\":8000,\"gpu\":0},\"labels\":[\"a\",\"r1\"],\"clockMs\":%" G_GINT64_FORMAT
+		",\"born\":%" G_GINT64_FORMAT ",\"sequence\":%" G_GINT64_FORMAT "%s%s}",
+		kind == SOAK_ODD_UNKNOWN_POOL ? "elsewhere" : "pool", e->address, (int)e->cpu_milli,
+		endpoint_clock_ms(e),
+		kind == SOAK_ODD_SEQUENCE || kind == SOAK_ODD_NESTING
+			? e->incarnation_wall_ms
+			: e->incarnation_wall_ms + ODD_LATER_MS,
+		kind == SOAK_ODD_SEQUENCE ? (gint64)1 << 53 : e->sequence + 1,
+		*nested ? ",\"x\":" : "", nested);
+}
+
 struct soak_endpoint *soak_endpoint_new(struct soak_state *st, const char *id, const char *address)
 {
 	static const struct http_handlers handlers = {.on_request = on_request};
--- a/tests/soak/soak_endpoint.h
+++ b/tests/soak/soak_endpoint.h
@@ -85,4 +85,22 @@
 /// @return JSON body, owned by the caller, or NULL while the endpoint is unresponsive
 char *soak_endpoint_heartbeat(struct soak_endpoint *e, char **path);
 
+/// Messages of another writer about an endpoint.
+enum soak_odd_message {
+	SOAK_ODD_UNKNOWN_POOL,	 ///< a later incarnation, of a pool that is not configured
+	SOAK_ODD_OTHER_ID,	 ///< another endpoint at its address
+	SOAK_ODD_INCARNATION,	 ///< a later incarnation
+	SOAK_ODD_SEQUENCE,	 ///< the present one, with the highest sequence number
+	SOAK_ODD_NESTING,	 ///< a heartbeat that is very deeply nested
+	SOAK_ODD_DEREGISTRATION, ///< a deregistration
+	SOAK_ODD_MESSAGES
+};
+
+/// Formats a message of another writer.
+///
+/// @param[out] path  request path, owned by the caller
+/// @return body, owned by the caller
+char *soak_endpoint_odd_message(const struct soak_endpoint *e, enum soak_odd_message kind,
+				char **path);
+
 #endif
--- a/tests/soak/test_soak.c
+++ b/tests/soak/test_soak.c
@@ -3,8 +3,10 @@
 /// addresses; the endpoints, the callers and the operator are simulated in this process. Control
 /// replicas and entries are killed, suspended and terminated; control replicas also lose their
 /// data. Endpoints crash, some of them under a task that crashes each one that starts it, become
-/// unresponsive, change their capacity and execute orders late. Invariants are checked at each
-/// start of a task. After the faults all jobs must be accepted and end.
+/// unresponsive, change their capacity and execute orders late, and another writer sends odd
+/// messages about them. Invariants are checked at each start of a task; no process may crash. After
+/// the faults all jobs must be accepted and end. Beside them, jobs that cannot start make the state
+/// larger than a message may be; none of them may be lost.
 ///
 /// --seed determines the choice of faults, but not the timing of the processes.
 
@@ -51,6 +53,10 @@
 #define RECOVERY_TIMEOUT_MS 30000
 #define FAILED_LOSSES_MIN 2 /* crashes under a task after which its job may fail */
 #define DEFAULT_SECONDS 20
+#define DEFAULT_BALLAST 4500 /* jobs; with their payloads above 16 MiB */
+#define BALLAST_PAYLOAD_BYTES 4000
+#define BALLAST_IN_FLIGHT_MAX 40
+#define BALLAST_SAMPLES 50 /* that are read after the faults */
 #define DEFAULT_SEED 20261204
 
 struct process {
@@ -62,6 +68,7 @@
 	GSubprocess *process;
 	clock_ms_t recover_at; ///< time to restart or resume it; 0: it runs
 	bool suspended;	       ///< suspended by SIGSTOP
+	bool crash_recorded;
 };
 
 struct soak {
@@ -88,6 +95,12 @@
 	unsigned int failed_count; ///< failed jobs of which no task crashes endpoints
 	unsigned int fault_count;
 	unsigned int crashing_percent; ///< share of new jobs that crash endpoints
+	unsigned int ballast_count;    ///< jobs that cannot start
+	unsigned int ballast_sent;
+	unsigned int ballast_in_flight;
+	unsigned int ballast_accepted;
+	unsigned int ballast_samples_read; ///< after the faults
+	GQueue ballast_retries;		   ///< numbers, as pointers
 	bool kill_at_ack; ///< kill all control replicas at the next acknowledged job or
 			  ///< configuration
 	gint64 sent_version;
@@ -159,6 +172,25 @@
 	return true;
 }
 
+/// Records processes that have crashed.
+static void check_processes(struct soak *s)
+{
+	for (unsigned int i = 0; i < s->process_count; i++) {
+		struct process *p = &s->processes[i];
+		int signal_number;
+
+		if (!p->process || p->crash_recorded || g_subprocess_get_identifier(p->process) ||
+		    !g_subprocess_get_if_signaled(p->process))
+			continue;
+		signal_number = g_subprocess_get_term_sig(p->process);
+		if (signal_number != SIGSEGV && signal_number != SIGABRT && signal_number != SIGBUS)
+			continue;
+		p->crash_recorded = true;
+		g_ptr_array_add(s->state.violations, g_strdup_printf("%s crashed with signal %d",
+								     p->name, signal_number));
+	}
+}
+
 /// Restarts or resumes the processes whose downtime has passed.
 static void recover_processes(struct soak *s, clock_ms_t now)
 {
@@ -234,6 +266,8 @@
 			g_subprocess_send_signal(s->processes[i].process, SIGHUP);
 }
 
+static void send_odd_message(struct soak *s, const struct soak_endpoint *e);
+
 /// Crashes several endpoints, as when a rack loses power.
 static void crash_endpoints(struct soak *s)
 {
@@ -262,7 +296,7 @@
 static void inject_fault(struct soak *s, clock_ms_t now)
 {
 	GRand *r = s->state.random;
-	int kind = g_rand_int_range(r, 0, 100);
+	int kind = g_rand_int_range(r, 0, 115);
 	struct soak_endpoint *e = s->endpoints[g_rand_int_range(r, 0, (gint32)s->endpoint_count)];
 
 	s->fault_count++;
@@ -288,8 +322,10 @@
 		s->crashing_percent = (unsigned int)g_rand_int_range(r, 0, 10);
 	else if (kind < 95)
 		s->state.fail_percent = (unsigned int)g_rand_int_range(r, 0, 10);
-	else
+	else if (kind < 100)
 		reload_settings(s);
+	else
+		send_odd_message(s, e);
 	s->fault_at = now + g_rand_int_range(r, FAULT_INTERVAL_MIN_MS, FAULT_INTERVAL_MAX_MS);
 }
 
@@ -549,6 +585,93 @@
 		send_request(s, address, path, body, on_heartbeat_sent, NULL, 0);
 }
 
+static void send_odd_message(struct soak *s, const struct soak_endpoint *e)
+{
+	enum soak_odd_message kind = g_rand_int_range(s->state.random, 0, SOAK_ODD_MESSAGES);
+	g_autofree char *path = NULL;
+	g_autofree char *body = soak_endpoint_odd_message(e, kind, &path);
+	g_autofree char *address = random_address(s, 0, s->control_count, CONTROL_PORT);
+
+	g_print("# odd message %d about an endpoint\n", (int)kind);
+	send_request(s, address, path, body, on_heartbeat_sent, NULL, 0);
+}
+
+/* Jobs that cannot start. */
+
+static char *ballast_path(unsigned int number)
+{
+	return g_strdup_printf("/queue/ba%014x", number);
+}
+
+static void on_ballast_submitted(void *ctx, const struct http_async_result *r)
+{
+	g_autofree struct pending_request *c = ctx;
+	struct soak *s = c->soak;
+
+	s->ballast_in_flight--;
+	if (r->status == 200)
+		s->ballast_accepted++;
+	else
+		g_queue_push_tail(&s->ballast_retries, GINT_TO_POINTER((int)c->version));
+}
+
+static void on_ballast_read(void *ctx, const struct http_async_result *r)
+{
+	g_autofree struct pending_request *c = ctx;
+	struct soak *s = c->soak;
+
+	if (r->status == 410)
+		g_ptr_array_add(s->state.violations,
+				g_strdup_printf("an accepted job that cannot start is unknown: %d",
+						(int)c->version));
+	s->ballast_samples_read += r->status == 200;
+}
+
+static char *caller_address(struct soak *s)
+{
+	return random_address(s, s->control_count, s->process_count - s->control_count,
+			      CALLER_PORT);
+}
+
+static void submit_ballast(struct soak *s)
+{
+	g_autofree char *payload = g_strnfill(BALLAST_PAYLOAD_BYTES, 'b');
+	g_autofree char *body =
+		g_strdup_printf("{\"spec\":\"%s\",\"phases\":[{\"count\":2,\"cpu\":%d,\"memMb\":%d,"
+				"\"estimateMs\":400,\"requiredLabel\":\"nowhere\"}]}",
+				payload, SOAK_TASK_CPU, SOAK_TASK_MEM_MB);
+
+	while (s->ballast_in_flight < BALLAST_IN_FLIGHT_MAX &&
+	       (s->ballast_sent < s->ballast_count || s->ballast_retries.length)) {
+		unsigned int number =
+			s->ballast_retries.length
+				? GPOINTER_TO_UINT(g_queue_pop_head(&s->ballast_retries))
+				: s->ballast_sent++;
+		g_autofree char *path = ballast_path(number);
+		g_autofree char *address = caller_address(s);
+
+		s->ballast_in_flight++;
+		send_request(s, address, path, body, on_ballast_submitted, NULL, number);
+	}
+}
+
+/// Reads samples of the jobs that cannot start.
+static void read_ballast(struct soak *s)
+{
+	unsigned int number =
+		(unsigned int)g_rand_int_range(s->state.random, 0, (gint32)s->ballast_count);
+	g_autofree char *path = ballast_path(number);
+	g_autofree char *address = caller_address(s);
+
+	send_request(s, address, path, NULL, on_ballast_read, NULL, number);
+}
+
+static bool ballast_is_known(const struct soak *s)
+{
+	return s->ballast_accepted == s->ballast_count &&
+	       (!s->ballast_count || s->ballast_samples_read >= BALLAST_SAMPLES);
+}
+
 static void on_machines(void *ctx, struct http_request *req)
 {
 	(void)ctx;
@@ -565,7 +688,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		if (!((struct soak_job *)value)->ended)
 			return false;
-	return s->acked_config_read;
+	return s->acked_config_read && ballast_is_known(s);
 }
 
 /// Stops injecting faults, recovers all processes and starts the wait for recovery.
@@ -594,7 +717,12 @@
 	clock_ms_t now = clock_monotonic();
 
 	(void)revents;
+	check_processes(s);
 	recover_processes(s, now);
+	if (s->acked_version)
+		submit_ballast(s);
+	if (s->recovery_ends_at && s->ballast_count && s->ballast_samples_read < BALLAST_SAMPLES)
+		read_ballast(s);
 	for (unsigned int i = 0; i < s->endpoint_count; i++) {
 		soak_endpoint_tick(s->endpoints[i], now);
 		if (now >= s->heartbeat_at[i])
@@ -701,6 +829,9 @@
 			g_print("# job has not ended: %s%s\n", job->id,
 				job->accepted ? "" : ", never accepted");
 	}
+	if (!passed && s->ballast_count)
+		g_print("# jobs that cannot start: %u of %u accepted, %u samples read\n",
+			s->ballast_accepted, s->ballast_count, s->ballast_samples_read);
 	if (!passed)
 		g_print("# logs: %s\n", s->work_dir);
 	return passed;
@@ -714,6 +845,7 @@
 	gint control = DEFAULT_CONTROL;
 	gint n_entries = DEFAULT_ENTRIES;
 	gint endpoints = DEFAULT_ENDPOINTS;
+	gint ballast = DEFAULT_BALLAST;
 	g_autofree char *programs = NULL;
 	const GOptionEntry entries[] = {
 		{"programs", 0, 0, G_OPTION_ARG_FILENAME, &programs, "Directory of the programs",
@@ -724,6 +856,7 @@
 		{"control", 0, 0, G_OPTION_ARG_INT, &control, "Control replicas, 3 to 9", "N"},
 		{"entries", 0, 0, G_OPTION_ARG_INT, &n_entries, "Entries, 1 to 80", "N"},
 		{"endpoints", 0, 0, G_OPTION_ARG_INT, &endpoints, "Endpoints, 1 to 100", "N"},
+		{"ballast", 0, 0, G_OPTION_ARG_INT, &ballast, "Jobs that cannot start", "N"},
 		{0},
 	};
 	g_autoptr(GOptionContext) options = g_option_context_new(NULL);
@@ -739,6 +872,7 @@
 	s.control_count = (unsigned int)control;
 	s.process_count = (unsigned int)(control + n_entries);
 	s.endpoint_count = (unsigned int)endpoints;
+	s.ballast_count = (unsigned int)MAX(ballast, 0);
 	s.submit_interval_ms = MAX(SUBMIT_INTERVAL_MS * DEFAULT_ENDPOINTS / endpoints, 1);
 	if (programs)
 		s.programs = programs;
