--- a/src/sesamewood/control/main.c
+++ b/src/sesamewood/control/main.c
@@ -214,7 +214,11 @@
 	g_autoptr(GError) error = NULL;
 	clock_ms_t from = clock_monotonic();
 
-	if (!storage_write(sh->storage, effects, &error)) {
+	bool ok = storage_write(sh->storage, effects, &error);
+
+	while (ok && storage_has_work(sh->storage))
+		ok = storage_work(sh->storage, &error);
+	if (!ok) {
 		log_error("cannot write to the data directory; exiting", "ERROR", error->message);
 		exit(EXIT_STORAGE);
 	}
