fix(platform): texts that no record can hold are refused when they are decoded

Each refused request of that kind leaked its texts. Class: clean-up that fails like the operation before it.

Test: /codec/long_texts_are_rejected. unit_jobs shortens its own long texts before it frees them.

--- a/src/sesamewood/rpc/sesamewood.x
+++ b/src/sesamewood/rpc/sesamewood.x
@@ -171,6 +171,7 @@
 /* Longest name of a pool or machine, and longest checkpoint, bytes. */
 const JOB_NAME_MAX = 256;
 const JOB_CHECKPOINT_MAX = 65536;
+const JOB_KEY_MAX = 1024;              /* of a queue */
 typedef string job_name<JOB_NAME_MAX>;
 
 const JOB_TASKS_MAX = 65536;
@@ -188,18 +189,18 @@
 	bool speculative;
 	bool long_running;                 /* runs until the job is cancelled */
 	bool best_effort;                  /* uses processor time that others leave */
-	string label<256>;                 /* label that an endpoint must have, or "" */
-	string data_rack<256>;             /* rack that holds the data, or "" */
+	job_name label;                    /* label that an endpoint must have, or "" */
+	job_name data_rack;                /* rack that holds the data, or "" */
 	unsigned int max_per_endpoint;     /* 0: no limit */
 	unsigned int max_unavailable;      /* tasks that may be unavailable at once, 0: no limit */
-	string image<256>;
+	job_name image;
 	unsigned int target_ms;            /* target of the tail latency, 0: none */
 };
 
 /* A job as it was submitted, with the settings of its queue at that time. */
 struct job_spec {
 	sw_name id;
-	string queue<1024>;                /* key of the queue */
+	string queue<JOB_KEY_MAX>;         /* key of the queue */
 	job_name pool;
 	string payload<JOB_TEXT_MAX>;
 	job_step steps<256>;
@@ -254,7 +255,7 @@
 };
 
 struct job_queue {
-	string key<1024>;                  /* host, a space and path prefix */
+	string key<JOB_KEY_MAX>;           /* host, a space and path prefix */
 	job_name pool;
 	unsigned int timeout_ms;
 	unsigned int objective_ms;
--- a/tests/unit/unit_codec.c
+++ b/tests/unit/unit_codec.c
@@ -165,6 +165,26 @@
 			CALL_DEREGISTER);
 }
 
+/// Texts that no log record can hold are refused here: XDR could not free them.
+static void test_long_texts_are_rejected(void)
+{
+	g_autofree char *name = g_strnfill(JOB_NAME_MAX + 1, 'n');
+	g_autofree char *payload = g_strnfill(JOB_TEXT_MAX + 1, 'p');
+	g_autofree char *job =
+		g_strdup_printf("{\"spec\":\"%s\",\"phases\":[{\"count\":1}]}", payload);
+	g_autofree char *label = g_strdup_printf(
+		"{\"phases\":[{\"count\":1,\"requiredLabel\":\"%s\",\"image\":\"i\"}]}", name);
+	g_autofree char *config = g_strdup_printf(
+		"{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"%s\"}]}", name);
+	g_autofree char *wave = g_strdup_printf(
+		"{\"wave\":1,\"machines\":[\"%s\",\"m\"],\"cap\":1,\"completeByS\":1}", name);
+
+	g_assert_cmpint(type_of(true, "POST", "/q/a", job), ==, CALL_INVALID);
+	g_assert_cmpint(type_of(true, "POST", "/q/a", label), ==, CALL_INVALID);
+	g_assert_cmpint(type_of(false, "POST", "/api/config/replace", config), ==, CALL_INVALID);
+	g_assert_cmpint(type_of(false, "POST", "/api/wave-start", wave), ==, CALL_INVALID);
+}
+
 /// Numbers of the operator that were cut to 32 bits, or undefined as such.
 static void test_odd_numbers_of_operator_are_rejected(void)
 {
@@ -289,6 +309,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/codec/deep_nesting_is_refused", test_deep_nesting_is_refused);
 	g_test_add_func("/codec/odd_heartbeats_are_rejected", test_odd_heartbeats_are_rejected);
+	g_test_add_func("/codec/long_texts_are_rejected", test_long_texts_are_rejected);
 	g_test_add_func("/codec/odd_numbers_of_operator_are_rejected",
 			test_odd_numbers_of_operator_are_rejected);
 	g_test_add_func("/codec/decode_job", test_decode_job);
--- a/tests/unit/unit_jobs.c
+++ b/tests/unit/unit_jobs.c
@@ -117,6 +117,13 @@
 	jobs_free(j);
 }
 
+/// XDR cannot free a text above the limit of its type.
+static void shorten(char **text)
+{
+	if (strlen(*text) > JOB_NAME_MAX)
+		codec_set_string(text, "");
+}
+
 /// Returns the status of the reply to a call, which is cleared.
 static enum reply_status send_call(struct manager *m, struct call *c)
 {
@@ -124,6 +131,12 @@
 	g_autoptr(GPtrArray) effects = NULL;
 
 	manager_handle_call(m, FIXTURE_START_MS, FIXTURE_START_MS, 9, c);
+	for (u_int i = 0; i < c->config.pools.pools_len; i++)
+		shorten(&c->config.pools.pools_val[i].name);
+	for (u_int i = 0; i < c->config.queues.queues_len; i++)
+		shorten(&c->config.queues.queues_val[i].pool);
+	for (u_int i = 0; i < c->wave.machines.machines_len; i++)
+		shorten(&c->wave.machines.machines_val[i].machine);
 	call_clear(c);
 	effects = manager_take_effects(m);
 	for (guint i = 0; i < effects->len; i++) {
