test(runs): odd_heartbeat_moves_no_endpoint looks at once, and fails on the code before

It looked only after true heartbeats had put address and pool right, and so passed on, the code before the fix. It now checks after each odd heartbeat and fails there ("10.1.0.99:80" == "10.1.0.2:80").

--- a/tests/unit/unit_runs.c
+++ b/tests/unit/unit_runs.c
@@ -642,6 +642,7 @@
 /// nothing, and its calls go where they went.
 static void test_odd_heartbeat_moves_no_endpoint(void)
 {
+	const struct endpoint *e;
 	struct world w;
 
 	world_init(&w);
@@ -649,16 +650,18 @@
 	w.listed = true;
 	start_task(&w);
 	run_for(&w, 1000);
+	e = incarnations_find_endpoint(w.m, w.start->instance);
 	send_heartbeat_from(&w, w.start->instance, incarnation_of(&w), w.now, "10.1.0.99:80", "p");
+	g_assert_cmpstr(e->address, ==, w.start->address);
 	send_heartbeat_from(&w, w.start->instance, incarnation_of(&w), w.now, w.start->address,
 			    "off");
+	g_assert_cmpstr(e->pool, ==, "p");
 	w.queries_sent = 0;
 	run_with_heartbeats(&w, 2);
 	g_assert_cmpuint(w.queries_sent, >, 0);
 	g_assert_cmpuint(w.starts, ==, 1);
-	g_assert_cmpstr(incarnations_find_endpoint(w.m, w.start->instance)->address, ==,
-			w.start->address);
-	g_assert_cmpstr(incarnations_find_endpoint(w.m, w.start->instance)->pool, ==, "p");
+	g_assert_cmpstr(e->address, ==, w.start->address);
+	g_assert_cmpstr(e->pool, ==, "p");
 	world_clear(&w);
 }
 
