feat(manager): the load line tells messages by kind, backlog and unread callers

Hypotheses of the incident could not be told apart: "io" held the reading and writing of messages, the HTTP server and curl, and nothing said who sends. The line now has the messages handled, starts ordered, steps that wait and that are late, the lag, and for how long callers' connections have not been read.

--- a/src/sesamewood/base/curl_loop.c
+++ b/src/sesamewood/base/curl_loop.c
@@ -1,5 +1,7 @@
 #include "base/curl_loop.h"
 
+#include "base/work.h"
+
 #define MS_PER_S 1000.0
 #define IDLE_HANDLES_MAX 256
 
@@ -32,22 +34,26 @@
 	struct curl_loop *l = ((struct socket_watcher *)w->data)->owner;
 	int flags = (revents & EV_READ ? CURL_CSELECT_IN : 0) |
 		    (revents & EV_WRITE ? CURL_CSELECT_OUT : 0);
+	enum work_kind before = work_enter(WORK_CURL);
 	int running;
 
 	(void)loop;
 	curl_multi_socket_action(l->multi, w->fd, flags, &running);
 	report_completed(l);
+	work_leave(before);
 }
 
 static void on_timer(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	struct curl_loop *l = w->data;
+	enum work_kind before = work_enter(WORK_CURL);
 	int running;
 
 	(void)loop;
 	(void)revents;
 	curl_multi_socket_action(l->multi, CURL_SOCKET_TIMEOUT, 0, &running);
 	report_completed(l);
+	work_leave(before);
 }
 
 /// Called by curl to set the time of its next timeout; a negative time stops the timer.
--- a/src/sesamewood/base/http_server.c
+++ b/src/sesamewood/base/http_server.c
@@ -2,6 +2,7 @@
 #include "base/http_status.h"
 
 #include "base/listener.h"
+#include "base/work.h"
 
 #include <errno.h>
 #include <json-glib/json-glib.h>
@@ -162,10 +163,13 @@
 
 static void run_daemon(struct http_server *s)
 {
+	enum work_kind before = work_enter(WORK_HTTP);
+
 	do {
 		s->resumed = false;
 		MHD_run(s->daemon);
 	} while (s->resumed);
+	work_leave(before);
 }
 
 static void on_readable(struct ev_loop *loop, ev_io *w, int revents)
--- a/src/sesamewood/base/work.c
+++ b/src/sesamewood/base/work.c
@@ -12,14 +12,13 @@
 static _Thread_local uint64_t since_ns; ///< start of the current work, 0: none yet
 
 static const char *const names[WORK_KINDS] = {
-	[WORK_IDLE] = "idle",	       [WORK_IO] = "io",
-	[WORK_DECODE] = "decode",      [WORK_REQUESTS] = "calls",
-	[WORK_HEARTBEATS] = "reports", [WORK_RESULTS] = "results",
-	[WORK_ATTEMPTS] = "runs",      [WORK_PLACEMENT] = "rounds",
-	[WORK_POOLS] = "pools",	       [WORK_WAVES] = "waves",
-	[WORK_PROPOSE] = "propose",    [WORK_REPLICATE] = "replicate",
-	[WORK_APPLY] = "apply",	       [WORK_RELEASE] = "release",
-	[WORK_AGENTS] = "agents",      [WORK_LOGS] = "logs",
+	[WORK_IDLE] = "idle",		[WORK_IO] = "io",	   [WORK_RECEIVE] = "receive",
+	[WORK_SEND] = "send",		[WORK_HTTP] = "http",	   [WORK_CURL] = "curl",
+	[WORK_DECODE] = "decode",	[WORK_REQUESTS] = "calls", [WORK_HEARTBEATS] = "reports",
+	[WORK_RESULTS] = "results",	[WORK_ATTEMPTS] = "runs",  [WORK_PLACEMENT] = "rounds",
+	[WORK_POOLS] = "pools",		[WORK_WAVES] = "waves",	   [WORK_PROPOSE] = "propose",
+	[WORK_REPLICATE] = "replicate", [WORK_APPLY] = "apply",	   [WORK_RELEASE] = "release",
+	[WORK_AGENTS] = "agents",	[WORK_LOGS] = "logs",
 };
 
 static uint64_t monotonic_ns(void)
--- a/src/sesamewood/base/work.h
+++ b/src/sesamewood/base/work.h
@@ -9,8 +9,12 @@
 #include <inttypes.h>
 
 enum work_kind {
-	WORK_IDLE, ///< waiting for events
-	WORK_IO,   ///< event loop, sockets and all work of no other kind
+	WORK_IDLE,    ///< waiting for events
+	WORK_IO,      ///< event loop and all work of no other kind
+	WORK_RECEIVE, ///< messages of other processes read from their connections
+	WORK_SEND,    ///< messages written to their connections
+	WORK_HTTP,    ///< HTTP requests of endpoints and operators
+	WORK_CURL,    ///< orders that this process sends itself
 	WORK_DECODE,
 	WORK_REQUESTS,	 ///< requests of callers and operators
 	WORK_HEARTBEATS, ///< heartbeats of endpoints
--- a/src/sesamewood/manager/control_calls.c
+++ b/src/sesamewood/manager/control_calls.c
@@ -23,6 +23,24 @@
 	rpc_request_reply(rpc, &r);
 }
 
+static void count_call(struct load_counts *counts, enum call_type type)
+{
+	switch (type) {
+	case CALL_SUBMIT:
+		counts->submits++;
+		break;
+	case CALL_JOB_READ:
+		counts->reads++;
+		break;
+	case CALL_HEARTBEAT:
+		counts->heartbeats++;
+		break;
+	default:
+		counts->other_calls++;
+		break;
+	}
+}
+
 static void handle_here(struct shell *sh, const struct wire_call *from, struct rpc_request *rpc,
 			struct http_request *http)
 {
@@ -30,6 +48,7 @@
 	enum work_kind before = work_enter(WORK_DECODE);
 
 	sh->wire->decode_call(sh->wire->ctx, from, &call);
+	count_call(&sh->counts, call.type);
 	work_enter(call.type == CALL_HEARTBEAT ? WORK_HEARTBEATS : WORK_REQUESTS);
 	manager_handle_call(sh->manager, clock_monotonic(), clock_wall(),
 			    callers_add(sh->callers, rpc, http), &call);
@@ -121,6 +140,7 @@
 			 "RETRY_AFTER_S", log_number(after_s));
 	}
 	metrics_add(sh->refusals, 1);
+	sh->counts.refused++;
 	caller_answer(&c, HTTP_UNAVAILABLE, after_s, NULL, 0);
 	return true;
 }
@@ -171,6 +191,7 @@
 	if (!*args->target) { /* an entry's probe for the leader */
 		struct caller c = {.rpc = req};
 
+		sh->counts.probes++;
 		caller_answer(&c, HTTP_OK, 0, NULL, 0);
 		return;
 	}
--- a/src/sesamewood/manager/control_load.c
+++ b/src/sesamewood/manager/control_load.c
@@ -1,6 +1,7 @@
 #include "manager/control_shell_internal.h"
 
 #include "base/log.h"
+#include "rpc/rpc_stream.h"
 
 /// Above this share of the loop's time, the gap between placement rounds is doubled.
 #define ROUNDS_SHARE_MAX_PERCENT 20
@@ -56,9 +57,34 @@
 		manager_set_round_gap(sh->manager, sh->round_gap_ms);
 }
 
+void shell_record_unread(struct shell *sh, clock_ms_t now)
+{
+	if (!rpc_stream_skipped_low_priority())
+		sh->unread_since = 0;
+	else if (!sh->unread_since)
+		sh->unread_since = now;
+}
+
+static char *messages_text(const struct load_counts *c)
+{
+	return g_strdup_printf(
+		"submits=%u reads=%u other=%u heartbeats=%u probes=%u refused=%u results=%u",
+		c->submits, c->reads, c->other_calls, c->heartbeats, c->probes, c->refused,
+		c->order_results);
+}
+
+static char *backlog_text(const struct manager_backlog *b)
+{
+	return g_strdup_printf("starts=%u steps=%u late=%u", b->starts, b->waiting_steps,
+			       b->late_steps);
+}
+
 void shell_log_load(struct shell *sh, clock_ms_t now)
 {
 	g_autoptr(GString) text = NULL;
+	g_autofree char *messages = NULL;
+	g_autofree char *backlog_log = NULL;
+	struct manager_backlog backlog;
 
 	if (!sh->manager || now < sh->next_load_log_at)
 		return;
@@ -72,8 +98,14 @@
 					       work_name(kind), total_us - sh->logged_us[kind]);
 		sh->logged_us[kind] = total_us;
 	}
+	backlog = manager_take_backlog(sh->manager);
+	messages = messages_text(&sh->counts);
+	backlog_log = backlog_text(&backlog);
+	sh->counts = (struct load_counts){0};
 	log_info("load", "WORK_US", text->str, "HELD", log_number(sh->held.length), "ENDPOINTS",
 		 log_number(manager_count_endpoints(sh->manager)), "ORDERS",
 		 log_number(manager_count_orders(sh->manager)), "INDEX",
-		 log_number(sh->state_index));
+		 log_number(sh->state_index), "MESSAGES", messages, "BACKLOG", backlog_log,
+		 "LAG_MS", log_number((guint64)shell_lag_ms(sh, now)), "UNREAD_MS",
+		 log_number(sh->unread_since ? (guint64)(now - sh->unread_since) : 0));
 }
--- a/src/sesamewood/manager/control_loop.c
+++ b/src/sesamewood/manager/control_loop.c
@@ -326,6 +326,7 @@
 {
 	(void)loop;
 	(void)revents;
+	shell_record_unread(w->data, clock_monotonic());
 	shell_flush(w->data);
 	log_flush();
 	work_enter(WORK_IDLE);
--- a/src/sesamewood/manager/control_orders.c
+++ b/src/sesamewood/manager/control_orders.c
@@ -9,6 +9,7 @@
 {
 	enum work_kind before = work_enter(WORK_RESULTS);
 
+	sh->counts.order_results++;
 	if (sh->manager && sh->manager_term == term)
 		manager_handle_result(sh->manager, clock_monotonic(), clock_wall(), result);
 	order_result_free(result);
--- a/src/sesamewood/manager/control_shell_internal.h
+++ b/src/sesamewood/manager/control_shell_internal.h
@@ -33,6 +33,17 @@
 	clock_ms_t emitted_at;
 };
 
+/// Messages that the leader has handled since the last load log.
+struct load_counts {
+	unsigned int submits;
+	unsigned int reads; ///< of job states, by callers
+	unsigned int other_calls;
+	unsigned int heartbeats;    ///< whole ones
+	unsigned int probes;	    ///< of entries
+	unsigned int refused;	    ///< requests of callers
+	unsigned int order_results; ///< results of orders, also of those that agents sent
+};
+
 struct shell {
 	struct control_shell_settings settings;
 	const struct wire *wire;
@@ -83,6 +94,9 @@
 	clock_ms_t slow_loop_logged_at;
 	clock_ms_t next_load_log_at;
 	uint64_t logged_us[WORK_KINDS]; ///< work_total_us() at the last load log
+	struct load_counts counts;
+	clock_ms_t unread_since; ///< since when some callers' connections have not been read; 0:
+				 ///< all were read in the last pass
 };
 
 /* control_loop.c */
@@ -150,7 +164,11 @@
 /// @param what      message
 void shell_log_if_slow(clock_ms_t *logged_at, const char *what, clock_ms_t since, clock_ms_t bound);
 
-/// Logs once a second, on the leader, the processor time by kind of work and the queue lengths.
+/// Records whether callers' connections wait to be read. Call at the end of each pass of the loop.
+void shell_record_unread(struct shell *sh, clock_ms_t now);
+
+/// Logs once a second, on the leader, the processor time by kind of work, the messages handled, and
+/// the queue lengths.
 void shell_log_load(struct shell *sh, clock_ms_t now);
 
 #endif
--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -238,6 +238,14 @@
 	return g_hash_table_size(m->endpoints);
 }
 
+struct manager_backlog manager_take_backlog(struct manager *m)
+{
+	struct manager_backlog backlog = m->backlog;
+
+	m->backlog.starts = 0;
+	return backlog;
+}
+
 unsigned int manager_count_orders(const struct manager *m)
 {
 	return g_hash_table_size(m->orders);
--- a/src/sesamewood/manager/manager.h
+++ b/src/sesamewood/manager/manager.h
@@ -82,6 +82,15 @@
 /// Returns the number of known endpoints that are not terminated.
 unsigned int manager_count_endpoints(const struct manager *m);
 
+/// What waits at the leader.
+struct manager_backlog {
+	unsigned int starts;	    ///< starts ordered since the last call
+	unsigned int waiting_steps; ///< steps with ready tasks that the last round tried to place
+	unsigned int late_steps;    ///< of these, steps whose job can no longer meet its objective
+};
+
+struct manager_backlog manager_take_backlog(struct manager *m);
+
 /// Returns the number of orders in flight.
 unsigned int manager_count_orders(const struct manager *m);
 
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -59,6 +59,7 @@
 	GHashTable *endpoint_by_machine;    ///< struct endpoint by machine, rebuilt before each use
 	GHashTable *maintenance_by_machine; ///< struct maintenance by machine; owned
 	GHashTable *ready_counts;	    ///< count of ready long-running tasks by job_step_state
+	struct manager_backlog backlog;
 	bool ready_counts_valid; ///< ready_counts is current for this evaluation of the waves
 };
 
--- a/src/sesamewood/rpc/rpc_stream.c
+++ b/src/sesamewood/rpc/rpc_stream.c
@@ -1,6 +1,7 @@
 #include "rpc/rpc_stream.h"
 
 #include "base/options.h"
+#include "base/work.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -44,10 +45,17 @@
 } send_queue;
 
 static clock_ms_t low_priority_deadline = CLOCK_NEVER; ///< of this iteration of the loop
+static bool low_priority_skipped; ///< a readable stream was not read in this iteration
 
 void rpc_stream_set_low_priority_deadline(clock_ms_t deadline)
 {
 	low_priority_deadline = deadline;
+	low_priority_skipped = false;
+}
+
+bool rpc_stream_skipped_low_priority(void)
+{
+	return low_priority_skipped;
 }
 
 void rpc_stream_lower_priority(struct rpc_stream *s)
@@ -147,12 +155,16 @@
 {
 	struct rpc_stream *s = w->data;
 	guint old = s->in->len;
+	enum work_kind before;
 	ssize_t n;
 
 	(void)loop;
 	(void)revents;
-	if (s->low_priority && clock_monotonic() > low_priority_deadline)
+	if (s->low_priority && clock_monotonic() > low_priority_deadline) {
+		low_priority_skipped = true;
 		return; /* the next iteration reports it readable again */
+	}
+	before = work_enter(WORK_RECEIVE);
 	s->depth++;
 	g_byte_array_set_size(s->in, old + READ_CHUNK_BYTES);
 	n = recv(s->fd, s->in->data + old, READ_CHUNK_BYTES, 0);
@@ -164,10 +176,13 @@
 	s->depth--;
 	if (s->closed && !s->depth)
 		destroy(s);
+	work_leave(before);
 }
 
 static void flush(struct rpc_stream *s)
 {
+	enum work_kind before = work_enter(WORK_SEND);
+
 	while (s->out_sent < s->out->len) {
 		ssize_t n = send(s->fd, s->out->data + s->out_sent, s->out->len - s->out_sent,
 				 MSG_NOSIGNAL);
@@ -186,6 +201,7 @@
 	} else {
 		ev_io_start(s->loop, &s->writer);
 	}
+	work_leave(before);
 }
 
 /// Sends the records queued in this iteration of the loop. Errors are handled when the socket is
--- a/src/sesamewood/rpc/rpc_stream.h
+++ b/src/sesamewood/rpc/rpc_stream.h
@@ -39,6 +39,10 @@
 /// event loop. Without a call they are always read.
 void rpc_stream_set_low_priority_deadline(clock_ms_t deadline);
 
+/// Returns whether a stream of low priority was readable, and was not read for lack of time, since
+/// the deadline was last set.
+bool rpc_stream_skipped_low_priority(void);
+
 /// @return bytes of all records queued so far
 guint64 rpc_stream_queued(const struct rpc_stream *s);
 
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -112,6 +112,7 @@
 						    .at_wall_ms = now + m->wall_offset_ms,
 						    .task = r->ref};
 	effects_propose(m, &c);
+	m->backlog.starts++;
 	log_debug("attempt ordered", "TASK", r->name, "ATTEMPT", log_number(attempt), "ENDPOINT",
 		  e->id, "MACHINE", e->machine, "POOL", e->pool);
 	effects_send_order(m, now, o, e, NULL, 0);
--- a/src/sesamewood/sched/schedule.c
+++ b/src/sesamewood/sched/schedule.c
@@ -392,6 +392,14 @@
 	return true;
 }
 
+static void record_backlog(struct manager *m, const GArray *waiting)
+{
+	m->backlog.waiting_steps = waiting->len;
+	m->backlog.late_steps = 0;
+	for (guint i = 0; i < waiting->len; i++)
+		m->backlog.late_steps += g_array_index(waiting, struct waiting_step, i).key.late;
+}
+
 unsigned int schedule_round(struct manager *m, clock_ms_t now, clock_ms_t wall_ms)
 {
 	g_autoptr(GArray) waiting = NULL;
@@ -399,6 +407,7 @@
 
 	capacity_update(m, now);
 	waiting = collect_waiting(m, wall_ms);
+	record_backlog(m, waiting);
 	for (guint i = 0; i < waiting->len; i++)
 		tried += place_step(m, now, wall_ms,
 				    &g_array_index(waiting, struct waiting_step, i), false);
