--- a/src/sesamewood/manager/control_load.c
+++ b/src/sesamewood/manager/control_load.c
@@ -59,10 +59,13 @@
 
 void shell_record_unread(struct shell *sh, clock_ms_t now)
 {
-	if (!rpc_stream_skipped_low_priority())
+	if (!rpc_stream_skipped_low_priority()) {
 		sh->unread_since = 0;
-	else if (!sh->unread_since)
+		return;
+	}
+	if (!sh->unread_since)
 		sh->unread_since = now;
+	sh->counts.unread_max_ms = MAX(sh->counts.unread_max_ms, now - sh->unread_since);
 }
 
 static char *messages_text(const struct load_counts *c)
@@ -79,17 +82,11 @@
 			       b->late_steps);
 }
 
-void shell_log_load(struct shell *sh, clock_ms_t now)
+/// Formats the loop's time by kind of work since the last call.
+static char *take_work_text(struct shell *sh)
 {
-	g_autoptr(GString) text = NULL;
-	g_autofree char *messages = NULL;
-	g_autofree char *backlog_log = NULL;
-	struct manager_backlog backlog;
+	GString *text = g_string_new(NULL);
 
-	if (!sh->manager || now < sh->next_load_log_at)
-		return;
-	sh->next_load_log_at = now + LOG_PERIOD_MS;
-	text = g_string_new(NULL);
 	for (enum work_kind kind = 0; kind < WORK_KINDS; kind++) {
 		uint64_t total_us = work_total_us(kind);
 
@@ -98,14 +95,30 @@
 					       work_name(kind), total_us - sh->logged_us[kind]);
 		sh->logged_us[kind] = total_us;
 	}
+	return g_string_free(text, FALSE);
+}
+
+void shell_log_load(struct shell *sh, clock_ms_t now)
+{
+	g_autofree char *work = NULL;
+	g_autofree char *messages = NULL;
+	g_autofree char *backlog_log = NULL;
+	struct manager_backlog backlog;
+
+	if (now < sh->next_load_log_at)
+		return;
+	sh->next_load_log_at = now + LOG_PERIOD_MS;
+	work = take_work_text(sh);
+	if (!sh->manager)
+		return;
 	backlog = manager_take_backlog(sh->manager);
 	messages = messages_text(&sh->counts);
 	backlog_log = backlog_text(&backlog);
-	sh->counts = (struct load_counts){0};
-	log_info("load", "WORK_US", text->str, "HELD", log_number(sh->held.length), "ENDPOINTS",
+	log_info("load", "WORK_US", work, "HELD", log_number(sh->held.length), "ENDPOINTS",
 		 log_number(manager_count_endpoints(sh->manager)), "ORDERS",
 		 log_number(manager_count_orders(sh->manager)), "INDEX",
 		 log_number(sh->state_index), "MESSAGES", messages, "BACKLOG", backlog_log,
 		 "LAG_MS", log_number((guint64)shell_lag_ms(sh, now)), "UNREAD_MS",
-		 log_number(sh->unread_since ? (guint64)(now - sh->unread_since) : 0));
+		 log_number((guint64)sh->counts.unread_max_ms));
+	sh->counts = (struct load_counts){0};
 }
--- a/src/sesamewood/manager/control_loop.c
+++ b/src/sesamewood/manager/control_loop.c
@@ -84,6 +84,11 @@
 			effect_free(e);
 			continue;
 		}
+		if (e->type == EFFECT_REPLY && e->u.reply.at_once && shell_leads(sh)) {
+			callers_reply(sh->callers, e->u.reply.token, &e->u.reply.reply);
+			effect_free(e);
+			continue;
+		}
 		h = g_new0(struct held_effect, 1);
 		*h = (struct held_effect){.index = raft_last_index(sh->raft),
 					  .effect = e,
--- a/src/sesamewood/manager/control_shell_internal.h
+++ b/src/sesamewood/manager/control_shell_internal.h
@@ -42,6 +42,7 @@
 	unsigned int probes;	    ///< of entries
 	unsigned int refused;	    ///< requests of callers
 	unsigned int order_results; ///< results of orders, also of those that agents sent
+	clock_ms_t unread_max_ms;   ///< longest time for which some callers were not read
 };
 
 struct shell {
--- a/src/sesamewood/manager/effects.c
+++ b/src/sesamewood/manager/effects.c
@@ -42,6 +42,15 @@
 	e->u.reply.reply = reply;
 }
 
+void effects_reply_at_once(struct manager *m, uint64_t token, struct reply reply)
+{
+	struct effect *e = add_effect(m, EFFECT_REPLY);
+
+	e->u.reply.token = token;
+	e->u.reply.at_once = true;
+	e->u.reply.reply = reply;
+}
+
 void manager_mark_capacity_changed(struct manager *m, struct endpoint *e)
 {
 	m->round_wanted = true;
--- a/src/sesamewood/manager/manager_defs.h
+++ b/src/sesamewood/manager/manager_defs.h
@@ -220,7 +220,8 @@
 
 enum effect_type {
 	EFFECT_PROPOSE, ///< append the command to the replicated log
-	EFFECT_REPLY,	///< reply to a call once all commands proposed before it are committed
+	EFFECT_REPLY,	///< reply to a call, by default once all commands proposed before it are
+			///< committed
 	EFFECT_ORDER,	///< send an order once all commands proposed before it are committed
 };
 
@@ -230,6 +231,7 @@
 		GBytes *command; ///< encoded sw_command
 		struct {
 			uint64_t token;
+			bool at_once; ///< acknowledges nothing that is replicated
 			struct reply reply;
 		} reply;
 		struct order *order;
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -90,6 +90,9 @@
 /// Emits the reply to the call of a token. Takes ownership of what @p reply holds.
 void effects_reply(struct manager *m, uint64_t token, struct reply reply);
 
+/// The same for a reply that acknowledges nothing that is replicated, and waits for no commit.
+void effects_reply_at_once(struct manager *m, uint64_t token, struct reply reply);
+
 /// Assigns id and fencing token to an order, records it as in flight and emits it. Takes
 /// ownership of @p order.
 ///
