fix(manager): a draining endpoint is acknowledged after the starts ordered before

Found on reading again: with answers to heartbeats due at once, a start that waited for its commit could leave up to 1.5 s after the acknowledgement that its endpoint drains, and be sent up to 0.9 s later. A heartbeat that reports draining waits for the commits before it again; ready ones, which are nearly all, do not.

--- a/src/sesamewood/manager/calls.c
+++ b/src/sesamewood/manager/calls.c
@@ -221,9 +221,13 @@
 			break;
 		}
 		incarnations_handle_heartbeat(m, now, &call->heartbeat);
+		reply = (struct reply){.content = REPLY_CONTROL_ADDRESS};
+		/* Starts ordered so far leave before a draining endpoint is acknowledged. */
+		if (call->heartbeat.draining)
+			break;
 		/* What a heartbeat tells is not replicated. If its answer waited for commits, an
 		 * endpoint would send it again to a leader that lags. */
-		effects_reply_at_once(m, token, (struct reply){.content = REPLY_CONTROL_ADDRESS});
+		effects_reply_at_once(m, token, reply);
 		return;
 	case CALL_DEREGISTER:
 		incarnations_handle_deregistration(m, now, &call->heartbeat);
--- a/tests/unit/unit_scale.c
+++ b/tests/unit/unit_scale.c
@@ -321,6 +321,34 @@
 	g_ptr_array_unref(hb.labels);
 }
 
+/// Returns whether the reply to the last call is due at once.
+static bool reply_is_due_at_once(struct manager *m)
+{
+	g_autoptr(GPtrArray) effects = manager_take_effects(m);
+	const struct effect *last = effects->len ? effects->pdata[effects->len - 1] : NULL;
+
+	g_assert_nonnull(last);
+	g_assert_cmpint(last->type, ==, EFFECT_REPLY);
+	return last->u.reply.at_once;
+}
+
+/// The answer to a heartbeat must not wait for the commits of other commands, or endpoints repeat
+/// it to a leader that lags. That of a draining endpoint must, since a start ordered before it
+/// would otherwise leave after the acknowledgement.
+static void test_heartbeat_is_answered_at_once_unless_draining(void)
+{
+	clock_ms_t now = FIXTURE_START_MS;
+	struct manager *m = fixture_manager(now);
+
+	fixture_put_config(m, now);
+	g_assert_false(reply_is_due_at_once(m));
+	fixture_heartbeat(m, now, "i-1", "m-1", 1);
+	g_assert_true(reply_is_due_at_once(m));
+	fixture_drain(m, now, "i-1", "m-1", 1);
+	g_assert_false(reply_is_due_at_once(m));
+	manager_free(m);
+}
+
 /// Reports the present content of an endpoint through a replica that does not lead.
 static void report_through(struct heartbeat_cache *cache, struct manager *m, clock_ms_t now,
 			   const struct endpoint_heartbeat *hb)
@@ -539,6 +567,8 @@
 	g_test_add_func("/scale/capacity_is_reserved_for_a_long_running_task",
 			test_capacity_is_reserved_for_a_long_running_task);
 	g_test_add_func("/scale/cost_of_moves_is_linear", test_cost_of_moves_is_linear);
+	g_test_add_func("/scale/heartbeat_is_answered_at_once_unless_draining",
+			test_heartbeat_is_answered_at_once_unless_draining);
 	g_test_add_func("/scale/changed_heartbeat_is_forwarded",
 			test_changed_heartbeat_is_forwarded);
 	g_test_add_func("/scale/capacity_reported_through_two_replicas",
