--- a/src/sesamewood/manager/control_load.c
+++ b/src/sesamewood/manager/control_load.c
@@ -109,8 +109,10 @@
 		return;
 	sh->next_load_log_at = now + LOG_PERIOD_MS;
 	work = take_work_text(sh);
-	if (!sh->manager)
+	if (!sh->manager) {
+		log_info("load", "WORK_US", work, "INDEX", log_number(sh->state_index));
 		return;
+	}
 	backlog = manager_take_backlog(sh->manager);
 	messages = messages_text(&sh->counts);
 	backlog_log = backlog_text(&backlog);
--- a/src/sesamewood/manager/control_shell_internal.h
+++ b/src/sesamewood/manager/control_shell_internal.h
@@ -168,8 +168,8 @@
 /// Records whether callers' connections wait to be read. Call at the end of each pass of the loop.
 void shell_record_unread(struct shell *sh, clock_ms_t now);
 
-/// Logs once a second, on the leader, the processor time by kind of work, the messages handled, and
-/// the queue lengths.
+/// Logs once a second the processor time by kind of work and, on the leader, the messages handled
+/// and the queue lengths.
 void shell_log_load(struct shell *sh, clock_ms_t now);
 
 #endif
