fix(relay): a leader that is slow is not sent the same request twice

Same class as the heartbeats that were repeated: after 700 ms without a reply a request was given up and sent again to the same leader, which had the first copy in its queue. Now the call waits for its caller's deadline while the connection keeps bringing records; after 500 ms of silence it is tried elsewhere, as before.

The unit test shows that a reply after the timeout is taken.

--- a/src/sesamewood/manager/relay.c
+++ b/src/sesamewood/manager/relay.c
@@ -138,8 +138,8 @@
 		ev_timer_again(r->loop, &c->retry);
 		return;
 	}
-	rpc_client_call(relay_client(r, c->node), SW_PROC_RELAY, &c->args,
-			MIN(left, TRY_TIMEOUT_MS), on_reply, c);
+	rpc_client_call_patiently(relay_client(r, c->node), SW_PROC_RELAY, &c->args,
+				  MIN(left, TRY_TIMEOUT_MS), left, on_reply, c);
 }
 
 static void on_retry(struct ev_loop *loop, ev_timer *w, int revents)
--- a/src/sesamewood/rpc/rpc_client.c
+++ b/src/sesamewood/rpc/rpc_client.c
@@ -9,6 +9,10 @@
 
 /// Delay between the end of a connection and the next attempt to connect.
 #define RECONNECT_DELAY_S 0.05
+/// After its timeout, a patient call goes on while its connection is never silent for this time,
+/// which is longer than the period of an entry's probes.
+#define SILENCE_MAX_MS 500
+#define PATIENCE_STEP_MS 100
 #define CALL_HEADER_BYTES 256
 #define MS_PER_S 1000.0
 /// Records kept until a connection exists; further calls time out as not sent.
@@ -33,6 +37,7 @@
 	rpc_reply_fn fn;
 	void *ctx;
 	clock_ms_t started_at;
+	clock_ms_t give_up_at; ///< end of the wait on a connection that stays alive
 	bool is_sent;	       ///< its record was passed to the stream
 	guint64 stream_offset; ///< offset of its record in the bytes sent on the connection
 	ev_timer timer;
@@ -215,13 +220,17 @@
 static void on_call_timeout(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	struct call *call = w->data;
+	clock_ms_t now = clock_monotonic();
 
-	(void)loop;
 	(void)revents;
-	if (connection_is_alive(call->client, call))
-		complete_call(call, RPC_NO_REPLY, NULL);
-	else
+	if (!connection_is_alive(call->client, call)) {
 		disconnect(call->client);
+	} else if (now < call->give_up_at && now - call->client->received_at < SILENCE_MAX_MS) {
+		ev_timer_set(w, MIN(call->give_up_at - now, PATIENCE_STEP_MS) / MS_PER_S, 0.);
+		ev_timer_start(loop, w);
+	} else {
+		complete_call(call, RPC_NO_REPLY, NULL);
+	}
 }
 
 struct rpc_client *rpc_client_new(struct ev_loop *loop, const char *address)
@@ -288,6 +297,13 @@
 
 void rpc_client_call(struct rpc_client *c, uint32_t proc, const void *args, clock_ms_t timeout_ms,
 		     rpc_reply_fn fn, void *ctx)
+{
+	rpc_client_call_patiently(c, proc, args, timeout_ms, timeout_ms, fn, ctx);
+}
+
+void rpc_client_call_patiently(struct rpc_client *c, uint32_t proc, const void *args,
+			       clock_ms_t timeout_ms, clock_ms_t alive_timeout_ms, rpc_reply_fn fn,
+			       void *ctx)
 {
 	struct call *call = g_new0(struct call, 1);
 	GByteArray *record;
@@ -296,6 +312,7 @@
 		.client = c,
 		.xid = ++c->next_xid,
 		.started_at = clock_monotonic(),
+		.give_up_at = clock_monotonic() + alive_timeout_ms,
 		.proc = rpc_proc_find(proc),
 		.fn = fn,
 		.ctx = ctx,
--- a/src/sesamewood/rpc/rpc_client.h
+++ b/src/sesamewood/rpc/rpc_client.h
@@ -40,4 +40,12 @@
 void rpc_client_call(struct rpc_client *c, uint32_t proc, const void *args, clock_ms_t timeout_ms,
 		     rpc_reply_fn fn, void *ctx);
 
+/// The same, but while the connection keeps bringing records, the call fails only after
+/// @p alive_timeout_ms: a server that is slow would have to handle a second call beside the first.
+///
+/// @param alive_timeout_ms  at least @p timeout_ms
+void rpc_client_call_patiently(struct rpc_client *c, uint32_t proc, const void *args,
+			       clock_ms_t timeout_ms, clock_ms_t alive_timeout_ms, rpc_reply_fn fn,
+			       void *ctx);
+
 #endif
--- a/tests/unit/unit_rpc.c
+++ b/tests/unit/unit_rpc.c
@@ -165,6 +165,7 @@
 	struct rpc_client *client;
 	ev_timer next_call;
 	struct rpc_request *held;
+	struct rpc_request *held_relay;
 	enum rpc_result slow_result;
 	unsigned int sent;
 	unsigned int replied;
@@ -236,6 +237,57 @@
 	rpc_client_free(s.client);
 }
 
+#define LATE_REPLY_S 0.2 /* after CALL_TIMEOUT_MS, while quick calls go on */
+
+static void on_call_to_hold(void *ctx, struct rpc_request *req, uint32_t proc, const void *args)
+{
+	struct shared_connection *s = ctx;
+
+	if (proc == SW_PROC_RELAY)
+		s->held_relay = req;
+	else
+		on_shared_call(ctx, req, proc, args);
+}
+
+static void on_late_reply_due(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	struct shared_connection *s = w->data;
+	sw_relay_reply reply = {.status = SW_OK};
+
+	(void)loop;
+	(void)revents;
+	rpc_request_reply(s->held_relay, &reply);
+}
+
+/// A reply that comes after the timeout of a call, on a connection that is alive, must be taken:
+/// the caller would otherwise repeat the call to a server that is slow already.
+static void test_slow_server_is_not_called_again(void)
+{
+	struct shared_connection s = {.loop = ev_loop_new(EVFLAG_AUTO)};
+	sw_relay_args slow = {
+		.method = (char *)"POST", .host = (char *)"h", .target = (char *)"/q/j"};
+	struct sockaddr_in address;
+	int fd = bind_loopback(-1, &address);
+	g_autofree char *text = g_strdup_printf("127.0.0.1:%u", ntohs(address.sin_port));
+	ev_timer late_reply;
+
+	close(fd);
+	s.client = rpc_client_new(s.loop, text);
+	g_assert_nonnull(rpc_server_new(s.loop, text, on_call_to_hold, &s));
+	rpc_client_call_patiently(s.client, SW_PROC_RELAY, &slow, CALL_TIMEOUT_MS,
+				  10 * CALL_TIMEOUT_MS, on_slow_call_done, &s);
+	ev_timer_init(&s.next_call, send_quick_call, 0., QUICK_CALL_PERIOD_S);
+	ev_timer_init(&late_reply, on_late_reply_due, LATE_REPLY_S, 0.);
+	s.next_call.data = &s;
+	late_reply.data = &s;
+	ev_timer_start(s.loop, &s.next_call);
+	ev_timer_start(s.loop, &late_reply);
+	s.slow_result = RPC_NOT_SENT;
+	ev_run(s.loop, 0);
+	g_assert_cmpint(s.slow_result, ==, RPC_REPLIED);
+	rpc_client_free(s.client);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -245,6 +297,8 @@
 			test_unresponsive_peer_may_have_run_it);
 	g_test_add_func("/rpc/timed_out_call_keeps_the_connection",
 			test_timed_out_call_keeps_the_connection);
+	g_test_add_func("/rpc/slow_server_is_not_called_again",
+			test_slow_server_is_not_called_again);
 	g_test_add_func("/rpc/calls_without_results_are_acknowledged_together",
 			test_calls_without_results_are_acknowledged_together);
 	return g_test_run();
