fix(rpc): connections that wait are accepted together

What callers saw: after a change of leader, and after resets of connections, requests failed with 504 for five to seven seconds while the leader lagged by no more than 100 ms.

Cause: the server accepted one connection in each iteration of the loop. At a busy leader an iteration takes 30 to 100 ms, and 145 entries connect to the new leader at once. A connection that is not accepted in 700 ms is closed by its entry and opened again at the end of the queue, behind the closed ones, whose requests the leader reads all the same.

The unit test accepted 1 of 100 connections in an iteration before.

The load line tells the connections accepted.

--- a/src/sesamewood/manager/control_load.c
+++ b/src/sesamewood/manager/control_load.c
@@ -68,12 +68,12 @@
 	sh->counts.unread_max_ms = MAX(sh->counts.unread_max_ms, now - sh->unread_since);
 }
 
-static char *messages_text(const struct load_counts *c)
+static char *messages_text(const struct load_counts *c, uint64_t connections)
 {
-	return g_strdup_printf(
-		"submits=%u reads=%u other=%u heartbeats=%u probes=%u refused=%u results=%u",
-		c->submits, c->reads, c->other_calls, c->heartbeats, c->probes, c->refused,
-		c->order_results);
+	return g_strdup_printf("submits=%u reads=%u other=%u heartbeats=%u probes=%u refused=%u "
+			       "results=%u connections=%" PRIu64,
+			       c->submits, c->reads, c->other_calls, c->heartbeats, c->probes,
+			       c->refused, c->order_results, connections);
 }
 
 static char *backlog_text(const struct manager_backlog *b)
@@ -104,6 +104,7 @@
 	g_autofree char *messages = NULL;
 	g_autofree char *backlog_log = NULL;
 	struct manager_backlog backlog;
+	uint64_t connections = rpc_connections_accepted();
 
 	if (now < sh->next_load_log_at)
 		return;
@@ -114,7 +115,8 @@
 		return;
 	}
 	backlog = manager_take_backlog(sh->manager);
-	messages = messages_text(&sh->counts);
+	messages = messages_text(&sh->counts, connections - sh->logged_connections);
+	sh->logged_connections = connections;
 	backlog_log = backlog_text(&backlog);
 	log_info("load", "WORK_US", work, "HELD", log_number(sh->held.length), "ENDPOINTS",
 		 log_number(manager_count_endpoints(sh->manager)), "ORDERS",
--- a/src/sesamewood/manager/control_shell_internal.h
+++ b/src/sesamewood/manager/control_shell_internal.h
@@ -96,6 +96,7 @@
 	clock_ms_t next_load_log_at;
 	uint64_t logged_us[WORK_KINDS]; ///< work_total_us() at the last load log
 	struct load_counts counts;
+	uint64_t logged_connections; ///< rpc_connections_accepted() at the last load log
 	clock_ms_t unread_since; ///< since when some callers' connections have not been read; 0:
 				 ///< all were read in the last pass
 };
--- a/src/sesamewood/rpc/rpc_server.c
+++ b/src/sesamewood/rpc/rpc_server.c
@@ -16,6 +16,9 @@
 /// connection in the meantime. A tenth of the timeout of such calls.
 #define ACK_DELAY_S 0.05
 #define ACCEPT_RETRY_S 0.1 /* after accept() has failed for want of resources */
+/// Connections accepted in one iteration of the loop. After a change of leader, all entries connect
+/// at once, and an iteration of a busy leader takes long.
+#define ACCEPTS_MAX 256
 
 struct rpc_server {
 	struct ev_loop *loop;
@@ -48,6 +51,12 @@
 }
 
 static uint64_t replies_sent;
+static uint64_t connections_accepted;
+
+uint64_t rpc_connections_accepted(void)
+{
+	return connections_accepted;
+}
 
 uint64_t rpc_replies_sent(void)
 {
@@ -210,25 +219,36 @@
 	ev_timer_start(server->loop, &server->resume);
 }
 
-static void on_connection_pending(struct ev_loop *loop, ev_io *w, int revents)
+static void add_connection(struct rpc_server *server, int fd)
 {
-	struct rpc_server *server = w->data;
-	int fd = accept4(w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-	struct connection *c;
+	struct connection *c = g_new0(struct connection, 1);
 
-	(void)revents;
-	if (fd < 0) {
-		if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)
-			pause_accepting(server, errno);
-		return;
-	}
-	server->refused = false;
-	c = g_new0(struct connection, 1);
+	connections_accepted++;
 	c->server = server;
 	c->refs = 1;
 	ev_timer_init(&c->ack_timer, on_ack_timer, ACK_DELAY_S, 0.);
 	c->ack_timer.data = c;
-	c->stream = rpc_stream_new(loop, fd, &stream_ops, c);
+	c->stream = rpc_stream_new(server->loop, fd, &stream_ops, c);
+}
+
+static void on_connection_pending(struct ev_loop *loop, ev_io *w, int revents)
+{
+	struct rpc_server *server = w->data;
+
+	(void)loop;
+	(void)revents;
+	for (unsigned int i = 0; i < ACCEPTS_MAX; i++) {
+		int fd = accept4(w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (fd < 0) {
+			if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
+			    errno == ENOMEM)
+				pause_accepting(server, errno);
+			return;
+		}
+		server->refused = false;
+		add_connection(server, fd);
+	}
 }
 
 struct rpc_server *rpc_server_new(struct ev_loop *loop, const char *address, rpc_handler_fn fn,
--- a/src/sesamewood/rpc/rpc_server.h
+++ b/src/sesamewood/rpc/rpc_server.h
@@ -46,6 +46,9 @@
 /// @return number of replies sent by this process
 uint64_t rpc_replies_sent(void);
 
+/// @return number of connections accepted by this process
+uint64_t rpc_connections_accepted(void);
+
 /// Replies PROC_UNAVAIL, as this process does not serve the procedure, and frees the request.
 void rpc_request_reply_unavailable(struct rpc_request *req);
 
--- a/tests/unit/unit_rpc.c
+++ b/tests/unit/unit_rpc.c
@@ -288,6 +288,35 @@
 	rpc_client_free(s.client);
 }
 
+/* Connections. */
+
+#define WAITING_CONNECTIONS 100
+
+/// After a change of leader all entries connect to a leader whose iterations of the loop are long.
+/// Accepting one connection in each would make callers wait for many of them.
+static void test_waiting_connections_are_accepted_together(void)
+{
+	struct batch b = {.loop = ev_loop_new(EVFLAG_AUTO)};
+	struct sockaddr_in address;
+	int fd = bind_loopback(-1, &address);
+	g_autofree char *text = g_strdup_printf("127.0.0.1:%u", ntohs(address.sin_port));
+	uint64_t before = rpc_connections_accepted();
+	int connections[WAITING_CONNECTIONS];
+
+	close(fd);
+	g_assert_nonnull(rpc_server_new(b.loop, text, on_call, &b));
+	for (int i = 0; i < WAITING_CONNECTIONS; i++) {
+		connections[i] = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		g_assert_cmpint(
+			connect(connections[i], (struct sockaddr *)&address, sizeof(address)), ==,
+			0);
+	}
+	ev_run(b.loop, EVRUN_ONCE);
+	g_assert_cmpuint(rpc_connections_accepted() - before, ==, WAITING_CONNECTIONS);
+	for (int i = 0; i < WAITING_CONNECTIONS; i++)
+		close(connections[i]);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -299,6 +328,8 @@
 			test_timed_out_call_keeps_the_connection);
 	g_test_add_func("/rpc/slow_server_is_not_called_again",
 			test_slow_server_is_not_called_again);
+	g_test_add_func("/rpc/waiting_connections_are_accepted_together",
+			test_waiting_connections_are_accepted_together);
 	g_test_add_func("/rpc/calls_without_results_are_acknowledged_together",
 			test_calls_without_results_are_acknowledged_together);
 	return g_test_run();
