fix(rpc): a late process or a slow server is no dead connection

Cause: a call that timed out closed its connection unless that had brought a record since, and all calls on it failed. The judgement was made by timers that run before what has arrived is read, and that count from the start of a loop iteration. A leader with iterations over 500 ms closed its connections to followers whose replies it had not read yet, and committed nothing for ten seconds; entries closed theirs to the leader and queued up again, 400 to 750 connections a second.

Change: a timer is checked against the call's own start; input that waits is read first; and a call whose bytes the server's host has acknowledged fails alone, since a new connection would wait behind the old one. Closing a connection is logged.

Both unit tests fail before.

--- a/src/sesamewood/rpc/rpc_client.c
+++ b/src/sesamewood/rpc/rpc_client.c
@@ -3,6 +3,8 @@
 #include "rpc/rpc_procs.h"
 #include "rpc/rpc_stream.h"
 
+#include "base/log.h"
+
 #include <errno.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -13,6 +15,7 @@
 /// which is longer than the period of an entry's probes.
 #define SILENCE_MAX_MS 500
 #define PATIENCE_STEP_MS 100
+#define UNREAD_DELAY_S 0.01 /* until the loop has read what has arrived */
 #define CALL_HEADER_BYTES 256
 #define MS_PER_S 1000.0
 /// Records kept until a connection exists; further calls time out as not sent.
@@ -37,6 +40,7 @@
 	rpc_reply_fn fn;
 	void *ctx;
 	clock_ms_t started_at;
+	clock_ms_t due_at;     ///< timeout
 	clock_ms_t give_up_at; ///< end of the wait on a connection that stays alive
 	bool is_sent;	       ///< its record was passed to the stream
 	guint64 stream_offset; ///< offset of its record in the bytes sent on the connection
@@ -215,21 +219,45 @@
 	return c->stream && call->is_sent && c->received_at > call->started_at;
 }
 
-/// Fails a call without a reply. All other calls fail with it unless the connection is alive: then
-/// only this call is slow.
+/// Tells whether a reply is missing only because the server is slow: its host has acknowledged the
+/// call. A new connection would wait behind this one.
+static bool server_is_slow(const struct rpc_client *c, const struct call *call)
+{
+	return c->stream && call->is_sent && rpc_stream_flushed(c->stream) > call->stream_offset &&
+	       rpc_stream_is_acknowledged(c->stream);
+}
+
+static bool has_patience(const struct call *call, clock_ms_t now)
+{
+	return now < call->give_up_at && now - call->client->received_at < SILENCE_MAX_MS;
+}
+
+/// Fails a call without a reply. All other calls fail with it unless only this call or the whole
+/// server is slow.
 static void on_call_timeout(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	struct call *call = w->data;
+	struct rpc_client *c = call->client;
 	clock_ms_t now = clock_monotonic();
 
 	(void)revents;
-	if (!connection_is_alive(call->client, call)) {
-		disconnect(call->client);
-	} else if (now < call->give_up_at && now - call->client->received_at < SILENCE_MAX_MS) {
+	if (now < call->due_at) {
+		/* The timer counts from the start of the iteration in which the call was made. */
+		ev_timer_set(w, (call->due_at - now) / MS_PER_S, 0.);
+		ev_timer_start(loop, w);
+	} else if (c->stream && rpc_stream_has_input(c->stream)) {
+		/* This process is late, not the server: the reply may have arrived. */
+		ev_timer_set(w, UNREAD_DELAY_S, 0.);
+		ev_timer_start(loop, w);
+	} else if (connection_is_alive(c, call) && has_patience(call, now)) {
 		ev_timer_set(w, MIN(call->give_up_at - now, PATIENCE_STEP_MS) / MS_PER_S, 0.);
 		ev_timer_start(loop, w);
-	} else {
+	} else if (connection_is_alive(c, call) || server_is_slow(c, call)) {
 		complete_call(call, RPC_NO_REPLY, NULL);
+	} else {
+		log_info("closing a connection without replies", "ADDRESS", c->address, "CALLS",
+			 log_number(g_hash_table_size(c->calls)));
+		disconnect(c);
 	}
 }
 
@@ -312,6 +340,7 @@
 		.client = c,
 		.xid = ++c->next_xid,
 		.started_at = clock_monotonic(),
+		.due_at = clock_monotonic() + timeout_ms,
 		.give_up_at = clock_monotonic() + alive_timeout_ms,
 		.proc = rpc_proc_find(proc),
 		.fn = fn,
--- a/src/sesamewood/rpc/rpc_stream.c
+++ b/src/sesamewood/rpc/rpc_stream.c
@@ -5,8 +5,10 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -79,6 +81,20 @@
 	g_free(s);
 }
 
+bool rpc_stream_has_input(const struct rpc_stream *s)
+{
+	char byte;
+
+	return recv(s->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+bool rpc_stream_is_acknowledged(const struct rpc_stream *s)
+{
+	int unacknowledged = 0;
+
+	return ioctl(s->fd, SIOCOUTQ, &unacknowledged) == 0 && !unacknowledged;
+}
+
 void rpc_stream_close(struct rpc_stream *s)
 {
 	if (!s->closed) {
--- a/src/sesamewood/rpc/rpc_stream.h
+++ b/src/sesamewood/rpc/rpc_stream.h
@@ -49,6 +49,12 @@
 /// @return bytes that the socket has accepted, out of those queued; the peer may have received them
 guint64 rpc_stream_flushed(const struct rpc_stream *s);
 
+/// Returns whether the socket holds input that has not been read.
+bool rpc_stream_has_input(const struct rpc_stream *s);
+
+/// Returns whether the peer's host has acknowledged all bytes that the socket has accepted.
+bool rpc_stream_is_acknowledged(const struct rpc_stream *s);
+
 /// Closes the socket and frees the stream, if need be after its handlers have returned. Does not
 /// call on_closed.
 void rpc_stream_close(struct rpc_stream *s);
--- a/tests/unit/unit_rpc.c
+++ b/tests/unit/unit_rpc.c
@@ -8,8 +8,12 @@
 #include "rpc/generated/sesamewood.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <glib.h>
+#include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #define CALL_TIMEOUT_MS 150
@@ -57,7 +61,7 @@
 	rpc_client_call(c, SW_PROC_RELAY, &args, CALL_TIMEOUT_MS, on_reply, &outcome);
 	ev_run(outcome.loop, 0);
 	rpc_client_free(c);
-	ev_loop_destroy(outcome.loop);
+	/* Not destroyed: streams of a later loop at the same address would join its send queue. */
 	return outcome.result;
 }
 
@@ -288,6 +292,98 @@
 	rpc_client_free(s.client);
 }
 
+/* A process or a server that is late. */
+
+static void on_prompt_call(void *ctx, struct rpc_request *req, uint32_t proc, const void *args)
+{
+	sw_relay_reply reply = {.status = SW_OK};
+
+	(void)ctx;
+	(void)proc;
+	(void)args;
+	rpc_request_reply(req, &reply);
+}
+
+/// Runs a server in a child process, which answers calls at once.
+static pid_t start_prompt_server(const char *address)
+{
+	pid_t pid = fork();
+	struct ev_loop *loop;
+
+	if (pid)
+		return pid;
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	loop = ev_loop_new(EVFLAG_AUTO);
+	if (!rpc_server_new(loop, address, on_prompt_call, NULL))
+		_exit(1);
+	ev_run(loop, 0);
+	_exit(0);
+}
+
+/// Resumes the server, which then answers while this process is blocked.
+static void resume_and_block(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	(void)loop;
+	(void)revents;
+	kill(*(const pid_t *)w->data, SIGCONT);
+	g_usleep(2 * CALL_TIMEOUT_MS * 1000);
+}
+
+/// A process whose loop is late must read what has arrived before it takes the server for dead: an
+/// overloaded leader closed its connections to followers whose replies it had not read.
+static void test_late_client_takes_the_reply_that_has_arrived(void)
+{
+	struct outcome outcome = {.loop = ev_loop_new(EVFLAG_AUTO), .result = RPC_NOT_SENT};
+	struct sockaddr_in address;
+	int fd = bind_loopback(-1, &address);
+	g_autofree char *text = g_strdup_printf("127.0.0.1:%u", ntohs(address.sin_port));
+	sw_relay_args args = {
+		.method = (char *)"POST", .host = (char *)"h", .target = (char *)"/q/j"};
+	struct rpc_client *c;
+	ev_timer blocker;
+	pid_t server;
+
+	close(fd);
+	server = start_prompt_server(text);
+	g_usleep(200000);
+	c = rpc_client_new(outcome.loop, text);
+	ev_now_update(outcome.loop);
+	ev_timer_init(&blocker, resume_and_block, 0.02, 0.);
+	blocker.data = &server;
+	ev_timer_start(outcome.loop, &blocker);
+	kill(server, SIGSTOP);
+	rpc_client_call(c, SW_PROC_RELAY, &args, CALL_TIMEOUT_MS, on_reply, &outcome);
+	ev_run(outcome.loop, 0);
+	g_assert_cmpint(outcome.result, ==, RPC_REPLIED);
+	rpc_client_free(c);
+	kill(server, SIGKILL);
+	waitpid(server, NULL, 0);
+}
+
+/// Calls that time out at a server that is slow must not make the client connect again: the leader
+/// would read the closed connections first.
+static void test_slow_server_keeps_its_connection(void)
+{
+	struct outcome outcome = {.loop = ev_loop_new(EVFLAG_AUTO)};
+	struct sockaddr_in address;
+	int fd = bind_loopback(16, &address);
+	g_autofree char *text = g_strdup_printf("127.0.0.1:%u", ntohs(address.sin_port));
+	sw_relay_args args = {
+		.method = (char *)"POST", .host = (char *)"h", .target = (char *)"/q/j"};
+	struct rpc_client *c = rpc_client_new(outcome.loop, text);
+
+	for (int i = 0; i < 2; i++) {
+		rpc_client_call(c, SW_PROC_RELAY, &args, CALL_TIMEOUT_MS, on_reply, &outcome);
+		ev_run(outcome.loop, 0);
+		g_assert_cmpint(outcome.result, ==, RPC_NO_REPLY);
+	}
+	fcntl(fd, F_SETFL, O_NONBLOCK);
+	g_assert_cmpint(accept4(fd, NULL, NULL, SOCK_CLOEXEC), >=, 0);
+	g_assert_cmpint(accept4(fd, NULL, NULL, SOCK_CLOEXEC), <, 0);
+	rpc_client_free(c);
+	close(fd);
+}
+
 /* Connections. */
 
 #define WAITING_CONNECTIONS 100
@@ -328,6 +424,10 @@
 			test_timed_out_call_keeps_the_connection);
 	g_test_add_func("/rpc/slow_server_is_not_called_again",
 			test_slow_server_is_not_called_again);
+	g_test_add_func("/rpc/late_client_takes_the_reply_that_has_arrived",
+			test_late_client_takes_the_reply_that_has_arrived);
+	g_test_add_func("/rpc/slow_server_keeps_its_connection",
+			test_slow_server_keeps_its_connection);
 	g_test_add_func("/rpc/waiting_connections_are_accepted_together",
 			test_waiting_connections_are_accepted_together);
 	g_test_add_func("/rpc/calls_without_results_are_acknowledged_together",
