fix(rpc): callers are read in each iteration of an overloaded loop

What callers saw: 504 to everything while a leader is overloaded, in place of an answer or a refusal at once.

Cause: callers' connections were read last and only in the first 25 ms of an iteration.

Change: they get 10 ms in each iteration at least.

The unit test fails before.

--- a/src/sesamewood/rpc/rpc_stream.c
+++ b/src/sesamewood/rpc/rpc_stream.c
@@ -20,6 +20,9 @@
 /// TCP_USER_TIMEOUT: closes connections whose peer acknowledges nothing for this time.
 #define USER_TIMEOUT_MS 3000
 
+/// Least time for streams of low priority in an iteration of the loop.
+#define LOW_PRIORITY_MIN_MS 10
+
 struct rpc_stream {
 	struct ev_loop *loop;
 	ev_io reader;
@@ -47,12 +50,27 @@
 } send_queue;
 
 static clock_ms_t low_priority_deadline = CLOCK_NEVER; ///< of this iteration of the loop
+static bool low_priority_started;		       ///< a stream has been due in this iteration
 static bool low_priority_skipped; ///< a readable stream was not read in this iteration
 
 void rpc_stream_set_low_priority_deadline(clock_ms_t deadline)
 {
 	low_priority_deadline = deadline;
 	low_priority_skipped = false;
+	low_priority_started = false;
+}
+
+/// Tells whether a stream of low priority may be read now. Without a least time for them, callers
+/// would not be read at all while each iteration takes longer than its deadline allows.
+static bool may_read_low_priority(void)
+{
+	clock_ms_t now = clock_monotonic();
+
+	if (!low_priority_started) {
+		low_priority_started = true;
+		low_priority_deadline = MAX(low_priority_deadline, now + LOW_PRIORITY_MIN_MS);
+	}
+	return now <= low_priority_deadline;
 }
 
 bool rpc_stream_skipped_low_priority(void)
@@ -176,7 +194,7 @@
 
 	(void)loop;
 	(void)revents;
-	if (s->low_priority && clock_monotonic() > low_priority_deadline) {
+	if (s->low_priority && !may_read_low_priority()) {
 		low_priority_skipped = true;
 		return; /* the next iteration reports it readable again */
 	}
--- a/src/sesamewood/rpc/rpc_stream.h
+++ b/src/sesamewood/rpc/rpc_stream.h
@@ -32,7 +32,8 @@
 void rpc_stream_send(struct rpc_stream *s, const guint8 *data, gsize len);
 
 /// Lowers the read priority of a stream for good: it is read after streams of normal priority, and
-/// not at all in an iteration of the event loop that has passed its deadline for such streams.
+/// not at all in an iteration of the event loop that has passed its deadline for such streams. They
+/// get a few milliseconds in each iteration.
 void rpc_stream_lower_priority(struct rpc_stream *s);
 
 /// Sets the monotonic time until which streams of low priority are read in this iteration of the
--- a/tests/unit/unit_rpc.c
+++ b/tests/unit/unit_rpc.c
@@ -4,6 +4,7 @@
 /// peer, the request could run twice.
 
 #include "rpc/rpc_client.h"
+#include "rpc/rpc_stream.h"
 #include "rpc/rpc_server.h"
 #include "rpc/generated/sesamewood.h"
 
@@ -384,6 +385,48 @@
 	close(fd);
 }
 
+static void on_low_priority_call(void *ctx, struct rpc_request *req, uint32_t proc,
+				 const void *args)
+{
+	rpc_request_lower_priority(req);
+	on_prompt_call(ctx, req, proc, args);
+}
+
+static void on_after_wait(struct ev_loop *loop, ev_check *w, int revents)
+{
+	(void)loop;
+	(void)w;
+	(void)revents;
+	rpc_stream_set_low_priority_deadline(clock_monotonic() - 1);
+}
+
+/// Streams of low priority must be read also while each iteration of the loop takes longer than
+/// their deadline allows, or callers of an overloaded leader are not even refused.
+static void test_low_priority_is_not_starved(void)
+{
+	struct outcome outcome = {.loop = ev_loop_new(EVFLAG_AUTO)};
+	struct sockaddr_in address;
+	int fd = bind_loopback(-1, &address);
+	g_autofree char *text = g_strdup_printf("127.0.0.1:%u", ntohs(address.sin_port));
+	sw_relay_args args = {
+		.method = (char *)"POST", .host = (char *)"h", .target = (char *)"/q/j"};
+	struct rpc_client *c = rpc_client_new(outcome.loop, text);
+	ev_check after_wait;
+
+	close(fd);
+	g_assert_nonnull(rpc_server_new(outcome.loop, text, on_low_priority_call, NULL));
+	ev_check_init(&after_wait, on_after_wait);
+	ev_check_start(outcome.loop, &after_wait);
+	for (int i = 0; i < 2; i++) {
+		outcome.result = RPC_NOT_SENT;
+		rpc_client_call(c, SW_PROC_RELAY, &args, CALL_TIMEOUT_MS, on_reply, &outcome);
+		ev_run(outcome.loop, 0);
+		g_assert_cmpint(outcome.result, ==, RPC_REPLIED);
+	}
+	rpc_client_free(c);
+	rpc_stream_set_low_priority_deadline(CLOCK_NEVER);
+}
+
 /* Connections. */
 
 #define WAITING_CONNECTIONS 100
@@ -428,6 +471,7 @@
 			test_late_client_takes_the_reply_that_has_arrived);
 	g_test_add_func("/rpc/slow_server_keeps_its_connection",
 			test_slow_server_keeps_its_connection);
+	g_test_add_func("/rpc/low_priority_is_not_starved", test_low_priority_is_not_starved);
 	g_test_add_func("/rpc/waiting_connections_are_accepted_together",
 			test_waiting_connections_are_accepted_together);
 	g_test_add_func("/rpc/calls_without_results_are_acknowledged_together",
