fix(overload): a refusal holds until all callers have been read

Fault: a job that was refused as not run could run. An earlier copy of its request, on a connection that was not read, was accepted more than a second after the refusal, when the leader admitted callers again.

Change: a refusal is in force for a second and until all connections of callers have been read since. A caller who returns before is refused again.

The unit test has the case, fails without the change.

--- a/src/sesamewood/manager/control_load.c
+++ b/src/sesamewood/manager/control_load.c
@@ -61,6 +61,7 @@
 {
 	if (!rpc_stream_skipped_low_priority()) {
 		sh->unread_since = 0;
+		overload_record_callers_read(sh->overload, now);
 		return;
 	}
 	if (!sh->unread_since)
--- a/src/sesamewood/manager/overload.c
+++ b/src/sesamewood/manager/overload.c
@@ -9,6 +9,11 @@
 #define MS_PER_S 1000
 #define CLEANUP_PERIOD_MS 1000
 
+struct refusal {
+	clock_ms_t at;
+	clock_ms_t until; ///< earliest retry of its caller
+};
+
 struct overload *overload_new(void)
 {
 	struct overload *o = g_new0(struct overload, 1);
@@ -23,10 +28,20 @@
 	g_free(o);
 }
 
-static gboolean is_past(gpointer key, gpointer until, gpointer now)
+static bool is_in_force(const struct overload *o, const struct refusal *r, clock_ms_t now)
+{
+	return now < r->until || o->callers_read_at < r->at;
+}
+
+static void remove_expired(struct overload *o, clock_ms_t now)
 {
-	(void)key;
-	return *(clock_ms_t *)until <= *(clock_ms_t *)now;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, o->refused);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (!is_in_force(o, value, now))
+			g_hash_table_iter_remove(&iter);
 }
 
 bool overload_update(struct overload *o, clock_ms_t now, clock_ms_t lag_ms)
@@ -34,26 +49,31 @@
 	o->refusing = lag_ms > (o->refusing ? ADMIT_MS : REFUSE_MS);
 	if (now >= o->next_cleanup_at) {
 		o->next_cleanup_at = now + CLEANUP_PERIOD_MS;
-		g_hash_table_foreach_remove(o->refused, is_past, &now);
+		remove_expired(o, now);
 	}
 	return o->refusing;
 }
 
 uint32_t overload_refuse(struct overload *o, clock_ms_t now, clock_ms_t lag_ms, const char *job)
 {
-	clock_ms_t *until = g_new(clock_ms_t, 1);
+	struct refusal *refusal = g_new(struct refusal, 1);
 	clock_ms_t after_ms;
 
 	o->next_slot = MAX(o->next_slot, now + lag_ms) + RETRY_SLOT_MS;
 	after_ms = CLAMP(o->next_slot - now, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
-	*until = now + RETRY_AFTER_MIN_MS;
-	g_hash_table_replace(o->refused, g_strdup(job), until);
+	*refusal = (struct refusal){.at = now, .until = now + RETRY_AFTER_MIN_MS};
+	g_hash_table_replace(o->refused, g_strdup(job), refusal);
 	return (uint32_t)((after_ms + MS_PER_S - 1) / MS_PER_S);
 }
 
+void overload_record_callers_read(struct overload *o, clock_ms_t now)
+{
+	o->callers_read_at = now;
+}
+
 bool overload_was_refused(const struct overload *o, clock_ms_t now, const char *job)
 {
-	const clock_ms_t *until = g_hash_table_lookup(o->refused, job);
+	const struct refusal *refusal = g_hash_table_lookup(o->refused, job);
 
-	return until && now < *until;
+	return refusal && is_in_force(o, refusal, now);
 }
--- a/src/sesamewood/manager/overload.h
+++ b/src/sesamewood/manager/overload.h
@@ -14,7 +14,8 @@
 struct overload {
 	bool refusing;		    ///< new work is refused
 	clock_ms_t next_slot;	    ///< when the next refused caller may retry
-	GHashTable *refused;	    ///< clock_ms_t until which a job is refused, by job id; owned
+	GHashTable *refused;	    ///< struct refusal by job id; owned
+	clock_ms_t callers_read_at; ///< when all callers' connections were last read
 	clock_ms_t next_cleanup_at; ///< next removal of expired entries of refused
 };
 
@@ -33,9 +34,12 @@
 /// @return Retry-After for the caller, seconds; callers refused earlier retry earlier
 uint32_t overload_refuse(struct overload *o, clock_ms_t now, clock_ms_t lag_ms, const char *job);
 
-/// Returns whether a job was refused so recently that its caller cannot have retried yet. A request
-/// for it that arrives now is a delayed earlier one and must be refused too, or a job reported as
-/// not run would run.
+/// Records that all callers' connections have been read.
+void overload_record_callers_read(struct overload *o, clock_ms_t now);
+
+/// Returns whether a request for a job may be an earlier one, delayed, than one that was refused:
+/// its caller cannot have retried yet, or a connection has not been read since. It must be refused
+/// too, or a job reported as not run would run.
 bool overload_was_refused(const struct overload *o, clock_ms_t now, const char *job);
 
 #endif
--- a/tests/unit/unit_scale.c
+++ b/tests/unit/unit_scale.c
@@ -549,6 +549,10 @@
 	}
 	g_assert_cmpuint(last, >=, 4); /* 800 jobs at 200 a second */
 	g_assert_true(overload_was_refused(o, now + 500, "j0"));
+	/* An earlier request of its caller may still be unread. */
+	g_assert_true(overload_was_refused(o, now + 5000, "j0"));
+	overload_record_callers_read(o, now + 600);
+	g_assert_true(overload_was_refused(o, now + 999, "j0"));
 	g_assert_false(overload_was_refused(o, now + 1000, "j0")); /* its caller may have retried */
 	g_assert_false(overload_update(o, now + 2000, 100));
 	g_assert_false(overload_was_refused(o, now + 2000, "j799"));
