--- a/src/sesamewood/base/codec.c
+++ b/src/sesamewood/base/codec.c
@@ -18,20 +18,35 @@
 	return out;
 }
 
-bool codec_decode(xdrproc_t proc, const void *data, size_t len, void *value, size_t size)
+bool codec_decode_part(xdrproc_t proc, const void *data, size_t len, void *value, size_t size,
+		       size_t *used)
 {
 	XDR xdr;
 
 	memset(value, 0, size);
 	xdrmem_create(&xdr, (char *)data, len, XDR_DECODE);
-	if (!proc(&xdr, value) || xdr_getpos(&xdr) != len) {
+	if (!proc(&xdr, value)) {
 		codec_free(proc, value);
 		memset(value, 0, size);
 		return false;
 	}
+	*used = xdr_getpos(&xdr);
 	return true;
 }
 
+bool codec_decode(xdrproc_t proc, const void *data, size_t len, void *value, size_t size)
+{
+	size_t used;
+
+	if (!codec_decode_part(proc, data, len, value, size, &used))
+		return false;
+	if (used == len)
+		return true;
+	codec_free(proc, value);
+	memset(value, 0, size);
+	return false;
+}
+
 bool codec_copy(xdrproc_t proc, const void *from, void *to, size_t size)
 {
 	g_autoptr(GByteArray) bytes = codec_encode(proc, from);
--- a/src/sesamewood/base/codec.h
+++ b/src/sesamewood/base/codec.h
@@ -21,6 +21,13 @@
 /// @return false on malformed input or trailing bytes; @p value is then zeroed and owns no memory
 bool codec_decode(xdrproc_t proc, const void *data, size_t len, void *value, size_t size);
 
+/// Decodes a value at the start of @p data, which other bytes may follow.
+///
+/// @param[out] used  length of the value; not set on failure
+/// @return false on malformed input; @p value is then zeroed and owns no memory
+bool codec_decode_part(xdrproc_t proc, const void *data, size_t len, void *value, size_t size,
+		       size_t *used);
+
 /// Makes a deep copy of @p from in @p to, which has @p size bytes. Release it with codec_free().
 ///
 /// @return false when @p from exceeds a limit of its type
--- a/src/sesamewood/jobs/jobs.c
+++ b/src/sesamewood/jobs/jobs.c
@@ -1,6 +1,7 @@
 #include "jobs/jobs.h"
 
 #include "base/codec.h"
+#include "jobs/access.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -15,6 +16,7 @@
 	struct job *job = p;
 
 	codec_free(CODEC_PROC(job_image), &job->image);
+	g_free(job->account);
 	g_free(job->ratios);
 	g_free(job);
 }
@@ -38,6 +40,7 @@
 	struct jobs *j = g_new0(struct jobs, 1);
 
 	j->queues = g_hash_table_new(g_str_hash, g_str_equal);
+	access_init(j);
 	j->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
 	j->incarnations = g_hash_table_new_full(NULL, NULL, NULL, incarnation_free);
 	j->waves = g_ptr_array_new_with_free_func(wave_free);
@@ -51,6 +54,7 @@
 	g_hash_table_remove_all(j->queues);
 	codec_free(CODEC_PROC(job_config), &j->config);
 	memset(&j->config, 0, sizeof(j->config));
+	access_reset(j);
 	g_hash_table_remove_all(j->by_id);
 	j->bytes = 0;
 	g_hash_table_remove_all(j->incarnations);
@@ -63,6 +67,7 @@
 {
 	reset_state(j);
 	g_hash_table_unref(j->queues);
+	access_clear(j);
 	g_hash_table_unref(j->by_id);
 	g_hash_table_unref(j->incarnations);
 	g_ptr_array_unref(j->waves);
@@ -204,7 +209,8 @@
 				    GUINT_TO_POINTER(i + 1));
 }
 
-static void apply_config(struct jobs *j, const job_config *config)
+/// @param access  NULL: the configuration has no client accounts
+static void apply_config(struct jobs *j, const job_config *config, const job_access *access)
 {
 	job_config copy;
 
@@ -215,6 +221,7 @@
 	codec_free(CODEC_PROC(job_config), &j->config);
 	j->config = copy;
 	index_queues(j);
+	access_replace(j, access);
 }
 
 uint32_t job_occurrences(const struct job *job)
@@ -305,13 +312,16 @@
 	job->bytes = bytes;
 }
 
-static void apply_accept(struct jobs *j, const job_spec *spec)
+static void apply_accept(struct jobs *j, const job_spec *spec, const char *account,
+			 bool beyond_weight)
 {
 	struct job *job;
 
 	if (jobs_find(j, spec->id))
 		return;
 	job = g_new0(struct job, 1);
+	job->account = g_strdup(account);
+	job->beyond_weight = beyond_weight;
 	codec_copy(CODEC_PROC(job_spec), spec, &job->image.spec, sizeof(job_spec));
 	job->unfinished = tasks_per_occurrence(job) * job_occurrences(job);
 	create_occurrences(job, spec->occurrences ? 0 : 1);
@@ -631,10 +641,19 @@
 {
 	switch (c->type) {
 	case JOB_COMMAND_CONFIG:
-		apply_config(j, &c->job_command_u.config);
+		apply_config(j, &c->job_command_u.config, NULL);
+		break;
+	case JOB_COMMAND_CONFIG_ACCESS:
+		apply_config(j, &c->job_command_u.config_access.config,
+			     &c->job_command_u.config_access.access);
 		break;
 	case JOB_COMMAND_ACCEPT:
-		apply_accept(j, &c->job_command_u.accept);
+		apply_accept(j, &c->job_command_u.accept, "", false);
+		break;
+	case JOB_COMMAND_ACCEPT_FOR:
+		apply_accept(j, &c->job_command_u.accept_for.spec,
+			     c->job_command_u.accept_for.account,
+			     c->job_command_u.accept_for.beyond_weight);
 		break;
 	case JOB_COMMAND_CANCEL:
 		apply_cancel(j, &c->job_command_u.cancel);
@@ -690,6 +709,8 @@
 	g_free(s.endpoints.endpoints_val);
 	g_free(s.jobs.jobs_val);
 	g_free(s.waves.waves_val);
+	if (out && !access_append_snapshot(j, out))
+		g_clear_pointer(&out, g_byte_array_unref);
 	return out;
 }
 
@@ -736,6 +757,7 @@
 		struct job *job = g_new0(struct job, 1);
 
 		job->image = s->jobs.jobs_val[i];
+		job->account = g_strdup("");
 		memset(&s->jobs.jobs_val[i], 0, sizeof(job_image));
 		restore_counters(j, job);
 		set_bytes(j, job, job_estimate_bytes(&job->image.spec));
@@ -752,12 +774,17 @@
 bool jobs_restore(struct jobs *j, const void *data, size_t len)
 {
 	job_snapshot s;
+	size_t used = 0;
+	bool ok;
 
 	reset_state(j);
-	if (!codec_decode(CODEC_PROC(job_snapshot), data, len, &s, sizeof(s)))
+	if (!codec_decode_part(CODEC_PROC(job_snapshot), data, len, &s, sizeof(s), &used))
 		return false;
 	adopt_snapshot(j, &s);
 	/* The job images were moved out; XDR accepts the remaining null strings when freeing. */
 	codec_free(CODEC_PROC(job_snapshot), &s);
-	return true;
+	ok = used == len || access_restore(j, (const char *)data + used, len - used);
+	if (!ok)
+		reset_state(j);
+	return ok;
 }
--- a/src/sesamewood/jobs/jobs.h
+++ b/src/sesamewood/jobs/jobs.h
@@ -28,6 +28,8 @@
 	/// Of its occurrences, those that are not due yet need not exist: none of their tasks has
 	/// been started. Those that are done have no steps.
 	job_image image;
+	char *account;		   ///< client account that submitted it; "" for none
+	bool beyond_weight;	   ///< it arrived beyond the rate that its account is owed
 	size_t bytes;		   ///< estimate of the memory that it takes
 	uint32_t first_open;	   ///< all occurrences before this one are done
 	uint32_t unfinished;	   ///< tasks that are not done, of all occurrences
@@ -51,6 +53,9 @@
 /// The job state machine.
 struct jobs {
 	job_config config;
+	job_access access;	     ///< accounts and open queues; see jobs/access.h
+	GHashTable *account_by_key;  ///< index into access.accounts plus 1, by key digest
+	GHashTable *account_by_name; ///< the same by name
 	GHashTable *queues;	     ///< queue key to index into config.queues plus 1
 	GHashTable *by_id;	     ///< struct job by id
 	size_t bytes;		     ///< estimate of the memory that all jobs take
--- a/src/sesamewood/manager/calls.c
+++ b/src/sesamewood/manager/calls.c
@@ -2,6 +2,7 @@
 
 #include "base/codec.h"
 #include "base/log.h"
+#include "jobs/access.h"
 #include "runs/incarnations.h"
 #include "sched/pools.h"
 #include "sched/schedule.h"
@@ -39,6 +40,41 @@
 	return job && g_str_equal(job->image.spec.queue, q->key) ? job : NULL;
 }
 
+static const char *name_of(const job_account *account)
+{
+	return account ? account->name : "";
+}
+
+/// Finds the account of a call.
+///
+/// @param[out] account  NULL: none, which an open queue allows
+/// @return false if the queue needs a key and the call has none that is valid
+static bool authorize(const struct manager *m, const struct call *call, const job_queue *q,
+		      const job_account **account)
+{
+	gsize len = 0;
+	const void *key = call->key ? g_bytes_get_data(call->key, &len) : NULL;
+
+	*account = access_find_by_key(m->jobs, key, len);
+	if (*account || access_is_open(m->jobs, q) ||
+	    !(m->settings.has_accounts || m->jobs->access.accounts.accounts_len))
+		return true;
+	log_info("request refused: its key belongs to no account", "QUEUE", q->key, "HAS_KEY",
+		 len ? "yes" : "no", "CONFIG", log_number(m->jobs->config.config_version));
+	return false;
+}
+
+/// @return the job, or NULL if there is none that the account may see
+static const struct job *find_visible_job(const struct manager *m, const job_queue *q,
+					  const char *id, const job_account *account)
+{
+	const struct job *job = find_job(m, q, id);
+
+	return job && (access_is_open(m->jobs, q) || !access_is_hidden(m->jobs, job, account))
+		       ? job
+		       : NULL;
+}
+
 static bool job_spec_is_valid(const job_spec *spec)
 {
 	uint64_t tasks = 0;
@@ -63,15 +99,21 @@
 {
 	const char *id = "";
 	const job_queue *q = find_queue(m, call, &id);
+	const job_account *account;
 	job_command c = {.type = JOB_COMMAND_ACCEPT};
+	const struct job *known;
 
 	if (!q)
 		return reply_with_status(m->jobs->config.config_version ? REPLY_NOT_FOUND
 									: REPLY_UNAVAILABLE);
+	if (!authorize(m, call, q, &account))
+		return reply_with_status(REPLY_UNAUTHORIZED);
 	if (!*id || strlen(id) > SW_NAME_MAX || strchr(id, '/') || strchr(id, '.'))
 		return reply_with_status(REPLY_INVALID);
-	if (jobs_find(m->jobs, id))
-		return reply_with_status(find_job(m, q, id) ? REPLY_OK : REPLY_INVALID);
+	if (jobs_find(m->jobs, id)) {
+		known = find_visible_job(m, q, id, account);
+		return reply_with_status(known ? REPLY_OK : REPLY_INVALID);
+	}
 	if (!job_spec_is_valid(&call->spec))
 		return reply_with_status(REPLY_INVALID);
 	if (m->jobs->bytes + job_estimate_bytes(&call->spec) > JOBS_BYTES_MAX) {
@@ -84,12 +126,18 @@
 	codec_set_string(&call->spec.pool, q->pool);
 	call->spec.max_attempts = q->max_attempts;
 	call->spec.accepted_wall_ms = wall_ms;
-	c.job_command_u.accept = call->spec;
+	if (account) {
+		c.type = JOB_COMMAND_ACCEPT_FOR;
+		c.job_command_u.accept_for =
+			(job_accept_for){.spec = call->spec, .account = account->name};
+	} else {
+		c.job_command_u.accept = call->spec;
+	}
 	if (!effects_propose(m, &c))
 		return reply_with_status(REPLY_INVALID);
 	g_ptr_array_add(m->active, jobs_find(m->jobs, id));
 	pools_record_accepted_job(m, jobs_find(m->jobs, id));
-	log_info("job accepted", "JOB", id, "QUEUE", q->key, "CONFIG",
+	log_info("job accepted", "JOB", id, "QUEUE", q->key, "ACCOUNT", name_of(account), "CONFIG",
 		 log_number(m->jobs->config.config_version));
 	return reply_with_status(REPLY_OK);
 }
@@ -98,15 +146,18 @@
 {
 	const char *id = "";
 	const job_queue *q = find_queue(m, call, &id);
+	const job_account *account;
 	const struct job *job;
 
 	if (!q)
 		return reply_with_status(m->jobs->config.config_version ? REPLY_NOT_FOUND
 									: REPLY_UNAVAILABLE);
+	if (!authorize(m, call, q, &account))
+		return reply_with_status(REPLY_UNAUTHORIZED);
 	if (!*id)
 		return (struct reply){.content = REPLY_WAITING_COUNT,
 				      .u.waiting = schedule_count_waiting(m, q->key)};
-	job = find_job(m, q, id);
+	job = find_visible_job(m, q, id, account);
 	if (!job)
 		return reply_with_status(REPLY_UNKNOWN_JOB);
 	return (struct reply){.content = REPLY_JOB_PHASE, .u.phase = job->image.phase};
@@ -116,7 +167,8 @@
 {
 	const char *id = "";
 	const job_queue *q = find_queue(m, call, &id);
-	const struct job *job = q ? find_job(m, q, id) : NULL;
+	const job_account *account;
+	const struct job *job;
 	job_command c = {
 		.type = JOB_COMMAND_CANCEL,
 		.job_command_u.cancel = {.id = (char *)id, .at_wall_ms = wall_ms},
@@ -125,6 +177,9 @@
 	if (!q)
 		return reply_with_status(m->jobs->config.config_version ? REPLY_NOT_FOUND
 									: REPLY_UNAVAILABLE);
+	if (!authorize(m, call, q, &account))
+		return reply_with_status(REPLY_UNAUTHORIZED);
+	job = find_visible_job(m, q, id, account);
 	if (!job)
 		return reply_with_status(REPLY_UNKNOWN_JOB);
 	/* Tasks of a failed job may run on until it is cancelled. */
@@ -143,12 +198,19 @@
 
 	uint64_t before = m->jobs->config.config_version;
 
+	if (call->has_access) {
+		c.type = JOB_COMMAND_CONFIG_ACCESS;
+		c.job_command_u.config_access = (job_config_access){call->config, call->access};
+	}
+
 	if (call->config.config_version <= before)
 		return reply_with_status(REPLY_OK);
 	if (!effects_propose(m, &c))
 		return reply_with_status(REPLY_INVALID);
 	log_info("configuration accepted", "VERSION", log_number(call->config.config_version),
-		 "BEFORE", log_number(before));
+		 "BEFORE", log_number(before), "ACCOUNTS",
+		 log_number(call->access.accounts.accounts_len));
+	m->round_wanted = true; /* limits of accounts may have been raised */
 	return reply_with_status(REPLY_OK);
 }
 
--- a/src/sesamewood/manager/control_calls.c
+++ b/src/sesamewood/manager/control_calls.c
@@ -200,6 +200,8 @@
 		.method = args->method,
 		.host = args->host,
 		.target = args->target,
+		.key = args->key.key_val,
+		.key_len = args->key.key_len,
 		.body = args->body.sw_blob_val,
 		.len = args->body.sw_blob_len,
 	};
--- a/src/sesamewood/manager/entry_shell.c
+++ b/src/sesamewood/manager/entry_shell.c
@@ -122,11 +122,13 @@
 	struct shell *sh = ctx;
 	const GByteArray *body = http_body(req);
 	const char *host = http_header(req, "Host");
+	const char *key = http_header(req, sh->settings.key_header);
 	sw_relay_args args = {
 		.from_caller = true,
 		.method = (char *)http_method(req),
 		.host = (char *)(host ? host : ""),
 		.target = (char *)http_target(req),
+		.key = {.key_len = key ? (u_int)strlen(key) : 0, .key_val = (char *)key},
 		.body = {.sw_blob_len = body->len, .sw_blob_val = (char *)body->data},
 	};
 
@@ -134,6 +136,8 @@
 		http_reply(req, HTTP_BAD_REQUEST, NULL, NULL, 0);
 		return;
 	}
+	if (args.key.key_len > SW_ACCESS_KEY_MAX) /* belongs to nobody; open queues need none */
+		args.key.key_len = 0;
 	http_request_set_data(req, sh);
 	if (ends_soon(sh)) {
 		refuse(req, "request refused because this process stops");
--- a/src/sesamewood/manager/entry_shell.h
+++ b/src/sesamewood/manager/entry_shell.h
@@ -13,8 +13,9 @@
 	const char *front; ///< "IP:port" for callers
 	const char *ready; ///< "IP:port" for the load balancer's health checks
 	const char *ready_path;
-	uint16_t rpc_port; ///< of all control replicas
-	uint32_t seeds[3]; ///< control nodes, terminated by 0
+	uint16_t rpc_port;	///< of all control replicas
+	uint32_t seeds[3];	///< control nodes, terminated by 0
+	const char *key_header; ///< header that carries a caller's access key
 	uint32_t body_max_bytes;
 	uint32_t head_max_bytes;
 	uint32_t grace_ms; ///< time from SIGTERM until the process must have exited
--- a/src/sesamewood/manager/manager.h
+++ b/src/sesamewood/manager/manager.h
@@ -22,6 +22,7 @@
 	uint32_t machine_orders_per_s; ///< accepted by the machine service; 0: no limit
 	uint32_t move_ms;	       ///< duration of a machine's move to another pool
 	uint32_t maintenance_ms;       ///< duration of a machine's maintenance
+	bool has_accounts;	       ///< requests need a key of a client account
 };
 
 struct manager;
--- a/src/sesamewood/manager/manager_defs.c
+++ b/src/sesamewood/manager/manager_defs.c
@@ -77,6 +77,8 @@
 	g_free(c->error);
 	codec_free(CODEC_PROC(job_spec), &c->spec);
 	codec_free(CODEC_PROC(job_config), &c->config);
+	codec_free(CODEC_PROC(job_access), &c->access);
+	g_clear_pointer(&c->key, g_bytes_unref);
 	codec_free(CODEC_PROC(job_wave), &c->wave);
 	endpoint_heartbeat_clear(&c->heartbeat);
 	memset(c, 0, sizeof(*c));
--- a/src/sesamewood/manager/manager_defs.h
+++ b/src/sesamewood/manager/manager_defs.h
@@ -63,8 +63,11 @@
 	enum call_type type;
 	char *host;			     ///< submit, job_read, cancel
 	char *path;			     ///< submit, job_read, cancel: queue prefix and job id
+	GBytes *key;			     ///< submit, job_read, cancel: access key, or NULL
 	job_spec spec;			     ///< submit: payload and steps
 	job_config config;		     ///< config_put
+	job_access access;		     ///< config_put: accounts and open queues
+	bool has_access;		     ///< config_put: access is set
 	struct endpoint_heartbeat heartbeat; ///< heartbeat, deregister: content of the heartbeat
 	job_wave wave;			     ///< wave_put, wave_read (number only)
 	uint32_t wave_s; ///< wave_put: time until the wave must be complete, seconds
@@ -73,11 +76,12 @@
 
 enum reply_status {
 	REPLY_OK,
-	REPLY_INVALID,	   ///< malformed, or in conflict with an accepted job
-	REPLY_NOT_FOUND,   ///< no such queue, wave or path
-	REPLY_UNKNOWN_JOB, ///< no such job
-	REPLY_BUSY,	   ///< refused without effect; the caller retries later
-	REPLY_UNAVAILABLE, ///< cannot be served now, no effect
+	REPLY_INVALID,	    ///< malformed, or in conflict with an accepted job
+	REPLY_NOT_FOUND,    ///< no such queue, wave or path
+	REPLY_UNKNOWN_JOB,  ///< no such job
+	REPLY_UNAUTHORIZED, ///< the key belongs to no account
+	REPLY_BUSY,	    ///< refused without effect; the caller retries later
+	REPLY_UNAVAILABLE,  ///< cannot be served now, no effect
 };
 
 enum reply_content {
--- a/src/sesamewood/manager/wire.h
+++ b/src/sesamewood/manager/wire.h
@@ -13,6 +13,8 @@
 	const char *method;
 	const char *host;
 	const char *target;
+	const void *key; ///< access key of the caller
+	size_t key_len;	 ///< 0: none
 	const void *body;
 	size_t len;
 };
--- a/src/sesamewood/rpc/sesamewood.x
+++ b/src/sesamewood/rpc/sesamewood.x
@@ -11,6 +11,7 @@
 const SW_TABLE_MAX = 1048576;
 const SW_BLOB_MAX = 16777216;
 const SW_LIST_MAX = 16384;
+const SW_ACCESS_KEY_MAX = 512;
 const SW_KEY_BYTES = 16;
 
 typedef string sw_name<SW_NAME_MAX>;
@@ -281,6 +282,45 @@
 	sw_blob document;                  /* the operator's document, byte for byte */
 };
 
+const JOB_KEY_DIGEST_BYTES = 32;           /* SHA-256 */
+
+/* Limits on what one client account has running at all endpoints; 0: no limit. */
+struct job_cap {
+	unsigned hyper cpu_milli;
+	unsigned hyper mem_mb;
+	unsigned hyper gpu;
+};
+
+struct job_key_digest {
+	opaque sha256[JOB_KEY_DIGEST_BYTES];
+};
+
+struct job_account {
+	job_name name;
+	unsigned int weight_milli;         /* thousandths of a job a second that are owed service */
+	unsigned int priority;
+	job_cap cap;
+	job_key_digest keys<4096>;         /* empty: no request belongs to the account any more */
+};
+
+/* Who may use the queues of a configuration. */
+struct job_access {
+	job_account accounts<SW_LIST_MAX>;
+	unsigned int open_queues<SW_LIST_MAX>; /* indexes of the queues that need no key */
+};
+
+struct job_config_access {
+	job_config config;
+	job_access access;
+};
+
+/* A job that belongs to a client account. */
+struct job_accept_for {
+	job_spec spec;
+	job_name account;
+	bool beyond_weight;                /* more than the account is owed arrived at that time */
+};
+
 /* One incarnation of an endpoint. */
 struct job_incarnation {
 	unsigned int number;
@@ -376,7 +416,9 @@
 	JOB_COMMAND_WAVE = 6,
 	JOB_COMMAND_WAVE_UPDATE = 7,
 	JOB_COMMAND_FORGET = 8,
-	JOB_COMMAND_MACHINE_ORDER = 9
+	JOB_COMMAND_MACHINE_ORDER = 9,
+	JOB_COMMAND_CONFIG_ACCESS = 10,
+	JOB_COMMAND_ACCEPT_FOR = 11
 };
 
 union job_command switch (job_command_type type) {
@@ -400,6 +442,10 @@
 	job_forget forget;
 case JOB_COMMAND_MACHINE_ORDER:
 	job_machine_order machine_order;
+case JOB_COMMAND_CONFIG_ACCESS:
+	job_config_access config_access;
+case JOB_COMMAND_ACCEPT_FOR:
+	job_accept_for accept_for;
 };
 
 /* State of the job state machine, as stored in a snapshot. */
@@ -412,6 +458,18 @@
 	job_name ordered_machines<SW_LIST_MAX>;
 };
 
+struct job_owner {
+	sw_name job;
+	job_name account;
+	bool beyond_weight;
+};
+
+/* Follows job_snapshot; snapshots of builds without client accounts end before it. */
+struct job_snapshot_access {
+	job_access access;
+	job_owner owners<1048576>;
+};
+
 union sw_command switch (sw_command_type type) {
 case SW_COMMAND_NOOP:
 	void;
@@ -689,6 +747,7 @@
 	string method<16>;
 	string host<256>;
 	string target<8192>;
+	opaque key<SW_ACCESS_KEY_MAX>; /* key of the caller's account, or empty */
 	sw_blob body;
 };
 
