--- a/tests/unit/unit_codec.c
+++ b/tests/unit/unit_codec.c
@@ -5,6 +5,8 @@
 
 #include "codec.h"
 
+#include "jobs/access.h"
+
 #include <string.h>
 
 #define HEARTBEAT_MEMBERS                                                                          \
@@ -60,6 +62,83 @@
 	call_clear(&c);
 }
 
+/* Accounts. */
+
+#define CONFIG(accounts)                                                                           \
+	"{\"version\":7,\"routes\":[{\"hostname\":\"h\",\"pathPrefix\":\"/a/\","                   \
+	"\"timeoutMs\":1,\"backend\":\"s\"},{\"hostname\":\"h\",\"pathPrefix\":\"/b/\","           \
+	"\"timeoutMs\":1,\"backend\":\"s\",\"public\":true}],\"services\":[{\"name\":\"s\"}]"      \
+	",\"tenants\":" accounts "}"
+
+static struct call put_config(const char *body)
+{
+	return decode(false, "POST", "/api/config/replace", body);
+}
+
+static void test_decode_accounts(void)
+{
+	struct call c = put_config(
+		CONFIG("[{\"name\":\"a\",\"apiKeys\":[\"k1\",\"k2\"],\"priority\":1,\"weight\":159,"
+		       "\"cap\":{\"cpu\":7376396,\"memMb\":5000000000,\"gpu\":0}},"
+		       "{\"name\":\"b\",\"apiKeys\":[],\"weight\":1.5,\"new\":[]}]"));
+	const job_account *a = c.access.accounts.accounts_val;
+	const job_key_digest k2 = access_digest("k2", 2);
+
+	g_assert_cmpint(c.type, ==, CALL_CONFIG_PUT);
+	g_assert_true(c.has_access);
+	g_assert_cmpuint(c.access.accounts.accounts_len, ==, 2);
+	g_assert_cmpstr(a[0].name, ==, "a");
+	g_assert_cmpuint(a[0].weight_milli, ==, 159000);
+	g_assert_cmpuint(a[0].priority, ==, 1);
+	g_assert_cmpuint(a[0].cap.cpu_milli, ==, 7376396);
+	g_assert_cmpuint(a[0].cap.mem_mb, ==, 5000000000);
+	g_assert_cmpuint(a[0].keys.keys_len, ==, 2);
+	g_assert_cmpmem(a[0].keys.keys_val[1].sha256, 32, k2.sha256, 32);
+	g_assert_cmpuint(a[1].weight_milli, ==, 1500);
+	g_assert_cmpuint(a[1].cap.cpu_milli, ==, 0);
+	g_assert_cmpuint(c.access.open_queues.open_queues_len, ==, 1);
+	g_assert_cmpuint(c.access.open_queues.open_queues_val[0], ==, 1);
+	call_clear(&c);
+}
+
+/// Of a configuration with an invalid account nothing may come into force.
+static void test_malformed_accounts_are_rejected(void)
+{
+	static const char *const bodies[] = {
+		CONFIG("3"),
+		CONFIG("[3]"),
+		CONFIG("[{}]"),
+		CONFIG("[{\"name\":\"\"}]"),
+		CONFIG("[{\"name\":\"a\"},{\"name\":\"a\"}]"),
+		CONFIG("[{\"name\":\"a\",\"apiKeys\":\"k\"}]"),
+		CONFIG("[{\"name\":\"a\",\"apiKeys\":[\"\"]}]"),
+		CONFIG("[{\"name\":\"a\",\"apiKeys\":[7]}]"),
+		CONFIG("[{\"name\":\"a\",\"weight\":-1}]"),
+		CONFIG("[{\"name\":\"a\",\"weight\":\"many\"}]"),
+		CONFIG("[{\"name\":\"a\",\"priority\":-1}]"),
+		CONFIG("[{\"name\":\"a\",\"cap\":7}]"),
+		CONFIG("[{\"name\":\"a\",\"cap\":{\"cpu\":-1}}]"),
+		CONFIG("[{\"name\":\"a\",\"cap\":{\"memMb\":\"1\"}}]"),
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++)
+		g_assert_cmpint(type_of(false, "POST", "/api/config/replace", bodies[i]), ==,
+				CALL_INVALID);
+}
+
+/// The error must name both accounts, and must not print the key.
+static void test_accounts_with_the_same_key_are_named(void)
+{
+	struct call c = put_config(CONFIG("[{\"name\":\"north\",\"apiKeys\":[\"k1\",\"secret\"]},"
+					  "{\"name\":\"south\",\"apiKeys\":[\"secret\"]}]"));
+
+	g_assert_cmpint(c.type, ==, CALL_INVALID);
+	g_assert_nonnull(strstr(c.error, "\"north\""));
+	g_assert_nonnull(strstr(c.error, "\"south\""));
+	g_assert_null(strstr(c.error, "secret"));
+	call_clear(&c);
+}
+
 static void test_malformed_jobs_are_rejected(void)
 {
 	static const char *const bodies[] = {
@@ -307,6 +386,11 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/codec/decode_accounts", test_decode_accounts);
+	g_test_add_func("/codec/malformed_accounts_are_rejected",
+			test_malformed_accounts_are_rejected);
+	g_test_add_func("/codec/accounts_with_the_same_key_are_named",
+			test_accounts_with_the_same_key_are_named);
 	g_test_add_func("/codec/deep_nesting_is_refused", test_deep_nesting_is_refused);
 	g_test_add_func("/codec/odd_heartbeats_are_rejected", test_odd_heartbeats_are_rejected);
 	g_test_add_func("/codec/long_texts_are_rejected", test_long_texts_are_rejected);
