--- a/src/sesamewood/jobs/jobs.h
+++ b/src/sesamewood/jobs/jobs.h
@@ -42,6 +42,8 @@
 				   ///< clears it when it finds none
 	/// Run time ratios by step, cached by sched/estimates.c; NULL: not cached.
 	const uint32_t **ratios;
+	/// Its account at this leader, cached by sched/accounts.c; NULL: not cached.
+	struct account *account_state;
 };
 
 /// One incarnation of an endpoint that attempts have been assigned to.
--- a/src/sesamewood/manager/calls.c
+++ b/src/sesamewood/manager/calls.c
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "jobs/access.h"
 #include "runs/incarnations.h"
+#include "sched/accounts.h"
 #include "sched/pools.h"
 #include "sched/schedule.h"
 #include "sched/waves.h"
@@ -95,13 +96,14 @@
 	       spec->first_wall_ms <= WALL_MS_MAX && spec->interval_ms <= INTERVAL_MS_MAX;
 }
 
-static struct reply submit(struct manager *m, clock_ms_t wall_ms, struct call *call)
+static struct reply submit(struct manager *m, clock_ms_t now, clock_ms_t wall_ms, struct call *call)
 {
 	const char *id = "";
 	const job_queue *q = find_queue(m, call, &id);
 	const job_account *account;
 	job_command c = {.type = JOB_COMMAND_ACCEPT};
 	const struct job *known;
+	struct job *job;
 
 	if (!q)
 		return reply_with_status(m->jobs->config.config_version ? REPLY_NOT_FOUND
@@ -128,15 +130,21 @@
 	call->spec.accepted_wall_ms = wall_ms;
 	if (account) {
 		c.type = JOB_COMMAND_ACCEPT_FOR;
-		c.job_command_u.accept_for =
-			(job_accept_for){.spec = call->spec, .account = account->name};
+		c.job_command_u.accept_for = (job_accept_for){
+			.spec = call->spec,
+			.account = account->name,
+			.beyond_weight = !accounts_take_token(m, now, account->name)};
 	} else {
 		c.job_command_u.accept = call->spec;
 	}
 	if (!effects_propose(m, &c))
 		return reply_with_status(REPLY_INVALID);
-	g_ptr_array_add(m->active, jobs_find(m->jobs, id));
-	pools_record_accepted_job(m, jobs_find(m->jobs, id));
+	job = jobs_find(m->jobs, id);
+	g_ptr_array_add(m->active, job);
+	m->backlog.beyond_weight += job->beyond_weight;
+	/* Work that a cap keeps from starting needs no machines. */
+	if (!accounts_is_at_cap(accounts_of(m, job)))
+		pools_record_accepted_job(m, job);
 	log_info("job accepted", "JOB", id, "QUEUE", q->key, "ACCOUNT", name_of(account), "CONFIG",
 		 log_number(m->jobs->config.config_version));
 	return reply_with_status(REPLY_OK);
@@ -192,7 +200,7 @@
 
 /* Configuration. */
 
-static struct reply config_put(struct manager *m, const struct call *call)
+static struct reply config_put(struct manager *m, clock_ms_t now, const struct call *call)
 {
 	job_command c = {.type = JOB_COMMAND_CONFIG, .job_command_u.config = call->config};
 
@@ -207,6 +215,7 @@
 		return reply_with_status(REPLY_OK);
 	if (!effects_propose(m, &c))
 		return reply_with_status(REPLY_INVALID);
+	accounts_configure(m, now);
 	log_info("configuration accepted", "VERSION", log_number(call->config.config_version),
 		 "BEFORE", log_number(before), "ACCOUNTS",
 		 log_number(call->access.accounts.accounts_len));
@@ -262,7 +271,7 @@
 
 	switch (call->type) {
 	case CALL_SUBMIT:
-		reply = submit(m, wall_ms, call);
+		reply = submit(m, now, wall_ms, call);
 		break;
 	case CALL_JOB_READ:
 		reply = read_job(m, call);
@@ -271,7 +280,7 @@
 		reply = cancel(m, wall_ms, call);
 		break;
 	case CALL_CONFIG_PUT:
-		reply = config_put(m, call);
+		reply = config_put(m, now, call);
 		break;
 	case CALL_CONFIG_READ:
 		reply = config_read(m);
--- a/src/sesamewood/manager/control_load.c
+++ b/src/sesamewood/manager/control_load.c
@@ -79,8 +79,9 @@
 
 static char *backlog_text(const struct manager_backlog *b)
 {
-	return g_strdup_printf("starts=%u steps=%u late=%u", b->starts, b->waiting_steps,
-			       b->late_steps);
+	return g_strdup_printf("starts=%u steps=%u late=%u beyond_weight=%u accounts_at_cap=%u",
+			       b->starts, b->waiting_steps, b->late_steps, b->beyond_weight,
+			       b->accounts_at_cap);
 }
 
 /// Formats the loop's time by kind of work since the last call.
@@ -112,10 +113,13 @@
 	sh->next_load_log_at = now + LOG_PERIOD_MS;
 	work = take_work_text(sh);
 	if (!sh->manager) {
+		metrics_set(sh->accounts_at_cap, 0);
 		log_info("load", "WORK_US", work, "INDEX", log_number(sh->state_index));
 		return;
 	}
 	backlog = manager_take_backlog(sh->manager);
+	metrics_set(sh->accounts_at_cap, backlog.accounts_at_cap);
+	metrics_add(sh->beyond_weight, backlog.beyond_weight);
 	messages = messages_text(&sh->counts, connections - sh->logged_connections);
 	sh->logged_connections = connections;
 	backlog_log = backlog_text(&backlog);
--- a/src/sesamewood/manager/control_shell.c
+++ b/src/sesamewood/manager/control_shell.c
@@ -214,6 +214,12 @@
 		.disk_failures =
 			metrics_get(METRIC_COUNTER, "sesamewood_disk_failures_total", "",
 				    "failed writes to the data directory, retries included"),
+		.accounts_at_cap =
+			metrics_get(METRIC_GAUGE, "sesamewood_accounts_at_cap", "",
+				    "client accounts whose running work has reached their cap"),
+		.beyond_weight =
+			metrics_get(METRIC_COUNTER, "sesamewood_jobs_beyond_weight_total", "",
+				    "jobs accepted beyond the weight of their account"),
 		.overload = overload_new(),
 		.round_gap_ms = MANAGER_ROUND_GAP_MS,
 		.commit_ms = metrics_get(METRIC_HISTOGRAM, "sesamewood_commit_ms", "",
--- a/src/sesamewood/manager/control_shell_internal.h
+++ b/src/sesamewood/manager/control_shell_internal.h
@@ -85,6 +85,8 @@
 	struct metric *proposals;
 	struct metric *leaderless_refusals;
 	struct metric *refusals;
+	struct metric *accounts_at_cap;
+	struct metric *beyond_weight;
 	struct metric *commit_ms;
 	struct overload *overload;
 	uint64_t rounds_us; ///< total time spent on placement rounds up to the last tick
--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -5,6 +5,7 @@
 #include "manager/calls.h"
 #include "runs/incarnations.h"
 #include "runs/runs.h"
+#include "sched/accounts.h"
 #include "sched/advice.h"
 #include "sched/machines.h"
 #include "sched/move_orders.h"
@@ -72,6 +73,8 @@
 	m->unconfirmed_losses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	m->failed_at = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->active = g_ptr_array_new();
+	m->accounts = accounts_new();
+	accounts_configure(m, now);
 	incarnations_inherit(m, now);
 	waves_inherit(m, now);
 	log_info("leadership taken", "TERM", log_number(term), "JOBS",
@@ -101,6 +104,7 @@
 	g_hash_table_unref(m->ready_counts);
 	g_hash_table_unref(m->arriving);
 	g_ptr_array_unref(m->active);
+	accounts_free(m->accounts);
 	jobs_free(m->jobs);
 	g_free(m);
 }
@@ -243,6 +247,7 @@
 	struct manager_backlog backlog = m->backlog;
 
 	m->backlog.starts = 0;
+	m->backlog.beyond_weight = 0;
 	return backlog;
 }
 
--- a/src/sesamewood/manager/manager.h
+++ b/src/sesamewood/manager/manager.h
@@ -88,6 +88,9 @@
 	unsigned int starts;	    ///< starts ordered since the last call
 	unsigned int waiting_steps; ///< steps with ready tasks that the last round tried to place
 	unsigned int late_steps;    ///< of these, steps whose job can no longer meet its objective
+	unsigned int beyond_weight; ///< jobs accepted beyond the weight of their account since the
+				    ///< last call
+	unsigned int accounts_at_cap; ///< accounts at their cap after the last round
 };
 
 struct manager_backlog manager_take_backlog(struct manager *m);
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -26,8 +26,9 @@
 	GHashTable *orders;		  ///< struct pending_order by order id; owned
 	GHashTable *advice;		  ///< struct advice by step name; owned
 	GHashTable *ratios; ///< uint32_t, run time ratio in percent, by "queue|step|image"; owned
-	GPtrArray *active;  ///< struct job that has not ended or has attempts assigned
-	GHashTable *pool_capacities;	  ///< struct pool_capacity by pool; owned
+	struct accounts *accounts;   ///< use and limits of client accounts
+	GPtrArray *active;	     ///< struct job that has not ended or has attempts assigned
+	GHashTable *pool_capacities; ///< struct pool_capacity by pool; owned
 	clock_ms_t capacities_rebuild_at; ///< when pool_capacities is rebuilt next
 	GPtrArray *capacity_changed;	  ///< endpoints whose free capacity changed since the last
 					  ///< placement round
--- a/src/sesamewood/runs/attempts.c
+++ b/src/sesamewood/runs/attempts.c
@@ -1,6 +1,7 @@
 #include "runs/attempts.h"
 
 #include "base/log.h"
+#include "sched/accounts.h"
 #include "sched/cooldown.h"
 #include "sched/pace.h"
 #include "sched/suspects.h"
@@ -73,6 +74,7 @@
 	r->ref.job = g_strdup(ref->job);
 	g_hash_table_replace(m->runs, r->name, r);
 	endpoint_add_run(e, r);
+	accounts_record_start(m, r);
 	manager_mark_capacity_changed(m, e);
 	return r;
 }
@@ -87,6 +89,7 @@
 {
 	r->job->confirmed -= r->state == RUN_CONFIRMED;
 	endpoint_remove_run(r->endpoint, r);
+	accounts_record_end(r);
 	manager_mark_capacity_changed(m, r->endpoint);
 	g_hash_table_remove(m->runs, r->name);
 }
--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -27,7 +27,8 @@
 	struct job *job; ///< borrowed; a job with assigned attempts is not forgotten
 	uint32_t attempt;
 	struct endpoint *endpoint;
-	enum run_state state; ///< changed only by attempts_set_state()
+	struct account_use *counted_in; ///< changed only by sched/accounts.c
+	enum run_state state;		///< changed only by attempts_set_state()
 	/// How the attempt's end is recorded if it is released without a completion; set when its
 	/// endpoint ends unexpectedly.
 	job_attempt_end_cause loss;
--- a/src/sesamewood/sched/demand.c
+++ b/src/sesamewood/sched/demand.c
@@ -1,15 +1,18 @@
 #include "sched/demand.h"
 
+#include "sched/accounts.h"
 #include "sched/estimates.h"
 #include "sched/suspects.h"
 
-static void add_demand(const struct manager *m, const struct job *job, uint32_t occurrence,
-		       uint32_t step, struct demand *d)
+static void add_demand(const struct manager *m, struct job *job, uint32_t occurrence, uint32_t step,
+		       struct accounts_rest *rest, struct demand *d)
 {
 	const job_step *s = &job->image.spec.steps.steps_val[step];
 	const job_step_state *state = job_step_tasks(job, occurrence, step);
 	uint32_t max_together = s->count;
+	uint32_t count = s->count;
 	uint32_t waiting = 0;
+	uint32_t allowed;
 	bool suspected = false;
 
 	for (u_int i = 0; i < state->tasks.tasks_len; i++) {
@@ -18,6 +21,11 @@
 		waiting += t->phase == JOB_TASK_WAITING;
 		suspected |= t->phase == JOB_TASK_WAITING && suspects_is_suspected(t);
 	}
+	/* Tasks that the cap of their account keeps from starting need no machines. */
+	allowed = accounts_rest_take(rest, m, job, s, waiting);
+	count -= MIN(count, waiting - allowed);
+	suspected &= allowed > 0;
+	waiting = allowed;
 	/* Each suspected job is tried at an endpoint of its own. */
 	d->trials += suspected;
 	d->spread = MAX(d->spread, d->trials);
@@ -25,8 +33,8 @@
 		max_together = s->max_per_endpoint;
 	if (s->max_unavailable)
 		max_together = MIN(max_together, s->max_unavailable);
-	if (max_together < s->count)
-		d->spread = MAX(d->spread, (s->count + max_together - 1) / max_together);
+	if (max_together < count)
+		d->spread = MAX(d->spread, (count + max_together - 1) / max_together);
 	if (s->long_running && !s->best_effort)
 		d->long_running_cpu_milli += (int64_t)waiting * s->cpu_milli;
 	if (!s->long_running && !s->best_effort)
@@ -37,9 +45,10 @@
 GHashTable *demand_by_pool(const struct manager *m, clock_ms_t wall_ms)
 {
 	GHashTable *pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	struct accounts_rest *rest = accounts_rest_new(m);
 
 	for (guint i = 0; i < m->active->len; i++) {
-		const struct job *job = m->active->pdata[i];
+		struct job *job = m->active->pdata[i];
 		const job_queue *queue;
 		struct demand *d;
 		const char *pool;
@@ -59,8 +68,9 @@
 				break;
 			for (u_int s = 0; s < job->image.spec.steps.steps_len; s++)
 				if (job_step_is_ready(job, k, s))
-					add_demand(m, job, k, s, d);
+					add_demand(m, job, k, s, rest, d);
 		}
 	}
+	accounts_rest_free(rest);
 	return pools;
 }
--- a/src/sesamewood/sched/schedule.c
+++ b/src/sesamewood/sched/schedule.c
@@ -2,6 +2,7 @@
 
 #include "runs/attempts.h"
 #include "runs/runs.h"
+#include "sched/accounts.h"
 #include "sched/advice.h"
 #include "sched/estimates.h"
 #include "sched/capacity.h"
@@ -99,7 +100,7 @@
 
 /// @return true if a ready task may be waiting, or will become ready without an event
 static bool collect_waiting_steps(const struct manager *m, struct job *job, clock_ms_t wall_ms,
-				  struct queue_capacity *last, GArray *out)
+				  bool has_accounts, struct queue_capacity *last, GArray *out)
 {
 	const job_spec *spec = &job->image.spec;
 	const job_queue *queue = jobs_queue(m->jobs, spec->queue);
@@ -108,6 +109,8 @@
 
 	estimates_prepare(m, job);
 	job_create_due(job, wall_ms);
+	if (has_accounts && accounts_is_at_cap(accounts_of(m, job)))
+		return true; /* none of its steps may start; checked once the account is below */
 	for (u_int k = job->first_open; k < job->image.occurrences.occurrences_len; k++) {
 		struct waiting_step w = {.job = job, .occurrence = k, .capacity = capacity};
 		bool has_key = false;
@@ -136,6 +139,7 @@
 static GArray *collect_waiting(struct manager *m, clock_ms_t wall_ms)
 {
 	struct queue_capacity last = {0};
+	bool has_accounts = accounts_are_configured(m);
 	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct waiting_step));
 
 	for (guint i = m->active->len; i > 0; i--) {
@@ -148,7 +152,7 @@
 		}
 		if (job->may_have_ready_tasks && job->unfinished > job->assigned)
 			job->may_have_ready_tasks =
-				collect_waiting_steps(m, job, wall_ms, &last, out);
+				collect_waiting_steps(m, job, wall_ms, has_accounts, &last, out);
 	}
 	g_array_sort(out, compare_waiting);
 	return out;
@@ -226,6 +230,10 @@
 			w->has_singled_out |= !q->singled_out;
 			continue;
 		}
+		/* Not for lack of capacity, so it must not be recorded as a size that fits nowhere.
+		 */
+		if (!accounts_allow_start(m, w->job, q->step))
+			return true;
 		if (s->tasks.tasks_val[i].failures || q->step->gang) {
 			name = g_strdup_printf("%s.%u.%u.%u", q->job, w->occurrence, w->step, i);
 			q->failed_at = g_hash_table_lookup(m->failed_at, name);
@@ -370,6 +378,8 @@
 	};
 	g_autofree char *name = NULL;
 
+	if (!accounts_allow_start(m, w->job, step))
+		return false;
 	if (!capacity_may_fit(w->capacity, step)) {
 		if (step->long_running && !step->gang && !w->needs_placement_advice)
 			reserve_endpoint(m, w, &q);
@@ -416,6 +426,7 @@
 		if (g_array_index(waiting, struct waiting_step, i).has_singled_out)
 			place_step(m, now, wall_ms, &g_array_index(waiting, struct waiting_step, i),
 				   true);
+	accounts_log_caps(m, now);
 	return tried;
 }
 
--- a/tests/unit/manager_fixture.c
+++ b/tests/unit/manager_fixture.c
@@ -1,6 +1,8 @@
 #include "manager_fixture.h"
 
 #include "base/codec.h"
+#include "jobs/access.h"
+#include "manager/manager_internal.h"
 
 #include <string.h>
 
@@ -117,20 +119,51 @@
 	call_clear(&c);
 }
 
-void fixture_put_config(struct manager *m, clock_ms_t now)
+static void set_config(struct call *c, uint64_t version)
 {
-	struct call c = {.type = CALL_CONFIG_PUT};
 	job_queue *q = calloc(1, sizeof(*q));
 	job_pool *p = calloc(2, sizeof(*p));
 
 	*q = (job_queue){.key = strdup("h /q/"), .pool = strdup("p"), .max_attempts = 2};
 	p[0] = (job_pool){.name = strdup("p")};
 	p[1] = (job_pool){.name = strdup("off"), .standby = true};
-	c.config.config_version = 1;
-	c.config.queues.queues_len = 1;
-	c.config.queues.queues_val = q;
-	c.config.pools.pools_len = 2;
-	c.config.pools.pools_val = p;
+	c->config.config_version = version;
+	c->config.queues.queues_len = 1;
+	c->config.queues.queues_val = q;
+	c->config.pools.pools_len = 2;
+	c->config.pools.pools_val = p;
+}
+
+void fixture_put_config(struct manager *m, clock_ms_t now)
+{
+	struct call c = {.type = CALL_CONFIG_PUT};
+
+	set_config(&c, 1);
+	manager_handle_call(m, now, now, 3, &c);
+	call_clear(&c);
+}
+
+void fixture_put_accounts(struct manager *m, clock_ms_t now, uint64_t version,
+			  const struct fixture_account *accounts, unsigned int n)
+{
+	struct call c = {.type = CALL_CONFIG_PUT, .has_access = true};
+	job_account *rows = calloc(n + 1, sizeof(*rows));
+
+	set_config(&c, version);
+	for (unsigned int i = 0; i < n; i++) {
+		rows[i] = (job_account){.name = strdup(accounts[i].name),
+					.weight_milli = accounts[i].weight_milli,
+					.priority = accounts[i].priority,
+					.cap = accounts[i].cap};
+		rows[i].keys.keys_len = 1;
+		rows[i].keys.keys_val = calloc(1, sizeof(job_key_digest));
+		rows[i].keys.keys_val[0] =
+			access_digest(accounts[i].name, strlen(accounts[i].name));
+	}
+	c.access.accounts.accounts_len = n;
+	c.access.accounts.accounts_val = rows;
+	c.access.open_queues.open_queues_len = 1;
+	c.access.open_queues.open_queues_val = calloc(1, sizeof(u_int));
 	manager_handle_call(m, now, now, 3, &c);
 	call_clear(&c);
 }
@@ -140,26 +173,46 @@
 	fixture_submit_sized(m, now, id, tasks, 1000, 10);
 }
 
-static void submit(struct manager *m, clock_ms_t now, const char *id, uint32_t tasks,
-		   uint32_t cpu_milli, uint32_t mem_mb, bool long_running)
+enum reply_status fixture_submit_for(struct manager *m, clock_ms_t now, const char *account,
+				     const char *id, const job_step *from)
 {
 	struct call c = {
 		.type = CALL_SUBMIT, .host = g_strdup("h"), .path = g_strconcat("/q/", id, NULL)};
 	job_step *step = calloc(1, sizeof(*step));
-
-	*step = (job_step){.count = tasks,
-			   .cpu_milli = cpu_milli,
-			   .mem_mb = mem_mb,
-			   .long_running = long_running,
-			   .estimate_ms = 60000,
-			   .label = strdup(""),
-			   .data_rack = strdup(""),
-			   .image = strdup("")};
+	enum reply_status status = REPLY_UNAVAILABLE;
+	GPtrArray *effects;
+
+	*step = *from;
+	step->estimate_ms = 60000;
+	step->label = strdup("");
+	step->data_rack = strdup("");
+	step->image = strdup("");
+	c.key = account ? g_bytes_new(account, strlen(account)) : NULL;
 	c.spec.payload = strdup("");
 	c.spec.steps.steps_len = 1;
 	c.spec.steps.steps_val = step;
 	manager_handle_call(m, now, now, 4, &c);
 	call_clear(&c);
+	/* The reply comes last; the caller still gets it. */
+	effects = m->effects;
+	if (effects->len) {
+		const struct effect *e = effects->pdata[effects->len - 1];
+
+		if (e->type == EFFECT_REPLY)
+			status = e->u.reply.reply.status;
+	}
+	return status;
+}
+
+static void submit(struct manager *m, clock_ms_t now, const char *id, uint32_t tasks,
+		   uint32_t cpu_milli, uint32_t mem_mb, bool long_running)
+{
+	const job_step step = {.count = tasks,
+			       .cpu_milli = cpu_milli,
+			       .mem_mb = mem_mb,
+			       .long_running = long_running};
+
+	fixture_submit_for(m, now, NULL, id, &step);
 }
 
 void fixture_submit_sized(struct manager *m, clock_ms_t now, const char *id, uint32_t tasks,
--- a/tests/unit/manager_fixture.h
+++ b/tests/unit/manager_fixture.h
@@ -49,6 +49,25 @@
 /// Configures pool "p" with its queue, and a standby pool "off".
 void fixture_put_config(struct manager *m, clock_ms_t now);
 
+/// A client account. Its name is its key.
+struct fixture_account {
+	const char *name;
+	uint32_t weight_milli;
+	uint32_t priority;
+	job_cap cap;
+};
+
+/// Replaces the configuration by one with accounts. Its queue takes jobs without a key as well.
+void fixture_put_accounts(struct manager *m, clock_ms_t now, uint64_t version,
+			  const struct fixture_account *accounts, unsigned int n);
+
+/// Submits a job of one step. Sets the strings and the estimate of the step.
+///
+/// @param account  NULL: none
+/// @return the reply's status
+enum reply_status fixture_submit_for(struct manager *m, clock_ms_t now, const char *account,
+				     const char *id, const job_step *step);
+
 /// Submits a job of one step whose tasks use one core each for a minute.
 void fixture_submit(struct manager *m, clock_ms_t now, const char *id, uint32_t tasks);
 
