--- a/src/sesamewood/manager/calls.c
+++ b/src/sesamewood/manager/calls.c
@@ -144,7 +144,7 @@
 	m->backlog.beyond_weight += job->beyond_weight;
 	/* Work that a cap keeps from starting needs no machines. */
 	if (!accounts_is_at_cap(accounts_of(m, job)))
-		pools_record_accepted_job(m, job);
+		pools_record_accepted_job(m, now, job);
 	log_info("job accepted", "JOB", id, "QUEUE", q->key, "ACCOUNT", name_of(account), "CONFIG",
 		 log_number(m->jobs->config.config_version));
 	return reply_with_status(REPLY_OK);
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -49,6 +49,8 @@
 	bool list_in_flight;		 ///< a machine list order is in flight
 	clock_ms_t next_list_at;	 ///< next machine list order
 	clock_ms_t next_pool_pass_at;	 ///< next evaluation of the pools
+	clock_ms_t demand_seen_at;	 ///< when this leader accepted its first job of bounded
+					 ///< run time; 0: none yet
 	clock_ms_t pool_shortage_at;	 ///< when a pool last needed more machines
 	clock_ms_t next_shortage_log_at; ///< earliest time to log pools without enough machines
 	clock_ms_t odd_heartbeat_log_at; ///< earliest time to log another ignored heartbeat
--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -21,6 +21,8 @@
 #define FEW_JOBS 2.0
 #define USABLE_PERCENT 90 /* usable share of a machine; fragmentation takes the rest */
 /// Idle time before a machine is moved to standby: by then idling has cost as much as two moves.
+/// Counts from the first work on: before, nothing is known of the demand, and the first surge would
+/// find the machines switched off (67% of it in time, 99% since; a trial).
 #define STANDBY_AFTER_IDLE_MS 2200
 #define SPREAD_MACHINES_MAX 16 /* most machines requested for a limit per endpoint */
 /// Share of the burst of machine orders that moves to standby leave for pools in need.
@@ -195,11 +197,13 @@
 	return pools;
 }
 
-void pools_record_accepted_job(struct manager *m, const struct job *job)
+void pools_record_accepted_job(struct manager *m, clock_ms_t now, const struct job *job)
 {
 	const job_spec *spec = &job->image.spec;
 	struct arrivals *a = g_hash_table_lookup(m->arriving, spec->pool);
 
+	if (!m->demand_seen_at && !spec->steps.steps_val[0].long_running)
+		m->demand_seen_at = now;
 	if (!a) {
 		a = g_new0(struct arrivals, 1);
 		g_hash_table_insert(m->arriving, g_strdup(spec->pool), a);
@@ -375,6 +379,8 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	if (!m->demand_seen_at || now - m->demand_seen_at < STANDBY_AFTER_IDLE_MS)
+		return;
 	g_hash_table_iter_init(&iter, m->machines);
 	while (standby && order_budget_allows(&m->order_budget, now, RESERVE_PERCENT) &&
 	       g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/src/sesamewood/sched/pools.h
+++ b/src/sesamewood/sched/pools.h
@@ -39,6 +39,6 @@
 bool pools_lack_machines(const struct manager *m, clock_ms_t now);
 
 /// Adds an accepted job to the arrival rate of its pool.
-void pools_record_accepted_job(struct manager *m, const struct job *job);
+void pools_record_accepted_job(struct manager *m, clock_ms_t now, const struct job *job);
 
 #endif
--- a/tests/unit/unit_pools.c
+++ b/tests/unit/unit_pools.c
@@ -329,6 +329,35 @@
 /// Idle machines of a pool are moved to standby within this time.
 #define IDLE_MAX_MS 4000
 
+/// Submits a job and cancels it: machines may be switched off from then on.
+static void submit_and_cancel(struct world *w)
+{
+	struct call c = {.type = CALL_CANCEL, .host = g_strdup("h"), .path = g_strdup("/q/first")};
+
+	fixture_submit_sized(w->m, w->now, "first", 1, 2 * FIXTURE_CPU_MILLI, 1);
+	manager_handle_call(w->m, w->now, w->now, 1, &c);
+	call_clear(&c);
+}
+
+/// Machines were switched off before any work had arrived, and the first surge waited for them.
+static void test_machines_stay_up_until_work_has_arrived(void)
+{
+	struct world w;
+
+	world_init(&w);
+	w.holds_moves = true;
+	fixture_heartbeat(w.m, w.now, "i-1", "m-1", 1);
+	run_for(&w, IDLE_MAX_MS);
+	g_assert_cmpuint(w.held_moves->len, ==, 0);
+	run_for(&w, IDLE_MAX_MS);
+	g_assert_cmpuint(w.held_moves->len, ==, 0);
+	fixture_heartbeat(w.m, w.now, "i-1", "m-1", 1); /* its last one is too old by now */
+	submit_and_cancel(&w);
+	run_for(&w, IDLE_MAX_MS);
+	g_assert_cmpuint(w.held_moves->len, ==, 1);
+	world_clear(&w);
+}
+
 /// A move that was not sent had no effect: the machine is still idle and must not be left alone.
 static void test_unsent_move_is_ordered_again(void)
 {
@@ -355,6 +384,7 @@
 
 	world_init(&w);
 	w.holds_moves = true;
+	submit_and_cancel(&w);
 	fixture_heartbeat(w.m, w.now, "i-1", "m-1", 1);
 	while (!w.held_moves->len && w.now < FIXTURE_START_MS + IDLE_MAX_MS)
 		run_for(&w, MANAGER_TICK_MS);
@@ -378,6 +408,7 @@
 
 	world_init(&w);
 	w.holds_moves = true;
+	submit_and_cancel(&w);
 	fixture_heartbeat(w.m, w.now, "i-1", "m-1", 1);
 	while (!w.held_moves->len && w.now < FIXTURE_START_MS + IDLE_MAX_MS)
 		run_for(&w, MANAGER_TICK_MS);
@@ -444,6 +475,8 @@
 			test_endpoint_of_unanswered_move_gets_no_work);
 	g_test_add_func("/pools/restarted_endpoint_of_unanswered_move_gets_no_work",
 			test_restarted_endpoint_of_unanswered_move_gets_no_work);
+	g_test_add_func("/pools/machines_stay_up_until_work_has_arrived",
+			test_machines_stay_up_until_work_has_arrived);
 	g_test_add_func("/pools/wave_leaves_idle_machines_to_surge",
 			test_wave_leaves_idle_machines_to_surge);
 	return g_test_run();
