--- a/src/sesamewood/sched/accounts.c
+++ b/src/sesamewood/sched/accounts.c
@@ -2,12 +2,15 @@
 
 #include "base/log.h"
 #include "jobs/access.h"
+#include "sched/capacity.h"
 
-#include <string.h>
+#include <math.h>
 
-#define TOKEN 1000000	   /* a job, as thousandths of a job a second times milliseconds */
-#define BURST_MS 1000	   /* the contract owes an account its weight in each second */
-#define LOG_PERIOD_MS 1000 /* bounds the log of an account whose use stays near its cap */
+#define TOKEN 1000000 /* a job, as thousandths of a job a second times milliseconds */
+#define BURST_MS 1000 /* the contract owes an account its weight in each second */
+#define NO_ACCOUNT_WEIGHT_MILLI 1000 /* work without an account shares as an account of weight 1   \
+				      */
+#define LOG_PERIOD_MS 1000	     /* bounds the log of an account whose use stays near its cap */
 
 struct accounts {
 	GHashTable *by_name; ///< struct account; owned
@@ -271,6 +274,102 @@
 	}
 }
 
+/* Shares. */
+
+/// An account that is owed nothing has a share as well, or its use could not be compared.
+static double weight_of(const struct account *a)
+{
+	return *a->name ? MAX(a->weight_milli, 1) : NO_ACCOUNT_WEIGHT_MILLI;
+}
+
+static void take_part(struct account_use *u, struct pool_capacity *capacity)
+{
+	u->capacity = capacity;
+	if (capacity)
+		capacity->weights += weight_of(u->account);
+}
+
+void accounts_start_round(struct manager *m)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, m->pool_capacities);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct pool_capacity *)value)->weights = 0;
+	g_hash_table_iter_init(&iter, m->accounts->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct account *a = value;
+
+		for (guint i = 0; i < a->uses->len; i++) {
+			struct account_use *u = a->uses->pdata[i];
+
+			u->planned = u->used;
+			take_part(u, u->attempts ? g_hash_table_lookup(m->pool_capacities, u->pool)
+						 : NULL);
+		}
+	}
+}
+
+struct account_use *accounts_record_waiting(struct manager *m, struct job *job,
+					    struct pool_capacity *capacity)
+{
+	struct account_use *u = use_in_pool(accounts_of(m, job), capacity->pool);
+
+	if (!u->capacity)
+		take_part(u, capacity);
+	return u;
+}
+
+/// @return use of one resource over the share of it. A single division of exact products, so that
+/// a use that equals the share gives exactly 1.
+static double ratio_of(const struct account_use *u, int64_t planned, int64_t total)
+{
+	return total > 0 ? (double)planned * u->capacity->weights /
+				   ((double)total * weight_of(u->account))
+			 : 0;
+}
+
+double accounts_share_ratio(const struct account_use *u)
+{
+	const struct resources *total = &u->capacity->total;
+	double ratio = ratio_of(u, u->planned.cpu_milli, total->cpu_milli);
+
+	ratio = MAX(ratio, ratio_of(u, u->planned.mem_mb, total->mem_mb));
+	return MAX(ratio, ratio_of(u, u->planned.gpu, total->gpu));
+}
+
+/// @return number of tasks that start while the planned use of one resource is below its share
+static double tasks_within(const struct account_use *u, int64_t planned, int64_t total,
+			   uint32_t size)
+{
+	double left =
+		(double)total * weight_of(u->account) - (double)planned * u->capacity->weights;
+
+	if (total <= 0 || !size)
+		return UINT32_MAX;
+	return MAX(ceil(left / ((double)size * u->capacity->weights)), 0);
+}
+
+uint32_t accounts_tasks_within_share(const struct account_use *u, const job_step *step, uint32_t n)
+{
+	const struct resources *total = &u->capacity->total;
+	double within = n;
+
+	if (accounts_share_ratio(u) >= 1)
+		return 0;
+	within = MIN(within,
+		     tasks_within(u, u->planned.cpu_milli, total->cpu_milli, step->cpu_milli));
+	within = MIN(within, tasks_within(u, u->planned.mem_mb, total->mem_mb, step->mem_mb));
+	within = MIN(within, tasks_within(u, u->planned.gpu, total->gpu, step->gpu));
+	return (uint32_t)within;
+}
+
+void accounts_plan(struct account_use *u, const job_step *step, uint32_t n)
+{
+	u->planned = use_with(&u->planned, step, n);
+}
+
 /* Demand. */
 
 struct accounts_rest {
--- a/src/sesamewood/sched/accounts.h
+++ b/src/sesamewood/sched/accounts.h
@@ -14,6 +14,9 @@
 	char *pool;
 	struct resources used;
 	unsigned int attempts;
+	/* In the present placement round. */
+	struct pool_capacity *capacity; ///< of the pool; NULL: the account takes no part in it
+	struct resources planned;	///< use once the steps considered so far have started
 };
 
 /// One client account as the leader knows it. Work without an account has the name "".
@@ -75,6 +78,28 @@
 /// at their cap in the backlog. Called at the end of a placement round.
 void accounts_log_caps(struct manager *m, clock_ms_t now);
 
+/* Shares of a pool. An account's share is its weight over the sum of the weights of all accounts
+ * that use the pool or wait for it; its use is that of its dominant resource. Work without an
+ * account counts as one account of weight 1. All of this holds for one placement round. */
+
+/// Starts a round: the use of each account is what its attempts use.
+void accounts_start_round(struct manager *m);
+
+/// Records that an account waits for a pool in this round.
+///
+/// @return its use of the pool, owned by the manager
+struct account_use *accounts_record_waiting(struct manager *m, struct job *job,
+					    struct pool_capacity *capacity);
+
+/// @return planned use over share; from 1 on, the account is over its share
+double accounts_share_ratio(const struct account_use *u);
+
+/// @return how many of @p n tasks of a step start while the planned use is below the share
+uint32_t accounts_tasks_within_share(const struct account_use *u, const job_step *step, uint32_t n);
+
+/// Adds @p n tasks of a step to the planned use.
+void accounts_plan(struct account_use *u, const job_step *step, uint32_t n);
+
 /// What the cap of each account leaves for waiting tasks, while demand is counted.
 struct accounts_rest;
 
--- a/src/sesamewood/sched/capacity.c
+++ b/src/sesamewood/sched/capacity.c
@@ -210,6 +210,9 @@
 		pc = find_or_add_pool(m->pool_capacities, e->pool);
 		c = make_candidate(m, e, now);
 		pc->n_endpoints++;
+		pc->total.cpu_milli += e->cpu_milli;
+		pc->total.mem_mb += e->mem_mb;
+		pc->total.gpu += e->gpu;
 		pc->n_quarantined += c.quarantined;
 		add_candidate(pc, &c);
 	}
--- a/src/sesamewood/sched/capacity.h
+++ b/src/sesamewood/sched/capacity.h
@@ -20,8 +20,10 @@
 	struct resources max_available;
 	struct resources no_fit[CAPACITY_NO_FIT_MAX]; ///< sizes that fit on no candidate
 	unsigned int n_no_fit;
-	unsigned int trials;   ///< endpoints with an attempt on trial, unresponsive ones included
-	unsigned int reserved; ///< candidates reserved for long-running tasks in this round
+	unsigned int trials;	///< endpoints with an attempt on trial, unresponsive ones included
+	unsigned int reserved;	///< candidates reserved for long-running tasks in this round
+	struct resources total; ///< of its endpoints that take work, as of the last rebuild
+	double weights; ///< sum over the accounts that use the pool or wait for it in this round
 };
 
 /// Updates the capacities of all pools for a round: changed endpoints in each round, all endpoints
--- a/src/sesamewood/sched/schedule.c
+++ b/src/sesamewood/sched/schedule.c
@@ -19,9 +19,18 @@
 {
 	if (a->priority != b->priority)
 		return a->priority < b->priority ? -1 : 1;
+	if (a->beyond_weight != b->beyond_weight)
+		return a->beyond_weight ? 1 : -1;
+	if (a->over_share != b->over_share)
+		return a->over_share ? 1 : -1;
 	if (a->late != b->late)
 		return a->late ? 1 : -1;
-	return (a->slack_ms > b->slack_ms) - (a->slack_ms < b->slack_ms);
+	if (a->share_ratio != b->share_ratio)
+		return a->share_ratio < b->share_ratio ? -1 : 1;
+	if (a->slack_ms != b->slack_ms)
+		return a->slack_ms < b->slack_ms ? -1 : 1;
+	return (a->account_priority > b->account_priority) -
+	       (a->account_priority < b->account_priority);
 }
 
 struct waiting_step {
@@ -32,6 +41,11 @@
 	bool needs_placement_advice;
 	bool has_singled_out; ///< independent tasks that are placed after all others
 	struct waiting_key key;
+	/* Only if there are accounts. */
+	struct account_use *use; ///< of its account, in its pool
+	uint32_t tasks;		 ///< waiting tasks
+	uint32_t max_starts;	 ///< starts at most so many of them now; 0: all
+	bool is_remainder;	 ///< another element holds the first tasks of the same step
 };
 
 static int compare_waiting(gconstpointer a, gconstpointer b)
@@ -61,6 +75,16 @@
 	return key;
 }
 
+static uint32_t count_waiting_tasks(const struct waiting_step *w)
+{
+	const job_step_state *s = job_step_tasks(w->job, w->occurrence, w->step);
+	uint32_t n = 0;
+
+	for (u_int i = 0; s && i < s->tasks.tasks_len; i++)
+		n += s->tasks.tasks_val[i].phase == JOB_TASK_WAITING;
+	return n;
+}
+
 static bool has_waiting_task(const struct job *job, uint32_t occurrence, uint32_t step)
 {
 	const job_step_state *s = job_step_tasks(job, occurrence, step);
@@ -135,7 +159,54 @@
 	return may_wait;
 }
 
-/// @return struct waiting in the order of service, owned by the caller
+/// Adds to the key of a step what depends on its account.
+static void add_account(struct manager *m, struct waiting_step *w)
+{
+	w->use = accounts_record_waiting(m, w->job, w->capacity);
+	w->tasks = count_waiting_tasks(w);
+	w->key.account_priority = w->use->account->priority;
+	/* Long-running work keeps its place, as its machines are assigned before others. */
+	w->key.beyond_weight =
+		w->job->beyond_weight && !w->job->image.spec.steps.steps_val[0].long_running;
+}
+
+/// Decides which waiting steps are within the shares of their accounts. Steps are considered in the
+/// order of service, and each counts for those after it, so that the many steps of one account are
+/// not all within its share. A step that crosses the share is split in two.
+static void apply_shares(struct manager *m, GArray *waiting)
+{
+	guint n = waiting->len;
+
+	accounts_start_round(m);
+	for (guint i = 0; i < n; i++)
+		add_account(m, &g_array_index(waiting, struct waiting_step, i));
+	g_array_sort(waiting, compare_waiting);
+	for (guint i = 0; i < n; i++) {
+		struct waiting_step *w = &g_array_index(waiting, struct waiting_step, i);
+		const job_step *step = &w->job->image.spec.steps.steps_val[w->step];
+		struct waiting_step rest = *w;
+		uint32_t within = accounts_tasks_within_share(w->use, step, w->tasks);
+
+		if (w->job->image.spec.steps.steps_val[0].long_running || (step->gang && within) ||
+		    within == w->tasks) {
+			accounts_plan(w->use, step, w->tasks);
+			continue;
+		}
+		accounts_plan(w->use, step, within);
+		rest.key.over_share = true;
+		rest.key.share_ratio = accounts_share_ratio(w->use);
+		accounts_plan(w->use, step, w->tasks - within);
+		if (!within) {
+			*w = rest;
+			continue;
+		}
+		w->max_starts = within;
+		rest.is_remainder = true;
+		g_array_append_val(waiting, rest);
+	}
+}
+
+/// @return struct waiting_step in the order of service, owned by the caller
 static GArray *collect_waiting(struct manager *m, clock_ms_t wall_ms)
 {
 	struct queue_capacity last = {0};
@@ -154,6 +225,8 @@
 			job->may_have_ready_tasks =
 				collect_waiting_steps(m, job, wall_ms, has_accounts, &last, out);
 	}
+	if (has_accounts)
+		apply_shares(m, out);
 	g_array_sort(out, compare_waiting);
 	return out;
 }
@@ -210,12 +283,13 @@
 	return at;
 }
 
-/// @return true if all waiting tasks of the step were started
+/// @return true if all waiting tasks of the step were started that may start now
 static bool place_independent_tasks(struct manager *m, clock_ms_t now, struct waiting_step *w,
 				    struct place_request *q, GArray *candidates)
 {
 	job_step_state *s =
 		&w->job->image.occurrences.occurrences_val[w->occurrence].steps.steps_val[w->step];
+	uint32_t started = 0;
 
 	for (u_int i = 0; i < s->tasks.tasks_len; i++) {
 		g_autofree char *name = NULL;
@@ -232,7 +306,8 @@
 		}
 		/* Not for lack of capacity, so it must not be recorded as a size that fits nowhere.
 		 */
-		if (!accounts_allow_start(m, w->job, q->step))
+		if (!accounts_allow_start(m, w->job, q->step) ||
+		    (w->max_starts && started == w->max_starts))
 			return true;
 		if (s->tasks.tasks_val[i].failures || q->step->gang) {
 			name = g_strdup_printf("%s.%u.%u.%u", q->job, w->occurrence, w->step, i);
@@ -251,6 +326,7 @@
 			open_trial(w->capacity, c, q->job);
 		place_allocate(c, q->step);
 		start_task(m, now, w, i, s->tasks.tasks_val[i].attempt + 1, c);
+		started++;
 	}
 	return true;
 }
@@ -404,10 +480,14 @@
 
 static void record_backlog(struct manager *m, const GArray *waiting)
 {
-	m->backlog.waiting_steps = waiting->len;
+	m->backlog.waiting_steps = 0;
 	m->backlog.late_steps = 0;
-	for (guint i = 0; i < waiting->len; i++)
-		m->backlog.late_steps += g_array_index(waiting, struct waiting_step, i).key.late;
+	for (guint i = 0; i < waiting->len; i++) {
+		const struct waiting_step *w = &g_array_index(waiting, struct waiting_step, i);
+
+		m->backlog.waiting_steps += !w->is_remainder;
+		m->backlog.late_steps += w->key.late && !w->is_remainder;
+	}
 }
 
 unsigned int schedule_round(struct manager *m, clock_ms_t now, clock_ms_t wall_ms)
--- a/tests/unit/unit_accounts.c
+++ b/tests/unit/unit_accounts.c
@@ -5,6 +5,7 @@
 #include "manager/manager_internal.h"
 #include "manager_fixture.h"
 #include "sched/accounts.h"
+#include "sched/capacity.h"
 #include "sched/demand.h"
 #include "sched/schedule.h"
 
@@ -12,12 +13,16 @@
 
 #define ENDPOINTS_MAX 16 /* the least number of which one is reserved */
 
+#define RUN_MIN_MS 300 /* run time of tasks that end by themselves */
+#define RUN_SPAN_MS 600
+
 /// An attempt that an endpoint has accepted.
 struct attempt {
 	char *task;
 	char *instance;
 	uint32_t number;
 	uint64_t completion; ///< 0: it runs
+	clock_ms_t started_at;
 };
 
 /// Endpoints "i-1", "i-2"… that answer orders after 1 ms.
@@ -94,6 +99,14 @@
 	return NULL;
 }
 
+static gint compare_completions(gconstpointer a, gconstpointer b)
+{
+	const struct completion_record *x = a;
+	const struct completion_record *y = b;
+
+	return (x->number > y->number) - (x->number < y->number);
+}
+
 static void list_attempts(const struct world *w, const struct order *o, struct order_result *r)
 {
 	for (guint i = 0; i < w->attempts->len; i++) {
@@ -106,6 +119,8 @@
 
 		if (!g_str_equal(a->instance, o->instance))
 			continue;
+		if (a->completion && a->completion <= o->ack_through)
+			continue;
 		if (a->completion) {
 			end.task = g_strdup(a->task);
 			end.checkpoint = g_strdup("");
@@ -117,6 +132,7 @@
 		run.percent = (uint32_t)(w->now % 100); /* progress */
 		g_array_append_val(r->runs, run);
 	}
+	g_array_sort(r->completions, compare_completions);
 }
 
 static struct order_result *result_of(struct world *w, const struct order *o)
@@ -135,7 +151,8 @@
 	r->clock_ms = w->now;
 	if (o->type == ORDER_START) {
 		a = g_new0(struct attempt, 1);
-		*a = (struct attempt){g_strdup(o->task), g_strdup(o->instance), o->attempt, 0};
+		*a = (struct attempt){g_strdup(o->task), g_strdup(o->instance), o->attempt, 0,
+				      w->now};
 		g_ptr_array_add(w->attempts, a);
 	}
 	if (o->type == ORDER_STOP) {
@@ -200,6 +217,18 @@
 	}
 }
 
+/// Completes the attempts that have run for their time: 300 to 900 ms, by the name of the task.
+static void complete_due(struct world *w)
+{
+	for (guint i = 0; i < w->attempts->len; i++) {
+		struct attempt *a = w->attempts->pdata[i];
+
+		if (!a->completion &&
+		    w->now - a->started_at >= RUN_MIN_MS + g_str_hash(a->task) % RUN_SPAN_MS)
+			a->completion = ++w->completions[index_of(a->instance)];
+	}
+}
+
 static void submit(struct world *w, const char *account, const char *id, uint32_t tasks)
 {
 	const job_step step = {.count = tasks, .cpu_milli = 1000, .mem_mb = 10};
@@ -645,6 +674,339 @@
 	world_clear(&w);
 }
 
+/* Order and shares. */
+
+/// Each rule of the order counts more than those after it.
+static void test_order_of_rules(void)
+{
+	/* Served in this order. */
+	const struct waiting_key keys[] = {
+		{.priority = 0, .beyond_weight = true, .over_share = true, .late = true},
+		{.priority = 1, .slack_ms = 100, .account_priority = 0},
+		{.priority = 1, .slack_ms = 100, .account_priority = 1},
+		{.priority = 1, .slack_ms = 200, .account_priority = 0},
+		{.priority = 1, .late = true, .slack_ms = -100},
+		{.priority = 1, .over_share = true, .share_ratio = 1, .slack_ms = 900},
+		{.priority = 1, .over_share = true, .share_ratio = 1.5, .slack_ms = 100},
+		{.priority = 1, .over_share = true, .share_ratio = 1.5, .slack_ms = 200},
+		{.priority = 1, .over_share = true, .late = true, .share_ratio = 1},
+		{.priority = 1, .beyond_weight = true, .slack_ms = 100},
+		{.priority = 1, .beyond_weight = true, .over_share = true, .share_ratio = 1},
+	};
+
+	for (guint i = 0; i < G_N_ELEMENTS(keys); i++)
+		for (guint k = 0; k < G_N_ELEMENTS(keys); k++)
+			g_assert_cmpint(schedule_compare(&keys[i], &keys[k]), ==,
+					(i > k) - (i < k));
+}
+
+/// The ratio of use to share is that of the resource of which the account uses most. A resource
+/// that the pool does not have is left out.
+static void test_ratio_is_of_dominant_resource(void)
+{
+	const struct {
+		struct resources planned;
+		double ratio;
+	} cases[] = {
+		{{0, 0, 0}, 0},	  {{250, 0, 0}, 0.5},	{{500, 0, 0}, 1},      {{0, 1500, 0}, 1.5},
+		{{100, 0, 4}, 2}, {{750, 100, 1}, 1.5}, {{250, 1500, 2}, 1.5},
+	};
+	const job_step step = {.cpu_milli = 100, .mem_mb = 100, .gpu = 1};
+	struct account a = {.name = (char *)"a", .weight_milli = 2000};
+	struct pool_capacity pool = {.total = {1000, 2000, 4}, .weights = 4000};
+
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct account_use u = {
+			.account = &a, .capacity = &pool, .planned = cases[i].planned};
+
+		g_assert_cmpfloat(accounts_share_ratio(&u), ==, cases[i].ratio);
+		g_assert_cmpint(accounts_tasks_within_share(&u, &step, 100) > 0, ==,
+				cases[i].ratio < 1);
+	}
+	for (unsigned int gpu = 0; gpu <= 4; gpu += 4) {
+		struct account_use u = {.account = &a, .capacity = &pool, .planned = {0, 0, 1}};
+
+		pool.total.gpu = gpu;
+		g_assert_cmpfloat(accounts_share_ratio(&u), ==, gpu ? 0.5 : 0);
+		g_assert_cmpuint(accounts_tasks_within_share(&u, &step, 100), ==, gpu ? 1 : 5);
+	}
+}
+
+static void put_weights(struct world *w, uint32_t a, uint32_t b)
+{
+	const struct fixture_account accounts[] = {{.name = "a", .weight_milli = a},
+						   {.name = "b", .weight_milli = b}};
+
+	fixture_put_accounts(w->m, w->now, 2, accounts, 2);
+}
+
+/// The steps of an account that waits longest must not take more than its share of an empty pool in
+/// one round, whether there are many or one is large.
+static void test_one_round_keeps_shares(void)
+{
+	for (unsigned int large = 0; large < 2; large++) {
+		struct world w;
+
+		world_init(&w, 2);
+		put_weights(&w, 100000, 100000);
+		send_heartbeats(&w);
+		for (unsigned int i = 0; i < 20 && !large; i++) {
+			g_autofree char *id = g_strdup_printf("a%u", i);
+
+			submit(&w, "a", id, 1);
+		}
+		if (large)
+			submit(&w, "a", "a1", 20);
+		w.now++; /* the others have more slack */
+		submit(&w, "b", "b1", 20);
+		run_for(&w, 1);
+		g_assert_cmpuint(count_running(&w, "a"), ==, 8);
+		g_assert_cmpuint(count_running(&w, "b"), ==, 8);
+		world_clear(&w);
+	}
+}
+
+/// Shares are by weight. An idle share may be used, and work without an account has weight 1.
+static void test_shares_follow_weights(void)
+{
+	const struct {
+		uint32_t a, b;
+		const char *other;
+		unsigned int running;
+	} cases[] = {{100000, 100000, "b", 8}, {300000, 100000, "b", 12}, {3000, 1000, NULL, 12}};
+
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct world w;
+
+		world_init(&w, 2);
+		put_weights(&w, cases[i].a, cases[i].b);
+		send_heartbeats(&w);
+		submit(&w, "a", "a1", 200);
+		run_for(&w, 50);
+		g_assert_cmpuint(count_running(&w, "a1."), ==, 16); /* nothing else waits */
+		submit(&w, cases[i].other, "o1", 200);
+		for (unsigned int k = 0; k < 40; k++) {
+			complete(&w, "a1.", 1);
+			complete(&w, "o1.", k % 2);
+			run_for(&w, 50);
+		}
+		g_assert_cmpuint(count_running(&w, ""), ==, 16);
+		g_assert_cmpuint(count_running(&w, "a1."), >=, cases[i].running - 1);
+		g_assert_cmpuint(count_running(&w, "a1."), <=, cases[i].running + 1);
+		world_clear(&w);
+	}
+}
+
+/// Bound on starvation (sched/schedule.h): an account that finds a full pool gets all that ends
+/// until it uses its share, and nothing of the others starts before.
+static void test_share_is_reclaimed_with_what_ends(void)
+{
+	struct world w;
+
+	world_init(&w, 2);
+	put_weights(&w, 100000, 100000);
+	send_heartbeats(&w);
+	submit(&w, "a", "a1", 200);
+	run_for(&w, 50);
+	submit(&w, "a", "a2", 200);
+	w.now += 1000; /* the other account has more slack */
+	submit(&w, "b", "b1", 200);
+	for (unsigned int i = 1; i <= 8; i++) {
+		complete(&w, "a", 1);
+		run_for(&w, 50);
+		g_assert_cmpuint(count_running(&w, "a"), ==, 16 - i);
+		g_assert_cmpuint(count_running(&w, "b"), ==, i);
+	}
+	complete(&w, "a", 1);
+	run_for(&w, 50);
+	g_assert_cmpuint(count_running(&w, "a"), ==, 8);
+	g_assert_cmpuint(count_running(&w, "b"), ==, 8);
+	world_clear(&w);
+}
+
+/// The share is that of the dominant resource: an account that uses much memory and little of the
+/// processor must not count as below its share.
+static void test_dominant_resource_counts(void)
+{
+	for (unsigned int tasks = 1; tasks <= 20; tasks += 19) {
+		const job_step step = {.count = tasks, .cpu_milli = 100, .mem_mb = 1000};
+		struct world w;
+
+		world_init(&w, 2); /* 16,000 MB */
+		put_weights(&w, 100000, 100000);
+		send_heartbeats(&w);
+		for (unsigned int i = 0; i < 20; i++) {
+			g_autofree char *id = g_strdup_printf("a%u", i);
+
+			fixture_submit_for(w.m, w.now, "a", id, &step);
+		}
+		w.now++;
+		for (unsigned int i = 0; i < 20; i++) {
+			g_autofree char *id = g_strdup_printf("b%u", i);
+
+			fixture_submit_for(w.m, w.now, "b", id, &step);
+		}
+		run_for(&w, 1);
+		g_assert_cmpuint(count_running(&w, "a"), ==, 8);
+		g_assert_cmpuint(count_running(&w, "b"), ==, 8);
+		world_clear(&w);
+	}
+}
+
+/// Jobs beyond the weight of their account yield to owed ones that arrive later.
+static void test_owed_jobs_go_first(void)
+{
+	struct world w;
+
+	world_init(&w, 2);
+	put_weights(&w, 1000, 20000);
+	send_heartbeats(&w);
+	for (unsigned int i = 0; i < 20; i++) {
+		g_autofree char *id = g_strdup_printf("a%u", i);
+
+		submit(&w, "a", id, 1);
+	}
+	w.now++;
+	for (unsigned int i = 0; i < 14; i++) {
+		g_autofree char *id = g_strdup_printf("b%u", i);
+
+		submit(&w, "b", id, 1);
+	}
+	run_for(&w, 1);
+	g_assert_cmpuint(count_running(&w, "b"), ==, 14);
+	g_assert_cmpuint(count_running(&w, "a0."), ==, 1); /* the owed one */
+	g_assert_cmpuint(count_running(&w, "a"), ==, 2);
+	world_clear(&w);
+}
+
+/// Long-running work keeps its place before other work of its priority, and counts in the use.
+static void test_lasting_work_keeps_its_place(void)
+{
+	const job_step lasting = {
+		.count = 10, .cpu_milli = 1000, .mem_mb = 10, .long_running = true};
+	struct world w;
+
+	world_init(&w, 2);
+	put_weights(&w, 1000, 100000);
+	send_heartbeats(&w);
+	submit(&w, "b", "b1", 20);
+	w.now++;
+	submit(&w, "a", "a1", 20); /* takes the token */
+	fixture_submit_for(w.m, w.now, "a", "a2", &lasting);
+	g_assert_true(jobs_find(w.m->jobs, "a2")->beyond_weight);
+	run_for(&w, 1);
+	g_assert_cmpuint(count_running(&w, "a2."), ==, 10);
+	g_assert_cmpuint(count_running(&w, "a1."), ==, 0);
+	g_assert_cmpuint(count_running(&w, "b1."), ==, 6);
+	world_clear(&w);
+}
+
+/// What two accounts got while a third one submitted @p load times the jobs that it is owed.
+struct service {
+	GString *order; ///< their tasks in the order of their starts
+	clock_ms_t sum_wait_ms;
+	clock_ms_t max_wait_ms; ///< longest time from the submission of one to its start
+	unsigned int of_a;	///< tasks of the third account that were started
+};
+
+/// Three accounts of 4 jobs a second each in a pool of 16 tasks of 0.6 s; b and c submit what they
+/// are owed.
+static struct service serve_under_load(unsigned int load)
+{
+	const struct fixture_account accounts[] = {{.name = "a", .weight_milli = 4000},
+						   {.name = "b", .weight_milli = 4000},
+						   {.name = "c", .weight_milli = 4000}};
+	const clock_ms_t gap_ms = 250;
+	const clock_ms_t end = FIXTURE_START_MS + 20000;
+	struct service s = {.order = g_string_new(NULL)};
+	unsigned int number = 0;
+	guint seen = 0;
+	struct world w;
+
+	world_init(&w, 2);
+	fixture_put_accounts(w.m, w.now, 2, accounts, 3);
+	send_heartbeats(&w);
+	while (w.now < end) {
+		if ((w.now - FIXTURE_START_MS) % gap_ms == 0 &&
+		    w.now + RUN_MIN_MS + RUN_SPAN_MS < end) {
+			for (unsigned int i = 0; i < load; i++) {
+				g_autofree char *id = g_strdup_printf("a%u-%u", number, i);
+
+				submit(&w, "a", id, 1);
+			}
+			for (const char *name = "b"; name; name = *name == 'b' ? "c" : NULL) {
+				g_autofree char *id =
+					g_strdup_printf("%s%" G_GINT64_FORMAT, name, (gint64)w.now);
+
+				submit(&w, name, id, 1);
+			}
+			number++;
+		}
+		complete_due(&w);
+		run_for(&w, 1);
+		for (; seen < w.attempts->len; seen++) {
+			const struct attempt *a = w.attempts->pdata[seen];
+			clock_ms_t wait_ms;
+
+			if (*a->task == 'a') {
+				s.of_a++;
+				continue;
+			}
+			wait_ms = a->started_at - g_ascii_strtoll(a->task + 1, NULL, 10);
+			s.sum_wait_ms += wait_ms;
+			s.max_wait_ms = MAX(s.max_wait_ms, wait_ms);
+			g_string_append_printf(s.order, "%s ", a->task);
+		}
+	}
+	world_clear(&w);
+	return s;
+}
+
+/// An account with seven times its load must not change what others get: neither the order of their
+/// tasks, nor how many start, nor their wait by more than the time in which a task ends somewhere.
+static void test_load_of_one_account_affects_no_other(void)
+{
+	struct service usual = serve_under_load(1);
+	struct service high = serve_under_load(7);
+	unsigned int tasks = 2 * usual.of_a; /* of the others */
+
+	g_test_message("tasks of a: %u and %u; longest wait of the others: %d and %d ms, in all %d "
+		       "and %d ms",
+		       usual.of_a, high.of_a, (int)usual.max_wait_ms, (int)high.max_wait_ms,
+		       (int)usual.sum_wait_ms, (int)high.sum_wait_ms);
+	g_assert_cmpuint(usual.of_a, ==, 77);
+	g_assert_cmpuint(high.of_a, >, 2 * usual.of_a); /* it gets what is idle */
+	g_assert_cmpstr(usual.order->str, ==, high.order->str);
+	g_assert_cmpint(high.max_wait_ms, <=, RUN_MIN_MS + RUN_SPAN_MS);
+	g_assert_cmpint(high.sum_wait_ms, <=, 100 * tasks);
+	g_string_free(usual.order, TRUE);
+	g_string_free(high.order, TRUE);
+}
+
+/// The log of a cap is bounded: an account that reaches and leaves it within a second is logged
+/// once.
+static void test_log_of_caps_is_bounded(void)
+{
+	clock_ms_t logged_at;
+	struct world w;
+
+	world_init(&w, 2);
+	put_cap(&w, 2, (job_cap){.cpu_milli = 2000});
+	send_heartbeats(&w);
+	submit(&w, "a", "a1", 2);
+	run_for(&w, 100);
+	g_assert_true(account_a(&w)->was_at_cap);
+	logged_at = account_a(&w)->logged_at;
+	complete(&w, "a1.", 1);
+	run_for(&w, 300);
+	g_assert_false(accounts_is_at_cap(account_a(&w)));
+	g_assert_cmpint(account_a(&w)->logged_at, ==, logged_at);
+	run_for(&w, 1000);
+	g_assert_false(account_a(&w)->was_at_cap);
+	g_assert_cmpint(account_a(&w)->logged_at - logged_at, >=, 1000);
+	world_clear(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -676,5 +1038,19 @@
 	g_test_add_func("/accounts/owed-rate-follows-weight", test_owed_rate_follows_weight);
 	g_test_add_func("/accounts/jobs-beyond-weight-are-marked",
 			test_jobs_beyond_weight_are_marked);
+	g_test_add_func("/accounts/order-of-rules", test_order_of_rules);
+	g_test_add_func("/accounts/ratio-is-of-dominant-resource",
+			test_ratio_is_of_dominant_resource);
+	g_test_add_func("/accounts/one-round-keeps-shares", test_one_round_keeps_shares);
+	g_test_add_func("/accounts/shares-follow-weights", test_shares_follow_weights);
+	g_test_add_func("/accounts/share-is-reclaimed-with-what-ends",
+			test_share_is_reclaimed_with_what_ends);
+	g_test_add_func("/accounts/dominant-resource-counts", test_dominant_resource_counts);
+	g_test_add_func("/accounts/owed-jobs-go-first", test_owed_jobs_go_first);
+	g_test_add_func("/accounts/lasting-work-keeps-its-place",
+			test_lasting_work_keeps_its_place);
+	g_test_add_func("/accounts/load-of-one-account-affects-no-other",
+			test_load_of_one_account_affects_no_other);
+	g_test_add_func("/accounts/log-of-caps-is-bounded", test_log_of_caps_is_bounded);
 	return g_test_run();
 }
