--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -138,7 +138,8 @@
 	clock_ms_t leased_at;	  ///< when the last such query that was answered was sent
 	clock_ms_t lease_sent_by; ///< when all orders so far that grant a lease were sent
 	/* Status queries and completions. */
-	bool status_query_open;	  ///< a status query is in flight
+	bool status_query_open;	  ///< the latest status query that verifies no claim is in flight
+	uint64_t status_query;	  ///< order id of that query
 	uint32_t status_wait_ms;  ///< wait of the latest status query that was sent
 	clock_ms_t questioned_at; ///< when a heartbeat last claimed that this incarnation has
 				  ///< ended; 0: no claim is open
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -13,6 +13,9 @@
 
 #define STATUS_WAIT_MS 1000	  /* short enough to renew a lease of 4.5 s three times */
 #define STATUS_WAIT_SHARED_MS 300 /* half the window of the usage figures */
+/// While a maintenance wave is open and a long-running task starts: the next machine waits until
+/// the task is known to be ready, half of this on average. A fifth of a short start-up.
+#define STATUS_WAIT_STARTING_MS 200
 /// Added to the wait; an answer takes under 10 ms on healthy links.
 #define STATUS_TIMEOUT_MS 700
 #define STATUS_INTERVAL_MS 25 /* one status query collects completions that are close together */
@@ -148,6 +151,29 @@
 	return e->last_completion;
 }
 
+/// Tells whether a maintenance wave may wait until a long-running task at an endpoint is ready.
+static bool delays_maintenance(const struct manager *m, const struct endpoint *e)
+{
+	if (!e->long_running || !g_hash_table_size(m->due_machines))
+		return false;
+	for (guint i = 0; i < e->runs->len; i++) {
+		const struct run *r = e->runs->pdata[i];
+
+		if (r->long_running && !r->ready_since && !r->stop_wanted)
+			return true;
+	}
+	return false;
+}
+
+static uint32_t status_wait_ms(const struct manager *m, const struct endpoint *e)
+{
+	if (suspects_job_on_trial(e))
+		return SUSPECTS_START_MS;
+	if (delays_maintenance(m, e))
+		return STATUS_WAIT_STARTING_MS;
+	return is_shared(e) ? STATUS_WAIT_SHARED_MS : STATUS_WAIT_MS;
+}
+
 static void send_status_query(struct manager *m, clock_ms_t now, struct endpoint *e)
 {
 	bool verifies = incarnations_needs_verification(e, now);
@@ -158,9 +184,7 @@
 	if (verifies)
 		e->verified_at = now;
 	else if (e->runs->len && e->fenced && !e->unanswered_calls)
-		wait_ms = suspects_job_on_trial(e) ? SUSPECTS_START_MS
-			  : is_shared(e)	   ? STATUS_WAIT_SHARED_MS
-						   : STATUS_WAIT_MS;
+		wait_ms = status_wait_ms(m, e);
 	o = order_to(e, ORDER_STATUS_QUERY, wait_ms + STATUS_TIMEOUT_MS);
 	o->ack_through = ack_through(e, now);
 	o->wait_ms = wait_ms;
@@ -174,6 +198,8 @@
 	effects_send_order(m, now, o, e, NULL, 0);
 	if (verifies)
 		e->verification = m->next_order;
+	else
+		e->status_query = m->next_order;
 	if (grants_lease)
 		e->lease_query = m->next_order;
 }
@@ -496,7 +522,10 @@
 		handle_restart_answer(m, now, e, result->incarnation_wall_ms);
 		return;
 	}
-	if (p->type == ORDER_STATUS_QUERY && p->id != e->verification)
+	/* The answer to a query that a later one was sent beside starts no other: two would stay
+	 * open for good, and the latest, which shows that the lease is fresh, would never be
+	 * answered before the next one is sent. */
+	if (p->type == ORDER_STATUS_QUERY && p->id == e->status_query)
 		e->status_query_open = false;
 	if (p->type == ORDER_STATUS_QUERY && result->status == ORDER_OK &&
 	    result->incarnation_wall_ms == e->incarnation_wall_ms) {
@@ -585,11 +614,13 @@
 	return e->unanswered_calls && e->last_heartbeat_at > e->unanswered_at;
 }
 
-static bool needs_status_query(const struct endpoint *e, clock_ms_t now)
+static bool needs_status_query(const struct manager *m, const struct endpoint *e, clock_ms_t now)
 {
-	/* A query that waits for long would not tell when an attempt on trial ends its endpoint. */
+	/* A query that waits for long would not tell when an attempt on trial ends its endpoint, or
+	 * when a long-running task is ready. */
 	bool is_open = e->status_query_open &&
-		       (e->status_wait_ms <= SUSPECTS_START_MS || !suspects_job_on_trial(e));
+		       (e->status_wait_ms <= SUSPECTS_START_MS || !suspects_job_on_trial(e)) &&
+		       (e->status_wait_ms <= STATUS_WAIT_SHARED_MS || !delays_maintenance(m, e));
 
 	if (is_open || e->terminated || e->terminated_at || now < e->next_status_at)
 		return false;
@@ -691,7 +722,7 @@
 		for (guint i = 0; i < e->runs->len; i++)
 			check_run(m, now, e->runs->pdata[i]);
 	}
-	if (needs_status_query(e, now) || incarnations_needs_verification(e, now))
+	if (needs_status_query(m, e, now) || incarnations_needs_verification(e, now))
 		send_status_query(m, now, e);
 	else if (e->announced)
 		incarnations_adopt_announced(m, now, e);
--- a/tests/unit/unit_runs.c
+++ b/tests/unit/unit_runs.c
@@ -779,6 +779,147 @@
 	manager_free(m);
 }
 
+/* Status queries beside an open one. */
+
+#define OPEN_QUERIES_MAX 8
+#define WARM_UP_MS 1000
+
+/// A status query that an endpoint holds back.
+struct open_query {
+	uint64_t id; ///< 0: none
+	clock_ms_t until;
+};
+
+/// An endpoint that runs long-running tasks and holds status queries back for their whole wait.
+struct holding_endpoint {
+	struct manager *m;
+	clock_ms_t now;
+	struct open_query queries[OPEN_QUERIES_MAX];
+	char *tasks[2];
+	clock_ms_t started_at[2];
+	unsigned int n_tasks;
+	unsigned int most_open; ///< highest number of queries open at once
+};
+
+static void holding_answer(struct holding_endpoint *h, uint64_t id)
+{
+	struct order_result *r = order_result_new(id, ORDER_OK);
+
+	r->incarnation_wall_ms = 1;
+	r->clock_ms = h->now;
+	for (unsigned int i = 0; i < h->n_tasks; i++) {
+		struct running_attempt row = {
+			.task = g_strdup(h->tasks[i]),
+			.attempt = 1,
+			.checkpoint = g_strdup(""),
+			.percent = h->now - h->started_at[i] >= WARM_UP_MS ? 100 : 0,
+		};
+
+		g_array_append_val(r->runs, row);
+	}
+	manager_handle_result(h->m, h->now, h->now, r);
+	order_result_free(r);
+}
+
+static void holding_execute(struct holding_endpoint *h, const struct order *o)
+{
+	if (o->type == ORDER_START) {
+		struct order_result *r = order_result_new(o->id, ORDER_OK);
+
+		g_assert_cmpuint(h->n_tasks, <, G_N_ELEMENTS(h->tasks));
+		h->tasks[h->n_tasks] = g_strdup(o->task);
+		h->started_at[h->n_tasks++] = h->now;
+		manager_handle_result(h->m, h->now, h->now, r);
+		order_result_free(r);
+	}
+	for (unsigned int i = 0; o->type == ORDER_STATUS_QUERY; i++) {
+		g_assert_cmpuint(i, <, OPEN_QUERIES_MAX);
+		if (h->queries[i].id)
+			continue;
+		h->queries[i] = (struct open_query){o->id, h->now + MAX(o->wait_ms, 1)};
+		break;
+	}
+}
+
+static void holding_run(struct holding_endpoint *h, clock_ms_t ms)
+{
+	h->most_open = 0;
+	for (clock_ms_t until = h->now + ms; h->now < until; h->now += 10) {
+		g_autoptr(GPtrArray) effects = NULL;
+		unsigned int n_open = 0;
+
+		if (h->now % 1500 == 0)
+			fixture_heartbeat(h->m, h->now, "i-1", "m-1", 1);
+		for (unsigned int i = 0; i < OPEN_QUERIES_MAX; i++) {
+			struct open_query q = h->queries[i];
+
+			n_open += q.id != 0;
+			if (!q.id || h->now < q.until)
+				continue;
+			h->queries[i].id = 0;
+			holding_answer(h, q.id);
+		}
+		h->most_open = MAX(h->most_open, n_open);
+		manager_tick(h->m, h->now, h->now);
+		effects = manager_take_effects(h->m);
+		for (guint i = 0; i < effects->len; i++) {
+			const struct effect *e = effects->pdata[i];
+
+			if (e->type == EFFECT_ORDER)
+				holding_execute(h, e->u.order);
+		}
+	}
+}
+
+static void put_wave_over_unknown_machine(struct manager *m, clock_ms_t now)
+{
+	struct call c = {.type = CALL_WAVE_PUT, .wave_s = 60};
+
+	c.wave.number = 1;
+	c.wave.cap = 1;
+	c.wave.machines.machines_len = 1;
+	c.wave.machines.machines_val = calloc(1, sizeof(job_wave_machine));
+	c.wave.machines.machines_val[0].machine = strdup("m-9");
+	manager_handle_call(m, now, now, 2, &c);
+	call_clear(&c);
+}
+
+/// A status query was sent beside an open one because a task starts. Each answer then started
+/// another query, so that two stayed open for good; the latest one, whose answer shows that the
+/// lease is fresh, was never answered before the next was sent, and a task counted as not ready for
+/// as long as it ran. That blocked the maintenance of all machines with a task of its step.
+static void check_query_beside_open_one_ends(clock_ms_t offset_ms)
+{
+	struct holding_endpoint h = {.now = FIXTURE_START_MS};
+	struct run *first;
+
+	h.m = fixture_manager(h.now);
+	fixture_put_config(h.m, h.now);
+	fixture_heartbeat(h.m, h.now, "i-1", "m-1", 1);
+	fixture_submit_long_running(h.m, h.now, "j", 1000);
+	holding_run(&h, FIXTURE_HOLDER_LEASE_MS + 2000);
+	put_wave_over_unknown_machine(h.m, h.now); /* its order is never answered */
+	holding_run(&h, 500 + offset_ms);
+	fixture_submit_long_running(h.m, h.now, "k", 1000);
+	holding_run(&h, 500);
+	g_assert_cmpuint(h.n_tasks, ==, 2);
+	holding_run(&h, 4000);
+	first = g_hash_table_lookup(h.m->runs, h.tasks[0]);
+	g_assert_true(first && first->ready_since);
+	holding_run(&h, 2000);
+	g_assert_cmpuint(h.most_open, ==, 1);
+	manager_free(h.m);
+	g_free(h.tasks[0]);
+	g_free(h.tasks[1]);
+}
+
+/// Two queries became one again if their answers came together, so several offsets are tried.
+static void test_query_beside_open_one_ends_with_its_answer(void)
+{
+	for (clock_ms_t offset_ms = 0; offset_ms < 500; offset_ms += 70)
+		check_query_beside_open_one_ends(offset_ms);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -823,5 +964,7 @@
 			test_cancel_of_failed_job_stops_its_tasks);
 	g_test_add_func("/runs/task_near_its_limit_waits_a_bounded_time",
 			test_task_near_its_limit_waits_a_bounded_time);
+	g_test_add_func("/runs/query_beside_open_one_ends_with_its_answer",
+			test_query_beside_open_one_ends_with_its_answer);
 	return g_test_run();
 }
