--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -63,6 +63,7 @@
 	m->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machines_free);
 	m->arriving = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->due_machines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	m->relocating = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	m->ready_counts = g_hash_table_new(NULL, NULL);
 	m->endpoint_by_machine = g_hash_table_new(g_str_hash, g_str_equal);
 	m->cooldown = cooldown_new(m->jobs->ordered_machines, now, machine_orders_seen_at,
@@ -97,6 +98,7 @@
 	g_hash_table_unref(m->failed_at);
 	cooldown_free(m->cooldown);
 	g_hash_table_unref(m->due_machines);
+	g_hash_table_unref(m->relocating);
 	g_hash_table_unref(m->endpoint_by_machine);
 	g_hash_table_unref(m->ready_counts);
 	g_hash_table_unref(m->arriving);
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -36,6 +36,7 @@
 	clock_ms_t round_due_at;	  ///< latest start of the next placement round
 	clock_ms_t next_endpoint_pass_at; ///< next pass over the endpoints
 	GHashTable *due_machines;	  ///< names of machines with maintenance pending
+	GHashTable *relocating;		  ///< names of tasks that are being moved from due machines
 	bool round_wanted; ///< a change since the last placement round may allow another placement
 	bool fenced_off;   ///< a receiver has seen a higher fencing token
 	clock_ms_t lag_ms; ///< age of the oldest input or commit not processed
--- a/src/sesamewood/sched/schedule.c
+++ b/src/sesamewood/sched/schedule.c
@@ -5,6 +5,7 @@
 #include "sched/advice.h"
 #include "sched/estimates.h"
 #include "sched/capacity.h"
+#include "sched/relocate.h"
 #include "sched/suspects.h"
 
 #include <string.h>
@@ -406,6 +407,7 @@
 	unsigned int tried = 0;
 
 	capacity_update(m, now);
+	relocate_hold_capacity(m);
 	waiting = collect_waiting(m, wall_ms);
 	record_backlog(m, waiting);
 	for (guint i = 0; i < waiting->len; i++)
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -3,8 +3,10 @@
 #include "base/log.h"
 #include "runs/attempts.h"
 #include "runs/incarnations.h"
+#include "sched/availability.h"
 #include "sched/machines.h"
 #include "sched/pools.h"
+#include "sched/relocate.h"
 
 #include <string.h>
 
@@ -16,8 +18,6 @@
 #define WAVE_LOG_PERIOD_MS 3000
 /// Margin after the longest maintenance before its machine counts as returned.
 #define RETURN_MARGIN_MS 300
-/// Delay before a task counts as ready, to notice one that fails as soon as it is ready.
-#define READY_MARGIN_MS 200
 /// Time between a machine's return and the order for the next one, on average.
 #define MAINTENANCE_GAP_MS 500
 /// While pools lack machines, a wave plans to be done after this share of its time.
@@ -70,122 +70,6 @@
 	return true;
 }
 
-/* Availability. */
-
-static bool is_ready_run(const struct manager *m, const struct run *r, clock_ms_t now)
-{
-	return r->state == RUN_CONFIRMED && r->ready_since &&
-	       now - r->ready_since >= READY_MARGIN_MS && !r->stop_wanted &&
-	       !r->endpoint->unanswered_calls && !r->endpoint->shutdown_ordered &&
-	       !machines_has_open_maintenance(m, r->endpoint->machine);
-}
-
-static job_step_state *step_of(const struct run *r)
-{
-	return &r->job->image.occurrences.occurrences_val[r->ref.occurrence]
-			.steps.steps_val[r->ref.step];
-}
-
-/// Counts the ready long-running tasks by step.
-static void count_ready_runs(struct manager *m, clock_ms_t now)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_remove_all(m->ready_counts);
-	g_hash_table_iter_init(&iter, m->runs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct run *r = value;
-		gpointer step;
-		guint n;
-
-		if (!r->long_running || !is_ready_run(m, r, now))
-			continue;
-		step = step_of(r);
-		n = GPOINTER_TO_UINT(g_hash_table_lookup(m->ready_counts, step));
-		g_hash_table_insert(m->ready_counts, step, GUINT_TO_POINTER(n + 1));
-	}
-	m->ready_counts_valid = true;
-}
-
-static bool same_step(const struct run *a, const struct run *b)
-{
-	return a->job == b->job && a->ref.step == b->ref.step &&
-	       a->ref.occurrence == b->ref.occurrence;
-}
-
-/// Counts the unavailable tasks of an attempt's step, not counting the attempt itself.
-///
-/// @param e tasks at this endpoint are not counted either; NULL: excludes no endpoint
-static u_int count_unavailable(struct manager *m, const struct run *of, const struct endpoint *e,
-			       clock_ms_t now)
-{
-	const job_step_state *step = step_of(of);
-	u_int unavailable;
-
-	if (!m->ready_counts_valid)
-		count_ready_runs(m, now);
-	unavailable = step->tasks.tasks_len -
-		      GPOINTER_TO_UINT(g_hash_table_lookup(m->ready_counts, step));
-	if (!e)
-		return unavailable - !is_ready_run(m, of, now);
-	for (guint i = 0; i < e->runs->len; i++) {
-		const struct run *r = e->runs->pdata[i];
-
-		unavailable -= same_step(r, of) && !is_ready_run(m, r, now);
-	}
-	return unavailable;
-}
-
-static u_int count_at_endpoint(const struct endpoint *e, const struct run *of)
-{
-	u_int n = 0;
-
-	for (guint i = 0; i < e->runs->len; i++) {
-		const struct run *r = e->runs->pdata[i];
-
-		n += same_step(r, of);
-	}
-	return n;
-}
-
-/// @return availability budget of an attempt's step: tasks that may be unavailable at once; 0: none
-static u_int budget_of(const struct run *r)
-{
-	return job_has_ended(r->job) && !job_keeps_running(r->job, r->ref.step)
-		       ? 0
-		       : r->job->image.spec.steps.steps_val[r->ref.step].max_unavailable;
-}
-
-/// Finds an availability budget that shutting down an endpoint would exceed.
-///
-/// @return an attempt at the endpoint whose step would have too many unavailable tasks, or NULL
-static const struct run *find_blocking_run(struct manager *m, const struct endpoint *e,
-					   clock_ms_t now)
-{
-	for (guint i = 0; i < e->runs->len; i++) {
-		const struct run *r = e->runs->pdata[i];
-		u_int budget = budget_of(r);
-
-		if (budget && count_unavailable(m, r, e, now) + count_at_endpoint(e, r) > budget)
-			return r;
-	}
-	return NULL;
-}
-
-/// Tells whether an endpoint alone holds more tasks of a step than may be unavailable at once.
-static bool exceeds_budget_alone(const struct endpoint *e)
-{
-	for (guint i = 0; i < e->runs->len; i++) {
-		const struct run *r = e->runs->pdata[i];
-		u_int budget = budget_of(r);
-
-		if (budget && count_at_endpoint(e, r) > budget)
-			return true;
-	}
-	return false;
-}
-
 /* Choice of machines. */
 
 /// @return number of attempts at an endpoint that end by themselves
@@ -224,7 +108,7 @@
 		 log_number(wave->cap));
 	if (e)
 		e->shutdown_ordered = true;
-	m->ready_counts_valid = false;
+	availability_invalidate(m);
 	maint->ordered = maint->in_flight = true;
 	maint->wave = wave->number;
 	/* A repeated order also succeeds if an earlier one was executed, so its success does not
@@ -244,7 +128,7 @@
 {
 	if (!e)
 		return true;
-	if (find_blocking_run(m, e, now))
+	if (availability_find_blocking_run(m, e, now))
 		return false;
 	return !count_short_runs(e) || deadline_near || now - e->cordoned_at > DRAIN_WAIT_MS;
 }
@@ -257,12 +141,12 @@
 
 	if (!e || now < maint->next_log_at)
 		return;
-	r = find_blocking_run(m, e, now);
+	r = availability_find_blocking_run(m, e, now);
 	maint->next_log_at = now + WAVE_LOG_PERIOD_MS;
 	log_info("maintenance is blocked; the machine stays up", "MACHINE", machine, "KEPT_FREE",
 		 e->cordoned ? "true" : "false", "RUNS", log_number(e->runs->len), "SHORT",
 		 log_number(count_short_runs(e)), "BUDGET_OF", r ? r->name : "", "AWAY",
-		 log_number(r ? count_unavailable(m, r, e, now) : 0));
+		 log_number(r ? availability_count_unavailable(m, r, e, now) : 0));
 }
 
 /// Evacuates a machine that holds more tasks of a step than its budget allows to be unavailable:
@@ -271,15 +155,15 @@
 {
 	for (guint i = 0; i < e->runs->len; i++) {
 		struct run *r = e->runs->pdata[i];
-		u_int budget = budget_of(r);
+		u_int budget = availability_budget(r);
 
-		if (!budget || r->stop_wanted || count_at_endpoint(e, r) <= budget)
+		if (!budget || r->stop_wanted || availability_count_at(e, r) <= budget)
 			continue;
-		if (count_unavailable(m, r, NULL, now) >= budget)
+		if (availability_count_unavailable(m, r, NULL, now) >= budget)
 			continue;
 		r->stop_wanted = true;
 		e->next_check_at = now;
-		m->ready_counts_valid = false;
+		availability_invalidate(m);
 	}
 }
 
@@ -340,7 +224,8 @@
 
 		if (w->settled || w->ordered || !e || e->cordoned ||
 		    machines_is_moving(m, w->machine, now) ||
-		    (!exceeds_budget_alone(e) && find_blocking_run(m, e, now)))
+		    (!availability_exceeds_budget_alone(e) &&
+		     availability_find_blocking_run(m, e, now)))
 			continue;
 		c.work = 2 * e->runs->len + count_short_runs(e);
 		g_array_append_val(choices, c);
@@ -465,8 +350,8 @@
 		    machines_is_moving(m, w->machine, now) ||
 		    cooldown_applies(m->cooldown, w->machine, now))
 			continue;
-		if (e && e->cordoned && !w->ordered && !exceeds_budget_alone(e) &&
-		    find_blocking_run(m, e, now))
+		if (e && e->cordoned && !w->ordered && !availability_exceeds_budget_alone(e) &&
+		    availability_find_blocking_run(m, e, now))
 			e->cordoned = false; /* useless while a budget forbids maintenance */
 		/* An ordered maintenance may have begun: the order is repeated until answered. */
 		if (w->ordered)
@@ -474,7 +359,7 @@
 		if (e && e->cordoned)
 			evacuate(m, e, now);
 		if (w->ordered) {
-			if ((!e || !find_blocking_run(m, e, now)) &&
+			if ((!e || !availability_find_blocking_run(m, e, now)) &&
 			    !repetition_exceeds_other_cap(m, wave, w->machine) &&
 			    !stop_short_runs(e, now))
 				send_maintenance(m, now, wave, w->machine, false, n_down);
@@ -580,7 +465,8 @@
 	if (!g_hash_table_size(m->due_machines))
 		return;
 	index_endpoints_by_machine(m);
-	m->ready_counts_valid = false;
+	availability_invalidate(m);
+	relocate_tasks(m, now);
 	for (guint i = 0; i < m->jobs->waves->len; i++) {
 		const job_wave *wave = m->jobs->waves->pdata[i];
 
