--- a/src/sesamewood/manager/control_calls.c
+++ b/src/sesamewood/manager/control_calls.c
@@ -134,7 +134,11 @@
 	if (submits ? !sh->overload->refusing && !overload_was_refused(sh->overload, now, id)
 		    : !sh->overload->refusing || !g_str_equal(call->method, "GET"))
 		return false;
-	if (submits) {
+	if (submits && !sh->overload->refusing) {
+		after_s = overload_refuse_again(sh->overload, now, id);
+		log_info("copy of a refused job refused; the caller retries later", "JOB", id,
+			 "RETRY_AFTER_S", log_number(after_s));
+	} else if (submits) {
 		after_s = overload_refuse(sh->overload, now, shell_lag_ms(sh, now), id);
 		log_info("job refused because the leader lags; the caller retries later", "JOB", id,
 			 "RETRY_AFTER_S", log_number(after_s));
--- a/src/sesamewood/manager/overload.c
+++ b/src/sesamewood/manager/overload.c
@@ -54,16 +54,48 @@
 	return o->refusing;
 }
 
-uint32_t overload_refuse(struct overload *o, clock_ms_t now, clock_ms_t lag_ms, const char *job)
+/// Records a refusal, which never shortens an earlier one of the same job.
+static void record_refusal(struct overload *o, clock_ms_t now, clock_ms_t until, const char *job)
 {
+	const struct refusal *before = g_hash_table_lookup(o->refused, job);
 	struct refusal *refusal = g_new(struct refusal, 1);
-	clock_ms_t after_ms;
 
-	o->next_slot = MAX(o->next_slot, now + lag_ms) + RETRY_SLOT_MS;
-	after_ms = CLAMP(o->next_slot - now, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
-	*refusal = (struct refusal){.at = now, .until = now + RETRY_AFTER_MIN_MS};
+	*refusal = (struct refusal){.at = now, .until = MAX(until, before ? before->until : 0)};
 	g_hash_table_replace(o->refused, g_strdup(job), refusal);
-	return (uint32_t)((after_ms + MS_PER_S - 1) / MS_PER_S);
+}
+
+static uint32_t retry_after_s(clock_ms_t after_ms)
+{
+	return (uint32_t)((CLAMP(after_ms, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS) + MS_PER_S - 1) /
+			  MS_PER_S);
+}
+
+uint32_t overload_refuse(struct overload *o, clock_ms_t now, clock_ms_t lag_ms, const char *job)
+{
+	o->next_slot = MAX(o->next_slot, now + lag_ms) + RETRY_SLOT_MS;
+	record_refusal(o, now, now + RETRY_AFTER_MIN_MS, job);
+	return retry_after_s(o->next_slot - now);
+}
+
+uint32_t overload_refuse_until_room(struct overload *o, clock_ms_t *next_slot, clock_ms_t now,
+				    clock_ms_t room_in_ms, clock_ms_t slot_ms, const char *job)
+{
+	uint32_t after_s;
+
+	/* Slots past the longest Retry-After would keep callers away after a peak has passed. */
+	*next_slot = MIN(MAX(*next_slot, now + room_in_ms) + slot_ms, now + RETRY_AFTER_MAX_MS);
+	after_s = retry_after_s(*next_slot - now);
+	record_refusal(o, now, now + (clock_ms_t)after_s * MS_PER_S, job);
+	return after_s;
+}
+
+uint32_t overload_refuse_again(struct overload *o, clock_ms_t now, const char *job)
+{
+	const struct refusal *refusal = g_hash_table_lookup(o->refused, job);
+	uint32_t after_s = retry_after_s(refusal ? refusal->until - now : 0);
+
+	record_refusal(o, now, now + (clock_ms_t)after_s * MS_PER_S, job);
+	return after_s;
 }
 
 void overload_record_callers_read(struct overload *o, clock_ms_t now)
--- a/src/sesamewood/manager/overload.h
+++ b/src/sesamewood/manager/overload.h
@@ -34,6 +34,21 @@
 /// @return Retry-After for the caller, seconds; callers refused earlier retry earlier
 uint32_t overload_refuse(struct overload *o, clock_ms_t now, clock_ms_t lag_ms, const char *job);
 
+/// Refuses a job until a queue has room. Unlike after overload_refuse(), whose reason may pass at
+/// any time, the job is refused again until its Retry-After has passed.
+///
+/// @param next_slot  when the next caller refused for that queue may retry; updated
+/// @param room_in_ms time until the queue has room
+/// @param slot_ms    time in which the queue has room for one more job
+/// @return Retry-After for the caller, seconds; callers refused earlier retry earlier
+uint32_t overload_refuse_until_room(struct overload *o, clock_ms_t *next_slot, clock_ms_t now,
+				    clock_ms_t room_in_ms, clock_ms_t slot_ms, const char *job);
+
+/// Refuses a delayed copy of a request that was refused, or a retry before its Retry-After.
+///
+/// @return Retry-After, seconds; the job is refused again until it has passed
+uint32_t overload_refuse_again(struct overload *o, clock_ms_t now, const char *job);
+
 /// Records that all callers' connections have been read.
 void overload_record_callers_read(struct overload *o, clock_ms_t now);
 
