--- a/src/sesamewood/sched/estimates.c
+++ b/src/sesamewood/sched/estimates.c
@@ -5,11 +5,16 @@
 #define RATIO_MAX 2000 /* percent */
 #define STEPS_ON_STACK 16
 
+/// @return key of the ratio of a queue, step and image, owned by the caller
+static char *ratio_key(const job_spec *spec, uint32_t step)
+{
+	return g_strdup_printf("%s|%u|%s", spec->queue, step, spec->steps.steps_val[step].image);
+}
+
 /// @return the ratio of a queue, step and image, percent; owned by the manager and never removed
 static uint32_t *find_or_add_ratio(const struct manager *m, const struct job *job, uint32_t step)
 {
-	g_autofree char *key = g_strdup_printf("%s|%u|%s", job->image.spec.queue, step,
-					       job->image.spec.steps.steps_val[step].image);
+	g_autofree char *key = ratio_key(&job->image.spec, step);
 	uint32_t *ratio = g_hash_table_lookup(m->ratios, key);
 
 	if (!ratio) {
@@ -49,7 +54,7 @@
 	*ratio = (*ratio * (RATIO_WEIGHT - 1) + (uint32_t)percent) / RATIO_WEIGHT;
 }
 
-static bool step_is_open(const struct job *job, uint32_t occurrence, uint32_t step)
+bool estimates_step_is_open(const struct job *job, uint32_t occurrence, uint32_t step)
 {
 	const job_step_state *s = job_step_tasks(job, occurrence, step);
 
@@ -59,10 +64,11 @@
 	return false;
 }
 
-struct critical_path estimates_critical_path(const struct manager *m, const struct job *job,
-					     uint32_t occurrence)
+/// @param ratios run time ratio of each step, percent
+/// @param open   steps that are not done; NULL: all
+static struct critical_path longest_path(const job_spec *spec, const uint32_t *ratios,
+					 const bool *open)
 {
-	const job_spec *spec = &job->image.spec;
 	u_int steps = spec->steps.steps_len;
 	struct critical_path on_stack[STEPS_ON_STACK] = {{0}};
 	g_autofree struct critical_path *on_heap =
@@ -72,7 +78,7 @@
 
 	for (u_int s = 0; s < steps; s++) {
 		const job_step *step = &spec->steps.steps_val[s];
-		int64_t own_ms = (int64_t)step->estimate_ms * estimates_ratio(m, job, s) / 100;
+		int64_t own_ms = (int64_t)step->estimate_ms * ratios[s] / 100;
 
 		for (u_int i = 0; i < step->after.after_len; i++) {
 			const struct critical_path *before = &by_step[step->after.after_val[i]];
@@ -82,13 +88,71 @@
 				MAX(by_step[s].remaining_ms, before->remaining_ms);
 		}
 		by_step[s].total_ms += own_ms;
-		by_step[s].remaining_ms += step_is_open(job, occurrence, s) ? own_ms : 0;
+		by_step[s].remaining_ms += !open || open[s] ? own_ms : 0;
 		longest.total_ms = MAX(longest.total_ms, by_step[s].total_ms);
 		longest.remaining_ms = MAX(longest.remaining_ms, by_step[s].remaining_ms);
 	}
 	return longest;
 }
 
+struct critical_path estimates_open_path(const struct manager *m, const struct job *job,
+					 const bool *open)
+{
+	u_int steps = job->image.spec.steps.steps_len;
+	uint32_t on_stack[STEPS_ON_STACK];
+	g_autofree uint32_t *on_heap = steps > STEPS_ON_STACK ? g_new(uint32_t, steps) : NULL;
+	uint32_t *ratios = on_heap ? on_heap : on_stack;
+
+	for (u_int s = 0; s < steps; s++)
+		ratios[s] = estimates_ratio(m, job, s);
+	return longest_path(&job->image.spec, ratios, open);
+}
+
+struct critical_path estimates_critical_path(const struct manager *m, const struct job *job,
+					     uint32_t occurrence)
+{
+	u_int steps = job->image.spec.steps.steps_len;
+	bool on_stack[STEPS_ON_STACK];
+	g_autofree bool *on_heap = steps > STEPS_ON_STACK ? g_new(bool, steps) : NULL;
+	bool *open = on_heap ? on_heap : on_stack;
+
+	for (u_int s = 0; s < steps; s++)
+		open[s] = estimates_step_is_open(job, occurrence, s);
+	return estimates_open_path(m, job, open);
+}
+
+struct spec_estimate estimates_spec(const struct manager *m, const job_spec *spec)
+{
+	u_int steps = spec->steps.steps_len;
+	g_autofree uint32_t *ratios = g_new(uint32_t, steps);
+	g_autofree uint32_t *declared = g_new(uint32_t, steps);
+	g_autofree uint32_t *depth = g_new(uint32_t, steps);
+	struct spec_estimate estimate = {0};
+
+	for (u_int s = 0; s < steps; s++) {
+		const job_step *step = &spec->steps.steps_val[s];
+		g_autofree char *key = ratio_key(spec, s);
+		const uint32_t *ratio = g_hash_table_lookup(m->ratios, key);
+		int64_t all_ms;
+
+		ratios[s] = ratio ? *ratio : RATIO_FULL;
+		declared[s] = RATIO_FULL;
+		depth[s] = 1;
+		for (u_int i = 0; i < step->after.after_len; i++)
+			depth[s] = MAX(depth[s], depth[step->after.after_val[i]] + 1);
+		estimate.chain_steps = MAX(estimate.chain_steps, depth[s]);
+		all_ms = (int64_t)step->count * step->estimate_ms * ratios[s] / 100;
+		if (step->long_running || step->best_effort)
+			continue;
+		estimate.work_core_us += all_ms * step->cpu_milli;
+		estimate.first_core_us += step->after.after_len ? 0 : all_ms * step->cpu_milli;
+		estimate.work_mb_ms += all_ms * step->mem_mb;
+	}
+	estimate.chain_ms = longest_path(spec, ratios, NULL).total_ms;
+	estimate.declared_chain_ms = longest_path(spec, declared, NULL).total_ms;
+	return estimate;
+}
+
 int64_t estimates_task_work(const struct manager *m, const struct job *job, uint32_t step)
 {
 	const job_step *s = &job->image.spec.steps.steps_val[step];
--- a/src/sesamewood/sched/estimates.h
+++ b/src/sesamewood/sched/estimates.h
@@ -32,4 +32,25 @@
 struct critical_path estimates_critical_path(const struct manager *m, const struct job *job,
 					     uint32_t occurrence);
 
+/// @return true if a task of a step is not done
+bool estimates_step_is_open(const struct job *job, uint32_t occurrence, uint32_t step);
+
+/// @param open by step, whether it is not done
+/// @return the critical path of an occurrence whose open steps are known already
+struct critical_path estimates_open_path(const struct manager *m, const struct job *job,
+					 const bool *open);
+
+/// Estimate of a job that is not accepted yet.
+struct spec_estimate {
+	int64_t work_core_us;	   ///< work of its bounded tasks, core-microseconds
+	int64_t first_core_us;	   ///< part of it whose steps wait for no others
+	int64_t work_mb_ms;	   ///< memory of these tasks times their run time
+	int64_t chain_ms;	   ///< its critical path
+	int64_t declared_chain_ms; ///< the same by the caller's estimates
+	uint32_t chain_steps;	   ///< most steps that follow one another
+};
+
+/// @param spec with its queue set; learns nothing from it
+struct spec_estimate estimates_spec(const struct manager *m, const job_spec *spec);
+
 #endif
