--- a/src/sesamewood/manager/calls.c
+++ b/src/sesamewood/manager/calls.c
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "jobs/access.h"
 #include "runs/incarnations.h"
+#include "sched/admission.h"
 #include "sched/pools.h"
 #include "sched/schedule.h"
 #include "sched/waves.h"
@@ -95,13 +96,14 @@
 	       spec->first_wall_ms <= WALL_MS_MAX && spec->interval_ms <= INTERVAL_MS_MAX;
 }
 
-static struct reply submit(struct manager *m, clock_ms_t wall_ms, struct call *call)
+static struct reply submit(struct manager *m, clock_ms_t now, clock_ms_t wall_ms, struct call *call)
 {
 	const char *id = "";
 	const job_queue *q = find_queue(m, call, &id);
 	const job_account *account;
 	job_command c = {.type = JOB_COMMAND_ACCEPT};
 	const struct job *known;
+	uint32_t retry_after_s;
 
 	if (!q)
 		return reply_with_status(m->jobs->config.config_version ? REPLY_NOT_FOUND
@@ -126,6 +128,8 @@
 	codec_set_string(&call->spec.pool, q->pool);
 	call->spec.max_attempts = q->max_attempts;
 	call->spec.accepted_wall_ms = wall_ms;
+	if (!admission_admit(m, now, &call->spec, q, name_of(account), false, &retry_after_s))
+		return (struct reply){.status = REPLY_BUSY, .retry_after_s = retry_after_s};
 	if (account) {
 		c.type = JOB_COMMAND_ACCEPT_FOR;
 		c.job_command_u.accept_for =
@@ -262,8 +266,12 @@
 
 	switch (call->type) {
 	case CALL_SUBMIT:
-		reply = submit(m, wall_ms, call);
-		break;
+		reply = submit(m, now, wall_ms, call);
+		if (reply.status != REPLY_BUSY || !m->admission)
+			break;
+		/* A refusal acknowledges nothing that is replicated. */
+		effects_reply_at_once(m, token, reply);
+		return;
 	case CALL_JOB_READ:
 		reply = read_job(m, call);
 		break;
--- a/src/sesamewood/manager/control_load.c
+++ b/src/sesamewood/manager/control_load.c
@@ -7,6 +7,8 @@
 #define ROUNDS_SHARE_MAX_PERCENT 20
 #define LOG_PERIOD_MS 1000
 #define US_PER_MS 1000
+/// Fewer starts in a second say little about the cost of one.
+#define STARTS_MEASURED_MIN 20
 
 void shell_log_if_slow(clock_ms_t *logged_at, const char *what, clock_ms_t since, clock_ms_t bound)
 {
@@ -83,6 +85,20 @@
 			       b->late_steps);
 }
 
+/// Measures the loop's time for each start since the last load log: placement, log and sending.
+static void record_start_cost(struct shell *sh, unsigned int starts)
+{
+	static const enum work_kind kinds[] = {WORK_PLACEMENT, WORK_PROPOSE, WORK_REPLICATE,
+					       WORK_RELEASE};
+	uint64_t us = 0;
+
+	if (starts < STARTS_MEASURED_MIN)
+		return;
+	for (unsigned int i = 0; i < G_N_ELEMENTS(kinds); i++)
+		us += work_total_us(kinds[i]) - sh->logged_us[kinds[i]];
+	manager_record_start_cost(sh->manager, us / starts);
+}
+
 /// Formats the loop's time by kind of work since the last call.
 static char *take_work_text(struct shell *sh)
 {
@@ -104,18 +120,21 @@
 	g_autofree char *work = NULL;
 	g_autofree char *messages = NULL;
 	g_autofree char *backlog_log = NULL;
-	struct manager_backlog backlog;
+	struct manager_backlog backlog = {0};
 	uint64_t connections = rpc_connections_accepted();
 
 	if (now < sh->next_load_log_at)
 		return;
 	sh->next_load_log_at = now + LOG_PERIOD_MS;
+	if (sh->manager) {
+		backlog = manager_take_backlog(sh->manager);
+		record_start_cost(sh, backlog.starts);
+	}
 	work = take_work_text(sh);
 	if (!sh->manager) {
 		log_info("load", "WORK_US", work, "INDEX", log_number(sh->state_index));
 		return;
 	}
-	backlog = manager_take_backlog(sh->manager);
 	messages = messages_text(&sh->counts, connections - sh->logged_connections);
 	sh->logged_connections = connections;
 	backlog_log = backlog_text(&backlog);
--- a/src/sesamewood/manager/control_loop.c
+++ b/src/sesamewood/manager/control_loop.c
@@ -61,6 +61,7 @@
 		sh->manager_term = raft_term(sh->raft);
 		sh->manager = manager_new(&sh->settings.manager, sh->state, sh->manager_term, now,
 					  sh->machine_orders_seen_at);
+		manager_set_overload(sh->manager, sh->overload);
 	}
 }
 
--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -5,6 +5,7 @@
 #include "manager/calls.h"
 #include "runs/incarnations.h"
 #include "runs/runs.h"
+#include "sched/admission.h"
 #include "sched/advice.h"
 #include "sched/machines.h"
 #include "sched/move_orders.h"
@@ -72,6 +73,8 @@
 	m->unconfirmed_losses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	m->failed_at = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->active = g_ptr_array_new();
+	if (settings->admission || settings->has_accounts)
+		m->admission = admission_new();
 	incarnations_inherit(m, now);
 	waves_inherit(m, now);
 	log_info("leadership taken", "TERM", log_number(term), "JOBS",
@@ -101,6 +104,7 @@
 	g_hash_table_unref(m->ready_counts);
 	g_hash_table_unref(m->arriving);
 	g_ptr_array_unref(m->active);
+	g_clear_pointer(&m->admission, admission_free);
 	jobs_free(m->jobs);
 	g_free(m);
 }
@@ -190,6 +194,16 @@
 		m->last_lag_at = now;
 }
 
+void manager_record_start_cost(struct manager *m, uint64_t cost_us)
+{
+	m->start_cost_us = cost_us;
+}
+
+void manager_set_overload(struct manager *m, struct overload *overload)
+{
+	m->overload = overload;
+}
+
 void manager_set_round_gap(struct manager *m, clock_ms_t gap_ms)
 {
 	m->round_gap_ms = gap_ms;
--- a/src/sesamewood/manager/manager.h
+++ b/src/sesamewood/manager/manager.h
@@ -23,9 +23,11 @@
 	uint32_t move_ms;	       ///< duration of a machine's move to another pool
 	uint32_t maintenance_ms;       ///< duration of a machine's maintenance
 	bool has_accounts;	       ///< requests need a key of a client account
+	bool admission; ///< jobs that cannot end in time are refused; has_accounts implies it
 };
 
 struct manager;
+struct overload;
 
 /// Creates the manager of a new leadership. Release with manager_free().
 ///
@@ -58,6 +60,13 @@
 /// answer may still be queued here.
 void manager_record_lag(struct manager *m, clock_ms_t now, clock_ms_t lag_ms);
 
+/// Records how much of the event loop's time one start has lately cost.
+void manager_record_start_cost(struct manager *m, uint64_t cost_us);
+
+/// Shares the replica's memory of refusals, which outlives the manager. Without it no job is
+/// refused by admission control.
+void manager_set_overload(struct manager *m, struct overload *overload);
+
 /// Sets the least time between placement rounds.
 void manager_set_round_gap(struct manager *m, clock_ms_t gap_ms);
 
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -36,6 +36,9 @@
 	clock_ms_t round_due_at;	  ///< latest start of the next placement round
 	clock_ms_t next_endpoint_pass_at; ///< next pass over the endpoints
 	GHashTable *due_machines;	  ///< names of machines with maintenance pending
+	struct admission *admission;	  ///< NULL: no admission control
+	struct overload *overload;	  ///< memory of refusals, borrowed; NULL: none
+	uint64_t start_cost_us;		  ///< of the event loop's time; 0: not measured
 	bool round_wanted; ///< a change since the last placement round may allow another placement
 	bool fenced_off;   ///< a receiver has seen a higher fencing token
 	clock_ms_t lag_ms; ///< age of the oldest input or commit not processed
@@ -45,6 +48,7 @@
 	GHashTable *machines;		 ///< struct machine by name; owned
 	GHashTable *arriving;		 ///< struct arrivals by pool; owned
 	uint32_t max_machine_cpu_milli;	 ///< of the largest machine seen so far
+	uint32_t max_machine_mem_mb;	 ///< the same for memory
 	bool list_in_flight;		 ///< a machine list order is in flight
 	clock_ms_t next_list_at;	 ///< next machine list order
 	clock_ms_t next_pool_pass_at;	 ///< next evaluation of the pools
--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -1,6 +1,7 @@
 #include "sched/pools.h"
 
 #include "base/log.h"
+#include "sched/admission.h"
 #include "sched/health.h"
 #include "sched/demand.h"
 #include "sched/estimates.h"
@@ -31,6 +32,8 @@
 struct pool {
 	const job_pool *config;
 	struct pool_load load;
+	int idle_machines;		///< that may be moved, surplus or not
+	struct admission_supply supply; ///< without "more"; only with admission control
 };
 
 /// Recently arrived jobs of one pool; both decay exponentially.
@@ -132,7 +135,26 @@
 	}
 }
 
-static void add_running_load(struct manager *m, GHashTable *pools)
+/// Adds an endpoint that takes work to the supply of its pool.
+static void add_supply_of(struct manager *m, struct pool *p, const struct endpoint *e)
+{
+	struct admission_supply *s = &p->supply;
+
+	s->now.cpu_milli += e->cpu_milli;
+	s->now.mem_mb += e->mem_mb;
+	m->max_machine_mem_mb = MAX(m->max_machine_mem_mb, e->mem_mb);
+	for (guint i = 0; i < e->runs->len; i++) {
+		const struct run *r = e->runs->pdata[i];
+		struct admission_capacity *to = r->long_running ? &s->held : &s->used;
+
+		if (r->best_effort)
+			continue;
+		to->cpu_milli += r->cpu_milli;
+		to->mem_mb += r->mem_mb;
+	}
+}
+
+static void add_running_load(struct manager *m, GHashTable *pools, clock_ms_t now)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -146,6 +168,8 @@
 			continue;
 		p->load.machine_cpu_milli = MAX(p->load.machine_cpu_milli, e->cpu_milli);
 		m->max_machine_cpu_milli = MAX(m->max_machine_cpu_milli, e->cpu_milli);
+		if (m->admission && is_usable(m, e, now))
+			add_supply_of(m, p, e);
 		for (guint i = 0; i < e->runs->len; i++) {
 			const struct run *r = e->runs->pdata[i];
 
@@ -177,7 +201,7 @@
 		g_hash_table_replace(pools, config->name, p);
 	}
 	add_supply(m, pools, now);
-	add_running_load(m, pools);
+	add_running_load(m, pools, now);
 	g_hash_table_iter_init(&iter, pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct pool *p = value;
@@ -393,6 +417,69 @@
 	}
 }
 
+/* Supply for admission control. */
+
+/// @return number of machines that are on their way to a pool
+static int count_arriving(const struct manager *m, const char *pool, clock_ms_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	int n = 0;
+
+	g_hash_table_iter_init(&iter, m->machines);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct machine *x = value;
+
+		if (x->target_pool)
+			n += g_str_equal(x->target_pool, pool);
+		else
+			n += now < x->arrives_by && !machines_endpoint_on(x, now) &&
+			     g_str_equal(x->pool, pool);
+	}
+	return n;
+}
+
+/// Counts the idle machines that pools other than @p to can spare.
+static int count_spare(GHashTable *pools, const struct pool *to)
+{
+	GHashTableIter iter;
+	gpointer value;
+	int n = 0;
+
+	g_hash_table_iter_init(&iter, pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct pool *from = value;
+
+		if (from != to)
+			n += CLAMP(surplus_of(from), 0, from->idle_machines);
+	}
+	return n;
+}
+
+/// Passes the supply of all pools on, after the moves of this pass.
+static void measure_supplies(struct manager *m, GHashTable *pools, GArray *idle_machines,
+			     clock_ms_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	for (guint i = 0; i < idle_machines->len; i++) {
+		const struct idle_machine *idle =
+			&g_array_index(idle_machines, struct idle_machine, i);
+
+		idle->from->idle_machines += has_no_open_move(idle->machine);
+	}
+	g_hash_table_iter_init(&iter, pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pool *p = value;
+		int64_t n = count_arriving(m, p->config->name, now) + count_spare(pools, p);
+
+		p->supply.more.cpu_milli = n * m->max_machine_cpu_milli;
+		p->supply.more.mem_mb = n * m->max_machine_mem_mb;
+		admission_set_supply(m, p->config->name, &p->supply);
+	}
+}
+
 /* Logs. */
 
 /// Logs the load of a pool that needs more machines.
@@ -475,4 +562,8 @@
 		if (!((struct pool *)value)->config->standby)
 			move_idle_machines(m, idle_machines, value, now);
 	move_to_standby(m, pools, now);
+	if (!m->admission)
+		return;
+	measure_supplies(m, pools, idle_machines, now);
+	admission_measure(m, now, wall_ms);
 }
