--- a/src/sesamewood/sched/admission.c
+++ b/src/sesamewood/sched/admission.c
@@ -69,6 +69,7 @@
 	struct metric *admitted;
 	struct metric *too_late;
 	struct metric *beyond_weight;
+	struct metric *again; ///< copies and early retries of refused jobs
 };
 
 /* The decision. */
@@ -219,6 +220,7 @@
 				  "jobs admitted by admission control");
 	a->too_late = metrics_get(METRIC_COUNTER, refusals, "reason=\"too_late\"", help);
 	a->beyond_weight = metrics_get(METRIC_COUNTER, refusals, "reason=\"beyond_weight\"", help);
+	a->again = metrics_get(METRIC_COUNTER, refusals, "reason=\"again\"", help);
 	return a;
 }
 
@@ -591,6 +593,10 @@
 		return true;
 	if (overload_was_refused(m->overload, now, spec->id)) {
 		*retry_after_s = overload_refuse_again(m->overload, now, spec->id);
+		metrics_add(m->admission->again, 1);
+		if (take_log_line(m->admission, now))
+			log_info("copy of a refused job refused; the caller retries later", "JOB",
+				 spec->id, "RETRY_AFTER_S", log_number(*retry_after_s));
 		return false;
 	}
 	p = find_or_add_pool(m->admission, queue->pool);
