--- a/src/sesamewood/manager/calls.c
+++ b/src/sesamewood/manager/calls.c
@@ -5,6 +5,7 @@
 #include "jobs/access.h"
 #include "runs/incarnations.h"
 #include "sched/accounts.h"
+#include "sched/admission.h"
 #include "sched/pools.h"
 #include "sched/schedule.h"
 #include "sched/waves.h"
@@ -104,6 +105,8 @@
 	job_command c = {.type = JOB_COMMAND_ACCEPT};
 	const struct job *known;
 	struct job *job;
+	bool beyond_weight;
+	uint32_t retry_after_s;
 
 	if (!q)
 		return reply_with_status(m->jobs->config.config_version ? REPLY_NOT_FOUND
@@ -128,6 +131,10 @@
 	codec_set_string(&call->spec.pool, q->pool);
 	call->spec.max_attempts = q->max_attempts;
 	call->spec.accepted_wall_ms = wall_ms;
+	beyond_weight = account && !accounts_has_token(m, now, account->name);
+	if (!admission_admit(m, now, &call->spec, q, name_of(account), beyond_weight,
+			     &retry_after_s))
+		return (struct reply){.status = REPLY_BUSY, .retry_after_s = retry_after_s};
 	if (account) {
 		c.type = JOB_COMMAND_ACCEPT_FOR;
 		c.job_command_u.accept_for = (job_accept_for){
@@ -272,7 +279,11 @@
 	switch (call->type) {
 	case CALL_SUBMIT:
 		reply = submit(m, now, wall_ms, call);
-		break;
+		if (reply.status != REPLY_BUSY || !m->admission)
+			break;
+		/* A refusal acknowledges nothing that is replicated. */
+		effects_reply_at_once(m, token, reply);
+		return;
 	case CALL_JOB_READ:
 		reply = read_job(m, call);
 		break;
--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -6,6 +6,7 @@
 #include "runs/incarnations.h"
 #include "runs/runs.h"
 #include "sched/accounts.h"
+#include "sched/admission.h"
 #include "sched/advice.h"
 #include "sched/machines.h"
 #include "sched/move_orders.h"
@@ -76,6 +77,8 @@
 	m->active = g_ptr_array_new();
 	m->accounts = accounts_new();
 	accounts_configure(m, now);
+	if (settings->admission || settings->has_accounts)
+		m->admission = admission_new();
 	incarnations_inherit(m, now);
 	waves_inherit(m, now);
 	log_info("leadership taken", "TERM", log_number(term), "JOBS",
@@ -107,6 +110,7 @@
 	g_hash_table_unref(m->arriving);
 	g_ptr_array_unref(m->active);
 	accounts_free(m->accounts);
+	g_clear_pointer(&m->admission, admission_free);
 	jobs_free(m->jobs);
 	g_free(m);
 }
@@ -196,6 +200,16 @@
 		m->last_lag_at = now;
 }
 
+void manager_record_start_cost(struct manager *m, uint64_t cost_us)
+{
+	m->start_cost_us = cost_us;
+}
+
+void manager_set_overload(struct manager *m, struct overload *overload)
+{
+	m->overload = overload;
+}
+
 void manager_set_round_gap(struct manager *m, clock_ms_t gap_ms)
 {
 	m->round_gap_ms = gap_ms;
--- a/src/sesamewood/sched/accounts.c
+++ b/src/sesamewood/sched/accounts.c
@@ -8,9 +8,10 @@
 
 #define TOKEN 1000000 /* a job, as thousandths of a job a second times milliseconds */
 #define BURST_MS 1000 /* the contract owes an account its weight in each second */
-#define NO_ACCOUNT_WEIGHT_MILLI 1000 /* work without an account shares as an account of weight 1   \
-				      */
-#define LOG_PERIOD_MS 1000	     /* bounds the log of an account whose use stays near its cap */
+#define NO_ACCOUNT_WEIGHT_MILLI                                                                    \
+	1000		   /* work without an account shares as an account of weight 1             \
+			    */
+#define LOG_PERIOD_MS 1000 /* bounds the log of an account whose use stays near its cap */
 
 struct accounts {
 	GHashTable *by_name; ///< struct account; owned
@@ -93,6 +94,14 @@
 	a->tokens_at = now;
 }
 
+bool accounts_has_token(struct manager *m, clock_ms_t now, const char *account)
+{
+	struct account *a = find_or_add(m, account);
+
+	refill(a, now);
+	return a->tokens >= TOKEN;
+}
+
 bool accounts_take_token(struct manager *m, clock_ms_t now, const char *account)
 {
 	struct account *a = find_or_add(m, account);
--- a/src/sesamewood/sched/accounts.h
+++ b/src/sesamewood/sched/accounts.h
@@ -68,6 +68,11 @@
 /// exceeds the cap by less than one task.
 bool accounts_allow_start(const struct manager *m, struct job *job, const job_step *step);
 
+/// Tells whether a job that an account submits now is within the rate that the account is owed.
+///
+/// @param account  name of a configured account
+bool accounts_has_token(struct manager *m, clock_ms_t now, const char *account);
+
 /// Takes a token of an account for a job that it submits.
 ///
 /// @param account  name of a configured account
