--- a/tests/model/fleet_model.cc
+++ b/tests/model/fleet_model.cc
@@ -5,6 +5,7 @@
 
 extern "C" {
 #include "base/codec.h"
+#include "jobs/access.h"
 #include "sched/waves.h"
 }
 
@@ -17,6 +18,11 @@
 constexpr clock_ms_t kResultMarginMs = 400;
 /// Time in which a completion listed in an answer must reach the leader and be committed.
 constexpr clock_ms_t kListedMarginMs = 100;
+/// Time in which a proposed configuration is committed or lost with its leader.
+constexpr clock_ms_t kConfigCommitMs = 1000;
+/// Longest time from an order of the leader to its execution: late orders take 6.5 s, after their
+/// commit.
+constexpr clock_ms_t kOrderDelayMaxMs = 7000;
 constexpr clock_ms_t kHeartbeatMs = 1500;
 constexpr clock_ms_t kLeaseMaxMs = 6000;
 /// Time in which a leader in touch must have noticed that an endpoint's capacity shrank.
@@ -71,7 +77,7 @@
 
 Fleet::Fleet(uint64_t seed, unsigned int pools, unsigned int per_pool,
 	     unsigned int standby_machines)
-    : random(seed), committed(jobs_new())
+    : random(seed), committed(jobs_new()), pool_count(pools)
 {
 	has_standby_pool = standby_machines > 0;
 	for (unsigned int p = 0; p < pools; p++)
@@ -95,7 +101,7 @@
 		endpoints.push_back(std::move(e));
 	}
 	elect_leader();
-	put_config(pools);
+	put_config();
 	for (auto &e : endpoints)
 		send_heartbeat(*e);
 	process_effects();
@@ -209,6 +215,8 @@
 
 		if (codec_decode(CODEC_PROC(sw_command), data, len, &c, sizeof(c))) {
 			jobs_apply(committed, &c.sw_command_u.job);
+			if (c.sw_command_u.job.type == JOB_COMMAND_CONFIG_ACCESS)
+				record_committed_caps();
 			codec_free(CODEC_PROC(sw_command), &c);
 		}
 		g_bytes_unref(log.front().second);
@@ -266,12 +274,112 @@
 	}
 }
 
-void Fleet::put_config(unsigned int pools)
+/// Adds accounts to a configuration. All its queues take jobs without a key as well.
+static void set_accounts(struct call &c, const std::map<std::string, job_cap> &caps,
+			 unsigned int queues)
 {
+	c.has_access = true;
+	c.access.accounts.accounts_val =
+		static_cast<job_account *>(calloc(caps.size(), sizeof(job_account)));
+	for (const auto &cap : caps) {
+		job_account &a = c.access.accounts.accounts_val[c.access.accounts.accounts_len++];
+
+		a.name = new_c_string(cap.first);
+		a.weight_milli = 2000;
+		a.cap = cap.second;
+		a.keys.keys_len = 1;
+		a.keys.keys_val = static_cast<job_key_digest *>(calloc(1, sizeof(job_key_digest)));
+		a.keys.keys_val[0] = access_digest(cap.first.data(), cap.first.size());
+	}
+	c.access.open_queues.open_queues_len = queues;
+	c.access.open_queues.open_queues_val = static_cast<u_int *>(calloc(queues, sizeof(u_int)));
+	for (unsigned int i = 0; i < queues; i++)
+		c.access.open_queues.open_queues_val[i] = i;
+}
+
+void Fleet::put_accounts(const std::map<std::string, job_cap> &caps)
+{
+	if (!manager)
+		return;
+	account_caps = caps;
+	caps_in_force.push_back({caps, now, now + kConfigCommitMs});
+	put_config();
+	process_effects();
+}
+
+/// Records the caps of the committed configuration if they have changed.
+void Fleet::record_committed_caps()
+{
+	std::map<std::string, job_cap> caps;
+
+	for (u_int i = 0; i < committed->access.accounts.accounts_len; i++)
+		caps[committed->access.accounts.accounts_val[i].name] =
+			committed->access.accounts.accounts_val[i].cap;
+	for (auto &c : caps_in_force)
+		if (c.until == CLOCK_NEVER)
+			c.until = now;
+	caps_in_force.push_back({caps, now, CLOCK_NEVER});
+}
+
+const std::string &Fleet::account_of(const std::string &job)
+{
+	auto known = job_accounts.find(job);
+
+	if (known == job_accounts.end()) {
+		const struct job *j = jobs_find(committed, job.c_str());
+
+		known = job_accounts.emplace(job, j ? j->account : "").first;
+	}
+	return known->second;
+}
+
+/// Throws RuleViolation if a start takes the running work of an account to its cap and one task, or
+/// beyond, under every configuration that may have been in force when the start was ordered. Starts
+/// may be executed in another order than they were made: any one of the tasks may have come last.
+void Fleet::check_cap(const job_step &step, const JobPlan &plan)
+{
+	const std::string &account = account_of(plan.id);
+	std::vector<const job_step *> tasks = {&step};
+	uint64_t cpu = step.cpu_milli, mem = step.mem_mb;
+	bool allowed = caps_in_force.empty();
+	bool reaches = false;
+
+	if (account.empty())
+		return;
+	for (const auto &e : endpoints)
+		for (const auto &run : e->running) {
+			unsigned int other;
+			const JobPlan *p = find_plan(run.first, other);
+
+			if (account_of(p->id) != account)
+				continue;
+			tasks.push_back(&p->steps[other]);
+			cpu += tasks.back()->cpu_milli;
+			mem += tasks.back()->mem_mb;
+		}
+	for (const auto &c : caps_in_force) {
+		auto found = c.caps.find(account);
+		job_cap cap = found == c.caps.end() ? job_cap{} : found->second;
+
+		if (c.until < now - kOrderDelayMaxMs)
+			continue;
+		for (const job_step *last : tasks)
+			allowed |= (!cap.cpu_milli || cpu - last->cpu_milli < cap.cpu_milli) &&
+				   (!cap.mem_mb || mem - last->mem_mb < cap.mem_mb);
+		reaches |= cap.cpu_milli && cpu >= cap.cpu_milli;
+	}
+	starts_up_to_cap += reaches;
+	if (!allowed)
+		throw RuleViolation("starts above the cap of its account: " + plan.id);
+}
+
+void Fleet::put_config()
+{
+	const unsigned int pools = pool_count;
 	struct call c = {};
 
 	c.type = CALL_CONFIG_PUT;
-	c.config.config_version = 1;
+	c.config.config_version = ++config_version;
 	c.config.queues.queues_val = static_cast<job_queue *>(calloc(pools, sizeof(job_queue)));
 	c.config.pools.pools_val = static_cast<job_pool *>(calloc(pools + 1, sizeof(job_pool)));
 	for (unsigned int p = 0; p < pools; p++) {
@@ -294,6 +402,8 @@
 	}
 	c.config.document.sw_blob_val = new_c_string("{}");
 	c.config.document.sw_blob_len = 2;
+	if (!account_caps.empty())
+		set_accounts(c, account_caps, pools);
 	manager_handle_call(manager, now, now, ++next_token, &c);
 	call_clear(&c);
 }
@@ -302,9 +412,13 @@
 {
 	struct call c = {};
 
+	if (!plan.account.empty())
+		c.key = g_bytes_new(plan.account.data(), plan.account.size());
 	plans[plan.id] = plan;
-	if (!manager)
+	if (!manager) {
+		call_clear(&c);
 		return;
+	}
 	c.type = CALL_SUBMIT;
 	c.host = g_strdup("h");
 	c.path = g_strdup((prefix_of(plan.pool) + plan.id).c_str());
@@ -672,6 +786,7 @@
 	for (const auto &other : endpoints)
 		if (other.get() != &e && other->up && other->running.count(o.task))
 			throw RuleViolation(std::string("runs twice: ") + o.task);
+	check_cap(s, plan);
 	if (f.done_acknowledged)
 		throw RuleViolation(std::string("starts after its acknowledged completion: ") +
 				    o.task);
--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -122,6 +122,8 @@
 struct JobPlan {
 	std::string id;
 	std::string pool;
+	/// Client account whose key the submission carries; empty: none.
+	std::string account;
 	/// The model sets the string fields of each step.
 	std::vector<job_step> steps;
 	/// Execution time of each task that is not long-running.
@@ -161,6 +163,9 @@
 	void crash_and_stay_down(unsigned int endpoint, bool same_id);
 	/// Marks an endpoint as draining and sends a heartbeat that reports it.
 	void drain(unsigned int endpoint);
+	/// Sends a configuration in which the accounts have these caps; does nothing without a
+	/// leader. A leader that is deposed may lose it. The key of an account is its name.
+	void put_accounts(const std::map<std::string, job_cap> &caps);
 	/// Orders a maintenance wave of 20 s over the machines of the given endpoints; does nothing
 	/// if there is one with that number.
 	/// @param cap highest number of machines that may be down at once
@@ -202,6 +207,8 @@
 	uint64_t starts = 0, leader_changes = 0, done = 0;
 	/// Moves executed.
 	uint64_t moves = 0;
+	/// Starts that took the running work of an account to its cap.
+	uint64_t starts_up_to_cap = 0;
 	/// Endpoints crashed by their tasks.
 	uint64_t crashes_by_tasks = 0;
 	/// From a crash under a task, or by crash_and_stay_down(), until the next incarnation is
@@ -324,6 +331,17 @@
 	uint64_t next_token = 0;
 	/// By token: the job id of a submission or cancellation; true for cancellations.
 	std::map<uint64_t, std::pair<std::string, bool>> request_tokens;
+	/// The caps of a configuration, and the time in which it may be in force.
+	struct CapsInForce {
+		std::map<std::string, job_cap> caps;
+		clock_ms_t since, until;
+	};
+	std::map<std::string, job_cap> account_caps;
+	std::vector<CapsInForce> caps_in_force;
+	uint64_t config_version = 0;
+	unsigned int pool_count;
+	/// By job id: the account that the committed state shows; "" for none.
+	std::map<std::string, std::string> job_accounts;
 	std::map<std::string, JobPlan> plans;
 	std::map<std::string, TaskHistory> task_history;
 	std::map<std::string, uint64_t> machine_fencing_token;
@@ -370,11 +388,14 @@
 	void finish_attempt(Endpoint &e, const std::string &task, attempt_outcome outcome);
 	void end_due_attempts(Endpoint &e);
 	void answer_status_queries();
+	void record_committed_caps();
+	const std::string &account_of(const std::string &job);
+	void check_cap(const job_step &step, const JobPlan &plan);
 	void check_start(const Endpoint &e, const struct order &o, const JobPlan &plan,
 			 unsigned int step, bool late);
 	void check_unavailability_budget(const RunningAttempt &run, const char *cause);
 	Endpoint *find_endpoint(const char *address);
-	void put_config(unsigned int pools);
+	void put_config();
 	void start_incarnation(Endpoint &e, bool same_id);
 	const JobPlan *find_plan(const std::string &task, unsigned int &step) const;
 };
--- a/tests/property/property_jobs.cc
+++ b/tests/property/property_jobs.cc
@@ -17,7 +17,7 @@
 /// Counts of what the random actions caused, over all cases.
 struct Reached {
 	unsigned long actions, starts, done, leader_changes, jobs, cancelled, moves, crashes,
-		crashing_jobs;
+		crashing_jobs, starts_up_to_cap;
 } reached;
 
 job_step step_of(uint32_t random, bool long_running)
@@ -157,6 +157,53 @@
 	reached.moves += fleet.moves;
 }
 
+/// Caps of two accounts: 1 to 12 cores, or none, and none or 1 to 8 GB.
+std::map<std::string, job_cap> caps_of(uint32_t random)
+{
+	std::map<std::string, job_cap> caps;
+
+	for (const char *name : {"a", "b"}) {
+		job_cap cap = {};
+
+		cap.cpu_milli = random % 13 * 1000;
+		cap.mem_mb = random / 13 % 3 ? 0 : (1 + random / 39 % 8) * 1000;
+		caps[name] = cap;
+		random /= 312;
+	}
+	return caps;
+}
+
+/// Jobs of accounts whose caps change, under the faults of invariants_hold_under_faults(). The
+/// model checks at each start that the running work of the account exceeds its cap by less than one
+/// task, under one of the configurations that may have been in force.
+void caps_hold_under_faults(const std::vector<uint32_t> &actions)
+{
+	model::Fleet fleet(actions.size(), 2, 4);
+	unsigned int jobs = 0;
+
+	try {
+		fleet.put_accounts(caps_of(actions.empty() ? 0 : actions[0]));
+		fleet.advance(100); /* until the configuration is committed */
+		for (uint32_t action : actions) {
+			if (action % 100 < 40 && action / 100 % 8 == 0) {
+				fleet.put_accounts(caps_of(action / 800));
+			} else if (action % 100 >= 40 && action % 100 < 60) {
+				model::JobPlan plan = plan_of(jobs++, action / 100);
+				const char *const accounts[] = {"a", "a", "a", "b", ""};
+
+				plan.account = accounts[action / 100 % 5];
+				fleet.submit(plan);
+			} else {
+				apply_action(fleet, action, jobs, true);
+			}
+		}
+		reached.starts_up_to_cap += fleet.starts_up_to_cap;
+		recover(fleet, jobs);
+	} catch (const model::RuleViolation &broken) {
+		RC_FAIL(broken.what());
+	}
+}
+
 /// An endpoint becomes unresponsive for good. Its long-running tasks must run elsewhere once its
 /// lease has expired.
 void tasks_of_lost_endpoint_restart(uint32_t which)
@@ -672,6 +719,7 @@
 		       [] { invariants_hold_under_faults(*actions(120), false); });
 	property.check("invariants_hold_while_machines_move",
 		       [] { invariants_hold_under_faults(*actions(120), false, 4); });
+	property.check("caps_hold_under_faults", [] { caps_hold_under_faults(*actions(120)); });
 	property.check("tasks_of_lost_endpoint_restart", [] {
 		tasks_of_lost_endpoint_restart(*rc::gen::inRange<uint32_t>(0, 1000));
 	});
@@ -713,9 +761,10 @@
 	property.check("late_order_to_unfenced_incarnation",
 		       [] { invariants_hold_under_faults(*actions(120), true); });
 	std::printf("# reached: %lu actions, %lu jobs, %lu starts, %lu done, %lu leaders deposed, "
-		    "%lu cancelled, %lu moves, %lu endpoints crashed by %lu jobs\n",
+		    "%lu cancelled, %lu moves, %lu endpoints crashed by %lu jobs, "
+		    "%lu starts up to a cap\n",
 		    reached.actions, reached.jobs, reached.starts, reached.done,
 		    reached.leader_changes, reached.cancelled, reached.moves, reached.crashes,
-		    reached.crashing_jobs);
+		    reached.crashing_jobs, reached.starts_up_to_cap);
 	return property.end();
 }
