--- a/src/sesamewood/manager/control_load.c
+++ b/src/sesamewood/manager/control_load.c
@@ -99,6 +99,20 @@
 	return g_string_free(text, FALSE);
 }
 
+/// Sets the gauges of pending maintenance; 0 on replicas that do not lead.
+static void set_wave_gauges(const struct manager *m)
+{
+	struct manager_wave_progress p =
+		m ? manager_wave_progress(m) : (struct manager_wave_progress){0};
+
+	metrics_set(metrics_get(METRIC_GAUGE, "sesamewood_wave_machines_left", "",
+				"machines whose maintenance has not begun"),
+		    p.left);
+	metrics_set(metrics_get(METRIC_GAUGE, "sesamewood_wave_machines_blocked", "",
+				"of these, machines that an availability budget keeps up"),
+		    p.blocked);
+}
+
 void shell_log_load(struct shell *sh, clock_ms_t now)
 {
 	g_autofree char *work = NULL;
@@ -110,6 +124,7 @@
 	if (now < sh->next_load_log_at)
 		return;
 	sh->next_load_log_at = now + LOG_PERIOD_MS;
+	set_wave_gauges(sh->manager);
 	work = take_work_text(sh);
 	if (!sh->manager) {
 		log_info("load", "WORK_US", work, "INDEX", log_number(sh->state_index));
--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -248,6 +248,11 @@
 	return backlog;
 }
 
+struct manager_wave_progress manager_wave_progress(const struct manager *m)
+{
+	return m->wave_progress;
+}
+
 unsigned int manager_count_orders(const struct manager *m)
 {
 	return g_hash_table_size(m->orders);
--- a/src/sesamewood/manager/manager.h
+++ b/src/sesamewood/manager/manager.h
@@ -92,6 +92,14 @@
 
 struct manager_backlog manager_take_backlog(struct manager *m);
 
+/// Maintenance that is pending, over all waves, at the latest evaluation of the waves.
+struct manager_wave_progress {
+	unsigned int left;    ///< machines whose maintenance has not begun
+	unsigned int blocked; ///< of these, machines that an availability budget keeps up
+};
+
+struct manager_wave_progress manager_wave_progress(const struct manager *m);
+
 /// Returns the number of orders in flight.
 unsigned int manager_count_orders(const struct manager *m);
 
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -61,7 +61,9 @@
 	GHashTable *maintenance_by_machine; ///< struct maintenance by machine; owned
 	GHashTable *ready_counts;	    ///< count of ready long-running tasks by job_step_state
 	struct manager_backlog backlog;
-	bool ready_counts_valid; ///< ready_counts is current for this evaluation of the waves
+	struct manager_wave_progress wave_progress;
+	clock_ms_t next_wave_log_at; ///< earliest time to log again that a wave may be late
+	bool ready_counts_valid;     ///< ready_counts is current for this evaluation of the waves
 };
 
 /// An order in flight: what its result is applied to.
--- a/src/sesamewood/sched/waves.c
+++ b/src/sesamewood/sched/waves.c
@@ -16,6 +16,9 @@
 #define DRAIN_WAIT_MS 2500	   /* time for tasks of bounded run time to end first */
 #define HEARTBEAT_DELAY_MAX_MS 300 /* longest time that a heartbeat is in flight */
 #define WAVE_LOG_PERIOD_MS 3000
+/// Time that a machine blocked by a budget may still need: a start-up of a long-running task of up
+/// to 3.5 s, then DRAIN_WAIT_MS.
+#define BLOCKED_MS 6000
 /// Margin after the longest maintenance before its machine counts as returned.
 #define RETURN_MARGIN_MS 300
 /// Time between a machine's return and the order for the next one, on average.
@@ -318,11 +321,58 @@
 	return false;
 }
 
+bool waves_is_at_risk(const job_wave *wave, unsigned int n_open, unsigned int n_blocked,
+		      clock_ms_t maintenance_ms, clock_ms_t left_ms)
+{
+	unsigned int cap = MAX(wave->cap, 1);
+	clock_ms_t needed =
+		(clock_ms_t)((n_open + cap - 1) / cap) * (maintenance_ms + MAINTENANCE_GAP_MS);
+
+	return n_open && (n_blocked ? MAX(needed, BLOCKED_MS) : needed) > left_ms;
+}
+
+/// Tells whether a budget forbids the maintenance of a machine now.
+static bool is_blocked(struct manager *m, const job_wave_machine *w, const struct endpoint *e,
+		       clock_ms_t now)
+{
+	return e && !w->settled && !machines_is_down(m, w->machine) &&
+	       availability_find_blocking_run(m, e, now);
+}
+
+/// Logs every WAVE_LOG_PERIOD_MS that a wave may miss its deadline, and an example of what blocks
+/// its machines.
+static void log_risk(struct manager *m, clock_ms_t now, const job_wave *wave, unsigned int n_open,
+		     unsigned int n_blocked, unsigned int n_down, clock_ms_t left_ms)
+{
+	const struct run *r = NULL;
+	const char *machine = "";
+
+	if (now < m->next_wave_log_at ||
+	    !waves_is_at_risk(wave, n_open, n_blocked, m->settings.maintenance_ms, left_ms))
+		return;
+	m->next_wave_log_at = now + WAVE_LOG_PERIOD_MS;
+	for (u_int i = 0; n_blocked && !r && i < wave->machines.machines_len; i++) {
+		const job_wave_machine *w = &wave->machines.machines_val[i];
+		const struct endpoint *e = endpoint_on(m, w->machine);
+
+		if (!is_blocked(m, w, e, now))
+			continue;
+		machine = w->machine;
+		r = availability_find_blocking_run(m, e, now);
+	}
+	log_info("maintenance wave may be late", "WAVE", log_number(wave->number), "LEFT",
+		 log_number(n_open), "LEFT_MS", log_number((guint64)MAX(left_ms, 0)), "BLOCKED",
+		 log_number(n_blocked), "DOWN", log_number(n_down), "CAP", log_number(wave->cap),
+		 "MACHINE", machine, "BUDGET_OF", r ? r->name : "", "AWAY",
+		 log_number(r ? availability_count_unavailable(m, r, NULL, now) : 0));
+}
+
 static void tick_wave(struct manager *m, clock_ms_t now, clock_ms_t wall_ms, const job_wave *wave)
 {
 	unsigned int n_down = count_down(m, wave);
 	unsigned int n_cordoned = 0;
 	unsigned int n_open = 0;
+	unsigned int n_blocked = 0;
 	unsigned int n_wanted;
 	unsigned int pace;
 	bool deadline_near;
@@ -332,9 +382,13 @@
 		const struct endpoint *e = endpoint_on(m, w->machine);
 
 		n_open += !w->settled;
+		n_blocked += is_blocked(m, w, e, now);
 		n_cordoned += !w->settled && !w->ordered && !machines_is_down(m, w->machine) && e &&
 			      e->cordoned;
 	}
+	m->wave_progress.left += n_open;
+	m->wave_progress.blocked += n_blocked;
+	log_risk(m, now, wave, n_open, n_blocked, n_down, wave->due_wall_ms - wall_ms);
 	deadline_near = wall_ms + (clock_ms_t)(n_open / MAX(wave->cap, 1) + 1) *
 					  (m->settings.maintenance_ms + MAINTENANCE_GAP_MS) >
 			wave->due_wall_ms;
@@ -461,6 +515,7 @@
 	end_maintenance(m, now);
 	if (now < m->leader_since + m->settings.holder_lease_ms + HOLDER_MARGIN_MS)
 		return;
+	m->wave_progress = (struct manager_wave_progress){0};
 	collect_due_machines(m);
 	if (!g_hash_table_size(m->due_machines))
 		return;
--- a/src/sesamewood/sched/waves.h
+++ b/src/sesamewood/sched/waves.h
@@ -26,6 +26,14 @@
 unsigned int waves_pace(const job_wave *wave, unsigned int n_open, clock_ms_t maintenance_ms,
 			clock_ms_t left_ms);
 
+/// Tells whether a wave may miss its deadline: the rest takes longer than the time left, even with
+/// as many machines down at once as the cap allows.
+///
+/// @param n_open    machines of the wave whose maintenance has not begun
+/// @param n_blocked machines among them that an availability budget keeps up now
+bool waves_is_at_risk(const job_wave *wave, unsigned int n_open, unsigned int n_blocked,
+		      clock_ms_t maintenance_ms, clock_ms_t left_ms);
+
 /// @return true if the maintenance of all machines of a wave has begun or is impossible
 bool waves_is_complete(const job_wave *wave);
 
--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -218,6 +218,7 @@
 	/// From the start of a long-running task until it is ready: a time between these bounds
 	/// that depends on the task's name.
 	clock_ms_t warm_up_min_ms = 150, warm_up_max_ms = 150;
+	clock_ms_t warm_up_of(const std::string &task) const;
 	/// Commands proposed and orders sent.
 	uint64_t commands = 0, orders = 0;
 	/// Ids of jobs whose submission or cancellation was acknowledged.
@@ -383,7 +384,6 @@
 			 unsigned int step, bool late);
 	void check_unavailability_budget(const RunningAttempt &run, const char *cause);
 	void record_ends_by_shutdown(const Endpoint &e, bool late, const char *cause);
-	clock_ms_t warm_up_of(const std::string &task) const;
 	Endpoint *find_endpoint(const char *address);
 	void put_config(unsigned int pools);
 	void start_incarnation(Endpoint &e, bool same_id);
--- a/tests/property/property_waves.cc
+++ b/tests/property/property_waves.cc
@@ -12,6 +12,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <map>
 
 namespace
 {
@@ -37,6 +38,8 @@
 	clock_ms_t done_after_ms = -1; ///< -1: later than twice the time
 	uint64_t ends = 0;	       ///< of long-running tasks during the wave
 	uint64_t least_ends = 0;       ///< long-running tasks on the wave's machines at its start
+	clock_ms_t least_ms = 0;       ///< the budgets allow no shorter wave
+	uint64_t moves = 0;	       ///< of machines between pools
 	unsigned int jobs = 0, late_jobs = 0;
 };
 
@@ -63,6 +66,7 @@
 
 	Result run()
 	{
+		uint64_t moves_before;
 		std::vector<unsigned int> members(fleet_.endpoints.size());
 
 		fleet_.advance(3000);
@@ -74,6 +78,7 @@
 		members.resize(kWaveMachines);
 		begun_at_ = fleet_.now;
 		ends_before_ = fleet_.lasting_ends;
+		moves_before = fleet_.moves;
 		count_tasks_on(members);
 		result_.jobs = result_.late_jobs = 0;
 		fleet_.wave(members, kCap, 1, kWaveS);
@@ -89,6 +94,7 @@
 			    result_.done_after_ms >= 0)
 				break;
 		}
+		result_.moves = fleet_.moves - moves_before;
 		result_.ends = fleet_.lasting_ends - ends_before_;
 		return result_;
 	}
@@ -98,6 +104,7 @@
 	model::Fleet fleet_;
 	std::mt19937 random_;
 	std::vector<ShortJob> open_;
+	std::map<std::string, uint32_t> budget_of_; ///< of the long-running jobs
 	Result result_;
 	clock_ms_t begun_at_ = 0; ///< of the wave
 	uint64_t ends_before_ = 0;
@@ -119,6 +126,7 @@
 			step.max_unavailable = 2 + random_() % 2;
 			step.max_per_endpoint = 1;
 			plan.steps = {step};
+			budget_of_[plan.id] = step.max_unavailable;
 			fleet_.submit(plan);
 		}
 	}
@@ -197,23 +205,37 @@
 			fleet_.depose_leader();
 	}
 
-	/// Counts the long-running tasks on the machines of the wave: each must end at least once.
+	/// Counts the long-running tasks on the machines of the wave, each of which must end at
+	/// least once, and bounds the duration of the wave by the start-ups that a step's budget
+	/// allows at once.
 	void count_tasks_on(const std::vector<unsigned int> &members)
 	{
+		std::map<std::string, clock_ms_t> starting_ms;
+
 		for (unsigned int i : members)
-			for (const auto &run : fleet_.endpoints[i]->running)
-				result_.least_ends += run.second.ends_at == CLOCK_NEVER;
+			for (const auto &run : fleet_.endpoints[i]->running) {
+				std::string job = run.first.substr(0, run.first.find('.'));
+				clock_ms_t &ms = starting_ms[job];
+
+				if (run.second.ends_at != CLOCK_NEVER)
+					continue;
+				result_.least_ends++;
+				ms += fleet_.warm_up_of(run.first);
+				result_.least_ms = std::max(result_.least_ms, ms / budget_of_[job]);
+			}
 	}
 };
 
 void print(const Case &c, const Result &r)
 {
-	std::printf(
-		"# seed %u, %u lasting jobs a pool, surge x%u: %u machines late, done after "
-		"%ld ms, %lu ends of long-running tasks (at least %lu), %u of %u short jobs late\n",
-		c.seed, c.lasting_jobs, c.surge_factor, r.late, static_cast<long>(r.done_after_ms),
-		static_cast<unsigned long>(r.ends), static_cast<unsigned long>(r.least_ends),
-		r.late_jobs, r.jobs);
+	std::printf("# seed %u, %u lasting jobs a pool, surge x%u: %u machines late, ", c.seed,
+		    c.lasting_jobs, c.surge_factor, r.late);
+	std::printf("done after %ld ms (at least %ld), ", static_cast<long>(r.done_after_ms),
+		    static_cast<long>(r.least_ms));
+	std::printf("%lu ends of long-running tasks (at least %lu), %lu moves, ",
+		    static_cast<unsigned long>(r.ends), static_cast<unsigned long>(r.least_ends),
+		    static_cast<unsigned long>(r.moves));
+	std::printf("%u of %u short jobs late\n", r.late_jobs, r.jobs);
 }
 
 bool check(const Case &c, unsigned int number)
--- a/tests/unit/unit_waves.c
+++ b/tests/unit/unit_waves.c
@@ -778,6 +778,19 @@
 	manager_free(m);
 }
 
+/// A wave that cannot be done in time must be reported while an operator can still act.
+static void test_wave_at_risk_is_recognized(void)
+{
+	const job_wave wave = {.cap = 10};
+
+	g_assert_false(waves_is_at_risk(&wave, 0, 0, MAINTENANCE_MS, -1));
+	g_assert_false(waves_is_at_risk(&wave, 20, 0, MAINTENANCE_MS, 5000));
+	g_assert_true(waves_is_at_risk(&wave, 21, 0, MAINTENANCE_MS, 5000));
+	g_assert_true(waves_is_at_risk(&wave, 1, 1, MAINTENANCE_MS, 5000));
+	g_assert_false(waves_is_at_risk(&wave, 1, 1, MAINTENANCE_MS, 6000));
+	g_assert_true(waves_is_at_risk(&wave, 1, 0, MAINTENANCE_MS, -1));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -811,5 +824,6 @@
 			test_machine_that_stays_down_frees_the_cap);
 	g_test_add_func("/waves/heartbeat_before_late_maintenance_is_no_return",
 			test_heartbeat_before_late_maintenance_is_no_return);
+	g_test_add_func("/waves/wave_at_risk_is_recognized", test_wave_at_risk_is_recognized);
 	return g_test_run();
 }
