--- a/src/sesamewood/manager/control_load.c
+++ b/src/sesamewood/manager/control_load.c
@@ -116,6 +116,20 @@
 	return g_string_free(text, FALSE);
 }
 
+/// Sets the gauges of pending maintenance; 0 on replicas that do not lead.
+static void set_wave_gauges(const struct manager *m)
+{
+	struct manager_wave_progress p =
+		m ? manager_wave_progress(m) : (struct manager_wave_progress){0};
+
+	metrics_set(metrics_get(METRIC_GAUGE, "sesamewood_wave_machines_left", "",
+				"machines whose maintenance has not begun"),
+		    p.left);
+	metrics_set(metrics_get(METRIC_GAUGE, "sesamewood_wave_machines_blocked", "",
+				"of these, machines that an availability budget keeps up"),
+		    p.blocked);
+}
+
 void shell_log_load(struct shell *sh, clock_ms_t now)
 {
 	g_autofree char *work = NULL;
@@ -131,6 +145,7 @@
 		backlog = manager_take_backlog(sh->manager);
 		record_start_cost(sh, backlog.starts);
 	}
+	set_wave_gauges(sh->manager);
 	work = take_work_text(sh);
 	if (!sh->manager) {
 		metrics_set(sh->accounts_at_cap, 0);
