--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -18,6 +18,12 @@
 /// short job.
 #define CATCH_UP_MS 1000
 #define ARRIVAL_WINDOW_MS 500 /* an eighth of the shortest surge */
+/// Window in which the onset of a surge is seen: with 500 ms, the machines of a surge of 100 jobs a
+/// second were ordered over 2.5 s, and the jobs of these seconds were late.
+#define ONSET_WINDOW_MS 200
+#define ONSET_JOBS_MIN 8      /* fewer jobs in the window may be chance */
+#define ONSET_PERCENT_MIN 160 /* of the rate in the long window; steady arrivals vary by a third   \
+			       */
 /// Number of jobs in the window that count half as a rate: one large job is not a surge.
 #define FEW_JOBS 2.0
 #define USABLE_PERCENT 90 /* usable share of a machine; fragmentation takes the rest */
@@ -38,12 +44,17 @@
 	struct admission_supply supply; ///< without "more"; only with admission control
 };
 
-/// Recently arrived jobs of one pool; both decay exponentially.
-struct arrivals {
+/// Recently arrived jobs of one pool over a window; both values decay exponentially.
+struct recent_jobs {
 	double cpu_milli; ///< mean rate of their work, thousandths of a core
 	double jobs;
 };
 
+struct arrivals {
+	struct recent_jobs mean;  ///< over ARRIVAL_WINDOW_MS
+	struct recent_jobs onset; ///< over ONSET_WINDOW_MS
+};
+
 /* Machines needed. */
 
 int64_t pools_expected_arrivals(double cpu_milli, double jobs)
@@ -51,6 +62,13 @@
 	return (int64_t)(cpu_milli * jobs / (jobs + FEW_JOBS));
 }
 
+int64_t pools_expected_arrivals_at_onset(int64_t mean_cpu_milli, double cpu_milli, double jobs)
+{
+	if (jobs < ONSET_JOBS_MIN || cpu_milli * 100 < (double)mean_cpu_milli * ONSET_PERCENT_MIN)
+		return mean_cpu_milli;
+	return MAX(mean_cpu_milli, pools_expected_arrivals(cpu_milli, jobs));
+}
+
 /// @return processor time that the tasks of a pool can use at once, thousandths of a core
 static int64_t usable_at_once(const struct pool_load *l)
 {
@@ -199,7 +217,9 @@
 
 		p->config = config;
 		if (a)
-			p->load.arriving_cpu_milli = pools_expected_arrivals(a->cpu_milli, a->jobs);
+			p->load.arriving_cpu_milli = pools_expected_arrivals_at_onset(
+				pools_expected_arrivals(a->mean.cpu_milli, a->mean.jobs),
+				a->onset.cpu_milli, a->onset.jobs);
 		g_hash_table_replace(pools, config->name, p);
 	}
 	add_supply(m, pools, now);
@@ -225,6 +245,7 @@
 {
 	const job_spec *spec = &job->image.spec;
 	struct arrivals *a = g_hash_table_lookup(m->arriving, spec->pool);
+	double work_us;
 
 	if (!m->demand_seen_at && !spec->steps.steps_val[0].long_running)
 		m->demand_seen_at = now;
@@ -232,13 +253,23 @@
 		a = g_new0(struct arrivals, 1);
 		g_hash_table_insert(m->arriving, g_strdup(spec->pool), a);
 	}
-	a->cpu_milli += (double)estimates_job_work(m, job) / ARRIVAL_WINDOW_MS;
-	a->jobs++;
+	work_us = (double)estimates_job_work(m, job);
+	a->mean.cpu_milli += work_us / ARRIVAL_WINDOW_MS;
+	a->mean.jobs++;
+	a->onset.cpu_milli += work_us / ONSET_WINDOW_MS;
+	a->onset.jobs++;
+}
+
+static void decay(struct recent_jobs *r, clock_ms_t elapsed_ms, clock_ms_t window_ms)
+{
+	double share = MAX(0.0, 1.0 - (double)elapsed_ms / (double)window_ms);
+
+	r->cpu_milli *= share;
+	r->jobs *= share;
 }
 
 static void decay_arrivals(struct manager *m, clock_ms_t elapsed_ms)
 {
-	double share = MAX(0.0, 1.0 - (double)elapsed_ms / ARRIVAL_WINDOW_MS);
 	GHashTableIter iter;
 	gpointer value;
 
@@ -246,8 +277,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct arrivals *a = value;
 
-		a->cpu_milli *= share;
-		a->jobs *= share;
+		decay(&a->mean, elapsed_ms, ARRIVAL_WINDOW_MS);
+		decay(&a->onset, elapsed_ms, ONSET_WINDOW_MS);
 	}
 }
 
--- a/src/sesamewood/sched/pools.h
+++ b/src/sesamewood/sched/pools.h
@@ -29,6 +29,14 @@
 /// @return thousandths of a core
 int64_t pools_expected_arrivals(double cpu_milli, double jobs);
 
+/// Estimates the same at the onset of a surge, when the mean still lags behind.
+///
+/// @param mean_cpu_milli  estimate from the mean rate, thousandths of a core
+/// @param cpu_milli       rate of the work that arrived in a short window
+/// @param jobs            number of jobs that brought it
+/// @return thousandths of a core, at least @p mean_cpu_milli
+int64_t pools_expected_arrivals_at_onset(int64_t mean_cpu_milli, double cpu_milli, double jobs);
+
 /// @return number of machines that the pool needs to start waiting and arriving work in time
 uint32_t pools_machines_needed(const struct pool_load *load);
 
--- a/tests/unit/unit_sched.c
+++ b/tests/unit/unit_sched.c
@@ -49,6 +49,18 @@
 	g_assert_cmpint(pools_expected_arrivals(rate, 40), >, (int64_t)rate * 9 / 10);
 }
 
+/// The machines of a surge were ordered over seconds, as the mean rate followed it slowly. Neither
+/// a few jobs nor the variation of a steady rate are an onset.
+static void test_onset_of_surge_is_seen_before_the_mean(void)
+{
+	int64_t mean = 1000000;
+
+	g_assert_cmpint(pools_expected_arrivals_at_onset(mean, 4000000, 20), >, 3500000);
+	g_assert_cmpint(pools_expected_arrivals_at_onset(mean, 4000000, 7), ==, mean);
+	g_assert_cmpint(pools_expected_arrivals_at_onset(mean, 1500000, 20), ==, mean);
+	g_assert_cmpint(pools_expected_arrivals_at_onset(mean, 0, 0), ==, mean);
+}
+
 static void test_endpoint_limit_needs_machines(void)
 {
 	struct pool_load load = {.machine_cpu_milli = 32000, .machines = 8, .spread = 6};
@@ -498,6 +510,8 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/sched/onset_of_surge_is_seen_before_the_mean",
+			test_onset_of_surge_is_seen_before_the_mean);
 	g_test_add_func("/sched/surge_needs_more_machines", test_surge_needs_more_machines);
 	g_test_add_func("/sched/few_large_tasks_need_few_machines",
 			test_few_large_tasks_need_few_machines);
