--- a/src/sesamewood/sched/accounts.c
+++ b/src/sesamewood/sched/accounts.c
@@ -6,11 +6,14 @@
 
 #include <math.h>
 
-#define TOKEN 1000000 /* a job, as thousandths of a job a second times milliseconds */
-#define BURST_MS 1000 /* the contract owes an account its weight in each second */
-#define NO_ACCOUNT_WEIGHT_MILLI 1000 /* work without an account shares as an account of weight 1   \
-				      */
-#define LOG_PERIOD_MS 1000	     /* bounds the log of an account whose use stays near its cap */
+/// A job, as thousandths of a job a second times milliseconds.
+#define TOKEN 1000000
+/// The contract owes an account its weight in each second.
+#define BURST_MS 1000
+/// Work without an account shares a pool as an account of weight 1.
+#define NO_ACCOUNT_WEIGHT_MILLI 1000
+/// Bounds the log of an account whose use stays near its cap.
+#define LOG_PERIOD_MS 1000
 
 struct accounts {
 	GHashTable *by_name; ///< struct account; owned
