--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -22,6 +22,9 @@
 #define USABLE_PERCENT 90 /* usable share of a machine; fragmentation takes the rest */
 /// Idle time before a machine is moved to standby: by then idling has cost as much as two moves.
 #define STANDBY_AFTER_IDLE_MS 2200
+/// Share of a machine that the long-running tasks of a pool use while they move away from machines
+/// due for maintenance; the machine's size is that of the largest, and other tasks use the rest.
+#define RELOCATION_PERCENT 45
 #define SPREAD_MACHINES_MAX 16 /* most machines requested for a limit per endpoint */
 /// Share of the burst of machine orders that moves to standby leave for pools in need.
 #define RESERVE_PERCENT 50
@@ -31,6 +34,9 @@
 struct pool {
 	const job_pool *config;
 	struct pool_load load;
+	uint32_t not_due_machines; ///< of load.machines: no maintenance is pending
+	/// Of load.long_running_cpu_milli: attempts on machines due for maintenance.
+	int64_t due_long_running_cpu_milli;
 };
 
 /// Recently arrived jobs of one pool; both decay exponentially.
@@ -127,8 +133,10 @@
 
 		x->pool_state = p;
 		if (p && (machines_endpoint_on(x, now) || now < x->arrives_by ||
-			  (x->is_up && now - m->leader_since < LEADER_SETTLE_MS)))
+			  (x->is_up && now - m->leader_since < LEADER_SETTLE_MS))) {
 			p->load.machines++;
+			p->not_due_machines += !g_hash_table_contains(m->due_machines, x->name);
+		}
 	}
 }
 
@@ -141,9 +149,11 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct endpoint *e = value;
 		struct pool *p = pool_of(pools, e->pool);
+		bool due;
 
 		if (!p || e->terminated)
 			continue;
+		due = g_hash_table_contains(m->due_machines, e->machine);
 		p->load.machine_cpu_milli = MAX(p->load.machine_cpu_milli, e->cpu_milli);
 		m->max_machine_cpu_milli = MAX(m->max_machine_cpu_milli, e->cpu_milli);
 		for (guint i = 0; i < e->runs->len; i++) {
@@ -151,9 +161,10 @@
 
 			if (r->best_effort)
 				continue;
-			if (r->long_running)
+			if (r->long_running) {
 				p->load.long_running_cpu_milli += r->cpu_milli;
-			else
+				p->due_long_running_cpu_milli += due ? r->cpu_milli : 0;
+			} else
 				p->load.running_cpu_milli += r->cpu_milli;
 		}
 	}
@@ -356,6 +367,43 @@
 	}
 }
 
+/// @return number of machines that are not due which a pool lacks for the long-running tasks that
+/// have to leave due machines; negative: it has more
+static int64_t lack_for_relocation(const struct pool *p)
+{
+	int64_t usable = (int64_t)p->load.machine_cpu_milli * RELOCATION_PERCENT / 100;
+
+	if (!p->due_long_running_cpu_milli || usable <= 0)
+		return -(int64_t)p->not_due_machines;
+	return (p->load.long_running_cpu_milli + usable - 1) / usable -
+	       (int64_t)p->not_due_machines;
+}
+
+/// Moves idle machines that are not due to a pool whose long-running tasks have to leave due
+/// machines.
+static void move_machines_for_relocation(struct manager *m, GArray *idle_machines, struct pool *to,
+					 clock_ms_t now)
+{
+	int64_t n = lack_for_relocation(to);
+
+	for (guint i = 0; i < idle_machines->len && n > 0; i++) {
+		struct idle_machine *idle = &g_array_index(idle_machines, struct idle_machine, i);
+
+		if (!order_budget_allows(&m->order_budget, now, RESERVE_PERCENT))
+			return;
+		if (!may_move_to(idle, to) ||
+		    (!idle->from->config->standby && lack_for_relocation(idle->from) >= 0) ||
+		    g_hash_table_contains(m->due_machines, idle->machine->name))
+			continue;
+		move_orders_send(m, now, idle->machine, to->config->name, idle->endpoint);
+		idle->from->load.machines--;
+		idle->from->not_due_machines--;
+		to->load.machines++;
+		to->not_due_machines++;
+		n--;
+	}
+}
+
 static const char *standby_name(GHashTable *pools)
 {
 	GHashTableIter iter;
@@ -368,6 +416,15 @@
 	return NULL;
 }
 
+/// Tells whether a pool keeps an idle machine for long-running tasks that have to leave due
+/// machines.
+static bool is_kept_for_relocation(const struct manager *m, const struct pool *p,
+				   const struct machine *x)
+{
+	return p->due_long_running_cpu_milli && lack_for_relocation(p) >= 0 &&
+	       !g_hash_table_contains(m->due_machines, x->name);
+}
+
 /// Moves machines that have been idle for STANDBY_AFTER_IDLE_MS to the standby pool.
 static void move_to_standby(struct manager *m, GHashTable *pools, clock_ms_t now)
 {
@@ -385,11 +442,12 @@
 		if (!e || !from || from->config->standby || !x->idle_since ||
 		    now - x->idle_since < STANDBY_AFTER_IDLE_MS ||
 		    cooldown_applies(m->cooldown, x->name, now) || !may_be_moved(x, e, now) ||
-		    surplus_of(from) <= 0 ||
+		    surplus_of(from) <= 0 || is_kept_for_relocation(m, from, x) ||
 		    (x->rejected_by_pool && g_str_equal(x->rejected_by_pool, standby)))
 			continue;
 		move_orders_send(m, now, x, standby, e);
 		from->load.machines--;
+		from->not_due_machines -= !g_hash_table_contains(m->due_machines, x->name);
 	}
 }
 
@@ -474,5 +532,12 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		if (!((struct pool *)value)->config->standby)
 			move_idle_machines(m, idle_machines, value, now);
+	/* Last, and only while no pool lacks machines for its work: a surge goes first. */
+	if (!pools_lack_machines(m, now)) {
+		g_hash_table_iter_init(&iter, pools);
+		while (g_hash_table_iter_next(&iter, NULL, &value))
+			if (!((struct pool *)value)->config->standby)
+				move_machines_for_relocation(m, idle_machines, value, now);
+	}
 	move_to_standby(m, pools, now);
 }
--- a/tests/property/property_waves.cc
+++ b/tests/property/property_waves.cc
@@ -19,6 +19,7 @@
 constexpr unsigned int kPools = 4, kMachinesPerPool = 74, kStandbyMachines = 56;
 constexpr unsigned int kWaveMachines = 151, kCap = 59;
 constexpr uint32_t kWaveS = 26;
+constexpr clock_ms_t kWaveMs = 26000;
 constexpr clock_ms_t kSettleMs = 8000; ///< the long-running tasks have started by then
 constexpr clock_ms_t kStepMs = 10;
 constexpr unsigned int kSurgeMs = 4000;
@@ -40,6 +41,7 @@
 	uint64_t least_ends = 0;       ///< long-running tasks on the wave's machines at its start
 	clock_ms_t least_ms = 0;       ///< the budgets allow no shorter wave
 	uint64_t moves = 0;	       ///< of machines between pools
+	uint64_t up_ms = 0; ///< of machines outside of the standby pool, until the deadline
 	unsigned int jobs = 0, late_jobs = 0;
 };
 
@@ -82,15 +84,17 @@
 		count_tasks_on(members);
 		result_.jobs = result_.late_jobs = 0;
 		fleet_.wave(members, kCap, 1, kWaveS);
-		while (fleet_.now - begun_at_ < 2 * kWaveS * 1000) {
+		while (fleet_.now - begun_at_ < 2 * kWaveMs) {
 			advance(100);
+			if (fleet_.now - begun_at_ <= kWaveMs)
+				count_machines_up(100);
 			if (case_.has_faults)
 				inject_faults();
-			if (fleet_.now - begun_at_ == kWaveS * 1000)
+			if (fleet_.now - begun_at_ == kWaveMs)
 				result_.late = fleet_.wave_machines_left();
 			if (result_.done_after_ms < 0 && fleet_.wave_is_complete())
 				result_.done_after_ms = fleet_.now - begun_at_;
-			if (fleet_.now - begun_at_ >= kWaveS * 1000 + kLateMs + 200 &&
+			if (fleet_.now - begun_at_ >= kWaveMs + kLateMs + 200 &&
 			    result_.done_after_ms >= 0)
 				break;
 		}
@@ -110,6 +114,12 @@
 	uint64_t ends_before_ = 0;
 	unsigned int jobs_ = 0;
 
+	void count_machines_up(clock_ms_t ms)
+	{
+		for (const auto &e : fleet_.endpoints)
+			result_.up_ms += e->pool == "standby" ? 0 : static_cast<uint64_t>(ms);
+	}
+
 	void submit_lasting_jobs()
 	{
 		for (unsigned int i = 0; i < kPools * case_.lasting_jobs; i++) {
@@ -168,7 +178,7 @@
 	bool submitted_during_wave(const ShortJob &job) const
 	{
 		return begun_at_ && job.submitted_at >= begun_at_ &&
-		       job.submitted_at < begun_at_ + kWaveS * 1000;
+		       job.submitted_at < begun_at_ + kWaveMs;
 	}
 
 	void count_ended_jobs()
@@ -232,9 +242,11 @@
 		    c.lasting_jobs, c.surge_factor, r.late);
 	std::printf("done after %ld ms (at least %ld), ", static_cast<long>(r.done_after_ms),
 		    static_cast<long>(r.least_ms));
-	std::printf("%lu ends of long-running tasks (at least %lu), %lu moves, ",
+	std::printf("%lu ends of long-running tasks (at least %lu), %lu moves, "
+		    "%lu machines up on average, ",
 		    static_cast<unsigned long>(r.ends), static_cast<unsigned long>(r.least_ends),
-		    static_cast<unsigned long>(r.moves));
+		    static_cast<unsigned long>(r.moves),
+		    static_cast<unsigned long>(r.up_ms / kWaveMs));
 	std::printf("%u of %u short jobs late\n", r.late_jobs, r.jobs);
 }
 
--- a/tests/unit/unit_waves.c
+++ b/tests/unit/unit_waves.c
@@ -642,7 +642,7 @@
 	s.mode = SERVICE_ANSWERS;
 	site_run(&s, 500);
 	g_assert_true(site_wave_is_complete(&s, 2));
-	site_run(&s, 2 * HEARTBEAT_MS);
+	site_run(&s, (clock_ms_t)2 * HEARTBEAT_MS);
 	g_assert_cmpuint(site_tasks_on(&s, "j", "m-1"), ==, 1);
 	site_clear(&s);
 }
