--- a/tests/property/property_waves.cc
+++ b/tests/property/property_waves.cc
@@ -3,8 +3,8 @@
 /// small availability budgets while surges of short jobs move from pool to pool. Deterministic:
 /// each case is fixed by its seed. Guards against machines that are late because their
 /// long-running tasks never had room in all budgets at the same time. The model checks the budgets
-/// and the cap at each order; cases with faults check only these. `--case SEED JOBS SURGE` runs one
-/// case without faults.
+/// and the cap at each order; cases with faults check only these. `--case SEED JOBS SURGE [faults]`
+/// runs one case.
 
 #include "fleet_model.h"
 
@@ -278,10 +278,10 @@
 	};
 	unsigned int number = 0, failed = 0;
 
-	if (argc == 5 && std::strcmp(argv[1], "--case") == 0) {
+	if (argc >= 5 && std::strcmp(argv[1], "--case") == 0) {
 		Case c = {static_cast<uint32_t>(std::atoi(argv[2])),
 			  static_cast<unsigned int>(std::atoi(argv[3])),
-			  static_cast<unsigned int>(std::atoi(argv[4])), false};
+			  static_cast<unsigned int>(std::atoi(argv[4])), argc > 5};
 
 		return !check(c, 1);
 	}
