--- a/src/sesamewood/base/http_async_client.c
+++ b/src/sesamewood/base/http_async_client.c
@@ -1,6 +1,7 @@
 #include "base/http_async_client.h"
 
 #include "base/curl_loop.h"
+#include "base/input_budget.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -15,8 +16,12 @@
 #define UNACKED_TIMEOUT_MS 1500
 #define RESPONSE_MAX_BYTES ((size_t)8 * 1024 * 1024)
 
+/// Memory for a byte of a response: arrays double when they grow.
+#define RESPONSE_COPIES 2
+
 struct http_async_client {
 	struct curl_loop *curl;
+	struct input_budget budget; ///< of all responses that are not complete
 };
 
 struct transfer {
@@ -24,19 +29,38 @@
 	CURL *easy;
 	struct curl_slist *headers;
 	GByteArray *response;
+	struct input_hold hold;
+	bool aborted;	    ///< its response is dropped, and the transfer fails with its next part
 	unsigned int sends; ///< connections on which curl has sent the request
 	http_async_fn fn;
 	void *ctx;
 };
 
+/// Drops the longest responses while all responses together are too long.
+static void keep_within_budget(struct http_async_client *c)
+{
+	struct input_hold *victim;
+
+	while ((victim = input_budget_choose(&c->budget))) {
+		struct transfer *t = victim->owner;
+
+		t->aborted = true;
+		g_byte_array_unref(t->response);
+		t->response = g_byte_array_new();
+		input_budget_set(&c->budget, &t->hold, 0);
+	}
+}
+
 static size_t on_body(char *data, size_t size, size_t count, void *ctx)
 {
-	GByteArray *response = ctx;
+	struct transfer *t = ctx;
 
-	if (response->len + size * count > RESPONSE_MAX_BYTES)
+	if (t->aborted || t->response->len + size * count > RESPONSE_MAX_BYTES)
 		return 0;
-	g_byte_array_append(response, (const guint8 *)data, size * count);
-	return size * count;
+	g_byte_array_append(t->response, (const guint8 *)data, size * count);
+	input_budget_set(&t->owner->budget, &t->hold, (uint64_t)t->response->len * RESPONSE_COPIES);
+	keep_within_budget(t->owner);
+	return t->aborted ? 0 : size * count;
 }
 
 /// Called by curl for each connection on which it sends the request, right before it does.
@@ -70,7 +94,8 @@
 	(void)ctx;
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&t);
 	result.sends = t->sends;
-	if (code == CURLE_OK) {
+	input_budget_remove(&t->owner->budget, &t->hold);
+	if (code == CURLE_OK && !t->aborted) {
 		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 		result.status = (unsigned int)status;
 		result.body = (const char *)t->response->data;
@@ -87,6 +112,7 @@
 {
 	struct http_async_client *c = g_new0(struct http_async_client, 1);
 
+	input_budget_init(&c->budget, INPUT_BUDGET_DEFAULT_BYTES);
 	c->curl = curl_loop_new(loop, on_transfer_done, c);
 	curl_multi_setopt(curl_loop_multi(c->curl), CURLMOPT_MAX_HOST_CONNECTIONS,
 			  (long)host_connections);
@@ -118,6 +144,7 @@
 		.fn = fn,
 		.ctx = ctx,
 	};
+	input_budget_add(&c->budget, &t->hold, 0, t);
 	curl_easy_setopt(t->easy, CURLOPT_URL, url);
 	curl_easy_setopt(t->easy, CURLOPT_PRIVATE, t);
 	curl_easy_setopt(t->easy, CURLOPT_NOSIGNAL, 1L);
@@ -131,7 +158,7 @@
 	curl_easy_setopt(t->easy, CURLOPT_PREREQFUNCTION, on_request_start);
 	curl_easy_setopt(t->easy, CURLOPT_PREREQDATA, t);
 	curl_easy_setopt(t->easy, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(t->easy, CURLOPT_WRITEDATA, t->response);
+	curl_easy_setopt(t->easy, CURLOPT_WRITEDATA, t);
 	if (!request->get) {
 		curl_easy_setopt(t->easy, CURLOPT_POSTFIELDSIZE, (long)request->len);
 		curl_easy_setopt(t->easy, CURLOPT_COPYPOSTFIELDS, request->body);
--- a/src/sesamewood/base/listener.c
+++ b/src/sesamewood/base/listener.c
@@ -6,9 +6,23 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#define CONNECTIONS_MIN 8 /* of a listener, with a very low descriptor limit */
+#define PERCENT 100
+
+uint32_t listener_connections(uint32_t fds_max, uint32_t percent)
+{
+	struct rlimit limit;
+	uint64_t fds = fds_max ? fds_max : UINT32_MAX;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < fds)
+		fds = limit.rlim_cur;
+	return (uint32_t)MAX(fds * percent / PERCENT, CONNECTIONS_MIN);
+}
+
 static int open_once(const struct sockaddr_in *addr)
 {
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/src/sesamewood/base/listener.h
+++ b/src/sesamewood/base/listener.h
@@ -6,10 +6,18 @@
 
 #include "base/clock.h"
 
+#include <stdint.h>
+
 /// Listens on "IP:port". While the address is used by another process or not assigned yet, tries
 /// again for @p wait_ms. The address is not shared with another listener.
 ///
 /// @return a non-blocking descriptor, or -1 with errno set
 int listener_open(const char *address, clock_ms_t wait_ms);
 
+/// Returns the connections of a listener that use at most a part of the process's descriptors, so
+/// that the rest of the process always has some.
+///
+/// @param fds_max descriptors that the process may use; 0: those of RLIMIT_NOFILE
+uint32_t listener_connections(uint32_t fds_max, uint32_t percent);
+
 #endif
--- a/src/sesamewood/rpc/rpc_server.c
+++ b/src/sesamewood/rpc/rpc_server.c
@@ -3,11 +3,14 @@
 #include "rpc/rpc_procs.h"
 #include "rpc/rpc_stream.h"
 
+#include "base/input_budget.h"
 #include "base/listener.h"
 #include "base/log.h"
+#include "base/metrics.h"
 #include "base/work.h"
 
 #include <errno.h>
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <sys/socket.h>
 
@@ -16,6 +19,11 @@
 /// connection in the meantime. A tenth of the timeout of such calls.
 #define ACK_DELAY_S 0.05
 #define ACCEPT_RETRY_S 0.1 /* after accept() has failed for want of resources */
+/// Period of the check for records that do not arrive, and the time after which they count as such.
+#define SWEEP_S 1.0
+#define ARRIVAL_TIMEOUT_MS 30000
+/// Part of the descriptors of a process for its RPC listener, unless set otherwise.
+#define FDS_PERCENT 25
 /// Connections accepted in one iteration of the loop. After a change of leader, all entries connect
 /// at once, and an iteration of a busy leader takes long.
 #define ACCEPTS_MAX 256
@@ -24,7 +32,13 @@
 	struct ev_loop *loop;
 	ev_io acceptor;
 	ev_timer resume; ///< active while no connections are accepted
-	bool refused;	 ///< the last accept() failed for want of resources
+	ev_timer sweep;
+	struct input_budget budget;
+	uint32_t connections_max;
+	struct metric *held_bytes;
+	struct metric *oldest_ms;
+	struct metric *closed_by_limit;
+	bool refused; ///< the last accept() failed for want of resources
 	rpc_handler_fn fn;
 	void *ctx;
 };
@@ -219,7 +233,51 @@
 	ev_timer_start(server->loop, &server->resume);
 }
 
-static void add_connection(struct rpc_server *server, int fd)
+/// Closes the connections whose record has stopped arriving, and reports what was closed.
+static void on_sweep(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	struct rpc_server *server = w->data;
+	clock_ms_t now = clock_monotonic();
+	const struct input_hold *oldest = input_budget_oldest(&server->budget, NULL, NULL);
+	GList *next;
+
+	(void)loop;
+	(void)revents;
+	metrics_set(server->held_bytes, server->budget.held);
+	metrics_set(server->oldest_ms, oldest ? (uint64_t)(now - oldest->since) : 0);
+	for (GList *l = server->budget.holds.head; l; l = next) {
+		struct rpc_stream *s = ((struct input_hold *)l->data)->owner;
+		clock_ms_t at = rpc_stream_unfinished_at(s);
+
+		next = l->next;
+		if (at == CLOCK_NEVER || now - at <= ARRIVAL_TIMEOUT_MS)
+			continue;
+		server->budget.closed++;
+		rpc_stream_fail(s);
+	}
+	if (!server->budget.closed)
+		return;
+	log_warning("closed RPC connections at a limit of memory, connections or time", "COUNT",
+		    log_number(server->budget.closed));
+	metrics_add(server->closed_by_limit, server->budget.closed);
+	server->budget.closed = 0;
+}
+
+/// Closes the connection unused for longest when all are in use, so that others are accepted.
+static void keep_connections_free(struct rpc_server *server)
+{
+	struct input_hold *stalest;
+
+	if (server->budget.holds.length < server->connections_max)
+		return;
+	stalest = input_budget_stalest(&server->budget);
+	if (!stalest)
+		return;
+	server->budget.closed++;
+	rpc_stream_fail(stalest->owner);
+}
+
+static void add_connection(struct rpc_server *server, int fd, const struct sockaddr_in *peer)
 {
 	struct connection *c = g_new0(struct connection, 1);
 
@@ -228,7 +286,9 @@
 	c->refs = 1;
 	ev_timer_init(&c->ack_timer, on_ack_timer, ACK_DELAY_S, 0.);
 	c->ack_timer.data = c;
+	keep_connections_free(server);
 	c->stream = rpc_stream_new(server->loop, fd, &stream_ops, c);
+	rpc_stream_bound_input(c->stream, &server->budget, peer->sin_addr.s_addr);
 }
 
 static void on_connection_pending(struct ev_loop *loop, ev_io *w, int revents)
@@ -238,7 +298,10 @@
 	(void)loop;
 	(void)revents;
 	for (unsigned int i = 0; i < ACCEPTS_MAX; i++) {
-		int fd = accept4(w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		struct sockaddr_in peer = {0};
+		socklen_t len = sizeof(peer);
+		int fd = accept4(w->fd, (struct sockaddr *)&peer, &len,
+				 SOCK_NONBLOCK | SOCK_CLOEXEC);
 
 		if (fd < 0) {
 			if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
@@ -247,7 +310,7 @@
 			return;
 		}
 		server->refused = false;
-		add_connection(server, fd);
+		add_connection(server, fd, &peer);
 	}
 }
 
@@ -270,6 +333,23 @@
 	ev_init(&server->resume, on_resume);
 	server->acceptor.data = server;
 	server->resume.data = server;
+	ev_timer_init(&server->sweep, on_sweep, SWEEP_S, SWEEP_S);
+	server->sweep.data = server;
+	input_budget_init(&server->budget, INPUT_BUDGET_DEFAULT_BYTES);
+	server->connections_max = listener_connections(0, FDS_PERCENT);
+	server->held_bytes = metrics_get(METRIC_GAUGE, "sesamewood_rpc_held_bytes", "",
+					 "memory of incomplete records");
+	server->oldest_ms = metrics_get(METRIC_GAUGE, "sesamewood_rpc_oldest_unfinished_ms", "",
+					"age of the oldest incomplete record, ms");
+	server->closed_by_limit = metrics_get(METRIC_COUNTER, "sesamewood_rpc_closed_total", "",
+					      "RPC connections closed by limits");
 	ev_io_start(loop, &server->acceptor);
+	ev_timer_start(loop, &server->sweep);
 	return server;
 }
+
+void rpc_server_set_limits(struct rpc_server *server, uint64_t input_bytes, uint32_t connections)
+{
+	server->budget.limit = input_bytes;
+	server->connections_max = connections;
+}
--- a/src/sesamewood/rpc/rpc_server.h
+++ b/src/sesamewood/rpc/rpc_server.h
@@ -52,4 +52,9 @@
 /// Replies PROC_UNAVAIL, as this process does not serve the procedure, and frees the request.
 void rpc_request_reply_unavailable(struct rpc_request *req);
 
+/// Sets the memory of all incomplete records together, and the number of connections. At the
+/// limits, connections are closed: that with the most incomplete input of the address with the
+/// most, or the one unused for longest.
+void rpc_server_set_limits(struct rpc_server *server, uint64_t input_bytes, uint32_t connections);
+
 #endif
--- a/src/sesamewood/rpc/rpc_stream.c
+++ b/src/sesamewood/rpc/rpc_stream.c
@@ -19,6 +19,13 @@
 #define MARK_BYTES 4
 /// TCP_USER_TIMEOUT: closes connections whose peer acknowledges nothing for this time.
 #define USER_TIMEOUT_MS 3000
+/// Buffers keep their memory after larger records are complete only up to this size.
+#define KEPT_INPUT_BYTES ((gsize)4 * READ_CHUNK_BYTES)
+/// A connection that has not sent a complete record counts as unused for this long, so that it is
+/// closed before those of the project's own processes.
+#define UNPROVEN_MS 3600000
+/// Memory for a byte of incomplete input: arrays double when they grow.
+#define INPUT_COPIES 2
 
 /// Least time for streams of low priority in an iteration of the loop.
 #define LOW_PRIORITY_MIN_MS 10
@@ -36,9 +43,13 @@
 	guint64 flushed;    ///< bytes of them that the socket accepted
 	const struct rpc_stream_ops *ops;
 	void *ctx;
-	bool low_priority;  ///< see rpc_stream_lower_priority()
-	unsigned int depth; ///< handlers of the stream on the call stack
-	bool closed;	    ///< freed once depth is 0
+	struct input_budget *budget; ///< NULL: none
+	struct input_hold hold;	     ///< in it
+	gsize peak;		     ///< largest incomplete input since its memory was released
+	clock_ms_t read_at;	     ///< last arrival of input
+	bool low_priority;	     ///< see rpc_stream_lower_priority()
+	unsigned int depth;	     ///< handlers of the stream on the call stack
+	bool closed;		     ///< freed once depth is 0
 };
 
 /// Streams whose records are sent before the event loop next waits. Serves the first loop of the
@@ -119,6 +130,8 @@
 		s->closed = true;
 		if (s->loop == send_queue.loop)
 			g_ptr_array_remove_fast(send_queue.streams, s);
+		if (s->budget)
+			input_budget_remove(s->budget, &s->hold);
 		ev_io_stop(s->loop, &s->reader);
 		ev_io_stop(s->loop, &s->writer);
 		close(s->fd);
@@ -133,6 +146,55 @@
 		s->ops->on_closed(s->ctx);
 }
 
+void rpc_stream_fail(struct rpc_stream *s)
+{
+	s->depth++;
+	fail(s);
+	s->depth--;
+	if (s->closed && !s->depth)
+		destroy(s);
+}
+
+void rpc_stream_bound_input(struct rpc_stream *s, struct input_budget *budget, uint32_t address)
+{
+	s->budget = budget;
+	input_budget_add(budget, &s->hold, address, s);
+	s->hold.used_at = clock_monotonic() - UNPROVEN_MS;
+}
+
+clock_ms_t rpc_stream_unfinished_at(const struct rpc_stream *s)
+{
+	return s->in->len + s->record->len ? s->read_at : CLOCK_NEVER;
+}
+
+static void release_array(GByteArray **array)
+{
+	g_byte_array_unref(*array);
+	*array = g_byte_array_new();
+}
+
+/// Counts the incomplete input, and releases the memory of records that are complete.
+static void count_input(struct rpc_stream *s)
+{
+	gsize len = s->in->len + s->record->len;
+	struct input_hold *victim;
+
+	s->peak = MAX(s->peak, len);
+	if (!len && s->peak > KEPT_INPUT_BYTES) {
+		release_array(&s->in);
+		release_array(&s->record);
+		s->peak = 0;
+	}
+	if (!s->budget)
+		return;
+	s->hold.since = len ? MIN(s->hold.since, s->read_at) : CLOCK_NEVER;
+	input_budget_set(s->budget, &s->hold, len * INPUT_COPIES);
+	while ((victim = input_budget_choose(s->budget))) {
+		s->budget->closed++;
+		rpc_stream_fail(victim->owner);
+	}
+}
+
 static guint32 parse_mark(const guint8 *p)
 {
 	guint32 mark;
@@ -159,7 +221,9 @@
 		return 0;
 	g_byte_array_append(s->record, p + MARK_BYTES, size);
 	if (mark & LAST_FRAGMENT) {
+		s->peak = MAX(s->peak, s->record->len);
 		s->ops->on_record(s->ctx, s->record->data, s->record->len);
+		s->hold.used_at = s->read_at;
 		if (!s->closed)
 			g_byte_array_set_size(s->record, 0);
 	}
@@ -183,6 +247,8 @@
 	}
 	if (!s->closed && used)
 		g_byte_array_remove_range(s->in, 0, used);
+	if (!s->closed)
+		count_input(s);
 }
 
 static void on_readable(struct ev_loop *loop, ev_io *w, int revents)
@@ -203,6 +269,7 @@
 	g_byte_array_set_size(s->in, old + READ_CHUNK_BYTES);
 	n = recv(s->fd, s->in->data + old, READ_CHUNK_BYTES, 0);
 	g_byte_array_set_size(s->in, old + (n > 0 ? n : 0));
+	s->read_at = clock_monotonic();
 	if (n > 0)
 		parse_input(s);
 	else if (n == 0 || (errno != EAGAIN && errno != EINTR))
--- a/src/sesamewood/rpc/rpc_stream.h
+++ b/src/sesamewood/rpc/rpc_stream.h
@@ -5,6 +5,7 @@
 /// Record marking (RFC 5531, section 11) over a non-blocking TCP connection.
 
 #include "base/clock.h"
+#include "base/input_budget.h"
 
 #include <ev.h>
 #include <glib.h>
@@ -28,6 +29,18 @@
 struct rpc_stream *rpc_stream_new(struct ev_loop *loop, int fd, const struct rpc_stream_ops *ops,
 				  void *ctx);
 
+/// Counts the stream's incomplete input in a budget, which outlives the stream. While the budget is
+/// exceeded, streams are closed through their on_closed.
+///
+/// @param address IPv4 address of the peer
+void rpc_stream_bound_input(struct rpc_stream *s, struct input_budget *budget, uint32_t address);
+
+/// Closes a stream through its on_closed, as if its connection had failed.
+void rpc_stream_fail(struct rpc_stream *s);
+
+/// Returns when a part of a record last arrived, or CLOCK_NEVER if no record is incomplete.
+clock_ms_t rpc_stream_unfinished_at(const struct rpc_stream *s);
+
 /// Queues one record, copied. It is sent before the event loop next waits.
 void rpc_stream_send(struct rpc_stream *s, const guint8 *data, gsize len);
 
