--- a/src/sesamewood/base/http_server.c
+++ b/src/sesamewood/base/http_server.c
@@ -1,13 +1,22 @@
 #include "base/http_server.h"
 #include "base/http_status.h"
 
+#include "base/clock.h"
+#include "base/input_budget.h"
 #include "base/listener.h"
+#include "base/log.h"
+#include "base/metrics.h"
 #include "base/work.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
 #include <json-glib/json-glib.h>
+#include <linux/tcp.h>
+#include <malloc.h>
 #include <microhttpd.h>
+#include <netinet/in.h>
 #include <string.h>
+#include <sys/mman.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -15,6 +24,44 @@
 /// are answered sooner and never need one.
 #define DISCONNECT_SCAN_S 0.1
 #define BODY_INITIAL_BYTES 64
+/// Bodies of this size get pages of their own, as from glibc's malloc() at first.
+#define MAPPED_BODY_BYTES ((size_t)128 * 1024)
+#define MS_PER_S 1000
+/// Period at which heads that have begun to arrive are found, and time limits are checked.
+#define SWEEP_S 1.0
+/// Memory of a connection besides its pool: MHD's state, the request and its strings.
+#define REQUEST_STATE_BYTES 2048
+/// Copies of a body that waits for its answer: the request's, and the handler's for another
+/// process.
+#define WAITING_COPIES 2
+/// A response that a client has not read after this time may be closed when memory is short, and no
+/// longer delays a stop. Clients wait 3 s for an answer.
+#define UNREAD_RESPONSE_MS 4000
+/// A stop waits for requests that are still arriving for this time. It is shorter than the time
+/// until entries refuse requests (STOP_REFUSE_MS before their end) with a grace time of 6 s.
+#define STOP_RECEIVE_MS 4000
+/// A client that has sent nothing for this time is not waited for in a stop.
+#define PROGRESS_MS 500
+/// Part of the descriptors of a process for its only busy listener.
+#define FDS_PERCENT 75
+/// Part of the connections, as a denominator, that is kept free by closing stale ones.
+#define CONNECTIONS_FREE_PART 64
+/// The allocator returns memory to the system once that much less is held than before.
+#define TRIM_BYTES ((uint64_t)4 * 1024 * 1024)
+
+/// Reasons for which connections are closed or requests refused.
+enum close_reason {
+	CLOSE_MEMORY,
+	CLOSE_TIME,
+	CLOSE_ADDRESS,
+	CLOSE_DESCRIPTORS,
+	CLOSE_REFUSED,
+	CLOSE_REASONS,
+};
+
+static const char *const reason_names[CLOSE_REASONS] = {
+	"memory", "time", "address", "descriptors", "refused",
+};
 
 struct http_server {
 	struct ev_loop *loop;
@@ -27,18 +74,43 @@
 	ev_timer timer;
 	ev_timer disconnect_scan;
 	GQueue waiting; ///< suspended requests, the longest waiting first
-	unsigned int active;
+	struct input_budget budget;
+	unsigned int unfinished; ///< connections whose request is arriving
+	unsigned int open;	 ///< connections
+	uint64_t peak_held;	 ///< since memory was last returned to the system
+	ev_timer sweep;
+	clock_ms_t stopping_at; ///< 0: not stopping
+	clock_ms_t logged_at;
+	unsigned int unlogged; ///< connections closed since then
+	struct metric *held_bytes;
+	struct metric *oldest_ms;
+	struct metric *closed[CLOSE_REASONS];
 	bool resumed; ///< a connection was resumed: MHD must run before the loop waits
 	bool draining;
 	bool closes_after_replies; ///< see http_server_close_after_replies()
 };
 
+/// A connection of a client.
+struct client {
+	struct http_server *server;
+	int fd;
+	struct input_hold hold;
+	struct http_request *request; ///< NULL: none, or its request line has not arrived
+	uint64_t received;	      ///< bytes received up to the end of the last request
+	clock_ms_t progress_at;	      ///< last arrival of a part of a request
+	clock_ms_t answered_at;	      ///< 0: no response is being sent
+	bool closing;
+};
+
 struct http_request {
 	struct http_server *server;
+	struct client *client;
 	struct MHD_Connection *connection;
 	char *method;
 	char *target;
-	GByteArray *body;
+	GByteArray body;       ///< what has arrived, see resize_body()
+	size_t body_size;      ///< allocated bytes
+	uint64_t declared_len; ///< Content-Length, or 0
 	void *data;
 	struct MHD_Response *response;
 	unsigned int status;
@@ -50,6 +122,248 @@
 	bool watched;	 ///< client_watcher is active
 };
 
+/* Memory and descriptors. */
+
+static uint64_t bytes_received(int fd)
+{
+	struct tcp_info info = {0};
+	socklen_t len = sizeof(info);
+
+	return getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) == 0 ? info.tcpi_bytes_received
+								       : 0;
+}
+
+/// Changes the allocated size of a body. Large bodies have pages of their own: the heap would keep
+/// the gaps that they leave.
+///
+/// @return false without memory
+static bool resize_body(struct http_request *req, size_t size)
+{
+	bool was_mapped = req->body_size >= MAPPED_BODY_BYTES;
+	void *data;
+
+	if (size < MAPPED_BODY_BYTES && !was_mapped) {
+		req->body.data = g_realloc(req->body.data, size);
+		req->body_size = size;
+		return true;
+	}
+	if (was_mapped) {
+		data = mremap(req->body.data, req->body_size, size, MREMAP_MAYMOVE);
+	} else {
+		data = mmap(NULL, size, PROT_READ | PROT_WRITE, MAP_PRIVATE | MAP_ANONYMOUS, -1, 0);
+		if (data != MAP_FAILED) {
+			memcpy(data, req->body.data, req->body.len);
+			g_free(req->body.data);
+		}
+	}
+	if (data == MAP_FAILED)
+		return false;
+	req->body.data = data;
+	req->body_size = size;
+	return true;
+}
+
+static void free_body(struct http_request *req)
+{
+	if (req->body_size >= MAPPED_BODY_BYTES)
+		munmap(req->body.data, req->body_size);
+	else
+		g_free(req->body.data);
+	req->body = (GByteArray){0};
+	req->body_size = 0;
+}
+
+static void log_closed(struct http_server *s, const struct client *c, enum close_reason reason)
+{
+	clock_ms_t now = clock_monotonic();
+	const struct in_addr address = {c->hold.address};
+	char text[INET_ADDRSTRLEN] = "";
+
+	metrics_add(s->closed[reason], 1);
+	s->unlogged++;
+	if (s->logged_at && now - s->logged_at < MS_PER_S)
+		return;
+	inet_ntop(AF_INET, &address, text, sizeof(text));
+	log_warning("a client is outside the limits; its connections are closed or refused",
+		    "LISTENER", s->limits.name, "CLIENT", text, "REASON", reason_names[reason],
+		    "COUNT", log_number(s->unlogged));
+	s->logged_at = now;
+	s->unlogged = 0;
+}
+
+static void set_arriving(struct client *c, bool arriving)
+{
+	if (arriving == (c->hold.since != CLOCK_NEVER))
+		return;
+	c->hold.since = arriving ? clock_monotonic() : CLOCK_NEVER;
+	if (arriving)
+		c->server->unfinished++;
+	else
+		c->server->unfinished--;
+}
+
+/// Closes a connection. MHD notices the end of its input and frees it when it runs next.
+static void close_client(struct client *c, enum close_reason reason)
+{
+	struct http_server *s = c->server;
+
+	log_closed(s, c, reason);
+	c->closing = true;
+	if (c->request && !c->request->dispatched)
+		free_body(c->request);
+	set_arriving(c, false);
+	input_budget_set(&s->budget, &c->hold, 0);
+	c->hold.is_kept = true; /* nothing to gain by closing it again */
+	shutdown(c->fd, SHUT_RDWR);
+	s->resumed = true;
+}
+
+static void hold_bytes(struct client *c, uint64_t bytes)
+{
+	struct http_server *s = c->server;
+	struct input_hold *victim;
+
+	if (c->closing)
+		return;
+	input_budget_set(&s->budget, &c->hold, bytes);
+	s->peak_held = MAX(s->peak_held, s->budget.held);
+	while ((victim = input_budget_choose(&s->budget)))
+		close_client(victim->owner, CLOSE_MEMORY);
+}
+
+/// Counts a request whose first bytes have arrived.
+static void begin_arrival(struct client *c)
+{
+	struct http_server *s = c->server;
+	struct input_hold *oldest;
+	unsigned int count;
+
+	c->progress_at = clock_monotonic();
+	set_arriving(c, true);
+	hold_bytes(c, s->limits.head_bytes + REQUEST_STATE_BYTES);
+	if (s->unfinished <= s->limits.address_requests)
+		return;
+	oldest = input_budget_oldest(&s->budget, &c->hold.address, &count);
+	if (oldest && count > s->limits.address_requests)
+		close_client(oldest->owner, CLOSE_ADDRESS);
+}
+
+/// Holds a complete request until it is answered.
+static void keep_request(struct http_request *req, size_t response_len)
+{
+	struct client *c = req->client;
+	const union MHD_ConnectionInfo *head =
+		MHD_get_connection_info(req->connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+
+	if (c->closing)
+		return;
+	set_arriving(c, false);
+	c->hold.is_kept = true;
+	hold_bytes(c, (head ? head->header_size : 0) + REQUEST_STATE_BYTES + req->body_size +
+			      req->body.len + response_len);
+}
+
+static uint32_t client_address(struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+
+	if (!info || !info->client_addr || info->client_addr->sa_family != AF_INET)
+		return 0;
+	return ((const struct sockaddr_in *)(const void *)info->client_addr)->sin_addr.s_addr;
+}
+
+/// Returns the number of connections that are kept free.
+static unsigned int connections_reserve(const struct http_server *s)
+{
+	return 1 + s->limits.connections / CONNECTIONS_FREE_PART;
+}
+
+/// Closes the stalest connection when few are left, so that new clients are accepted.
+static void keep_connections_free(struct http_server *s)
+{
+	struct input_hold *victim;
+
+	if (s->open + connections_reserve(s) <= s->limits.connections)
+		return;
+	victim = input_budget_stalest(&s->budget);
+	if (victim)
+		close_client(victim->owner, CLOSE_DESCRIPTORS);
+}
+
+/// Called by MHD when a connection is accepted, and before it is closed.
+static void on_connection(void *ctx, struct MHD_Connection *connection, void **socket_context,
+			  enum MHD_ConnectionNotificationCode code)
+{
+	struct http_server *s = ctx;
+	struct client *c = *socket_context;
+
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		c = g_new0(struct client, 1);
+		c->server = s;
+		c->fd = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+				->connect_fd;
+		*socket_context = c;
+		s->open++;
+		keep_connections_free(s);
+		input_budget_add(&s->budget, &c->hold, client_address(connection), c);
+		c->hold.used_at = clock_monotonic();
+		return;
+	}
+	if (!c)
+		return;
+	*socket_context = NULL;
+	set_arriving(c, false);
+	/* MHD watches the listener again only when it runs after a connection has been freed. */
+	s->resumed |= s->open + connections_reserve(s) >= s->limits.connections;
+	s->open--;
+	input_budget_remove(&s->budget, &c->hold);
+	g_free(c);
+}
+
+/// Looks for input of a connection without a request: MHD reports no incomplete request line.
+static void check_client(struct client *c, clock_ms_t now)
+{
+	struct http_server *s = c->server;
+
+	if (c->closing)
+		return;
+	if (!c->request && c->hold.since == CLOCK_NEVER && bytes_received(c->fd) != c->received)
+		begin_arrival(c);
+	if (c->answered_at && now - c->answered_at > UNREAD_RESPONSE_MS)
+		c->hold.is_kept = false;
+	if (!c->closing && c->hold.since != CLOCK_NEVER &&
+	    now - c->hold.since > (clock_ms_t)s->limits.arrival_timeout_s * MS_PER_S)
+		close_client(c, CLOSE_TIME);
+}
+
+/// Returns freed memory to the system: bodies leave gaps in the heap.
+static void trim_heap(struct http_server *s)
+{
+	if (s->peak_held < s->budget.held + TRIM_BYTES || s->budget.held > s->peak_held / 2)
+		return;
+	malloc_trim(0);
+	s->peak_held = s->budget.held;
+}
+
+static void on_sweep(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	struct http_server *s = w->data;
+	clock_ms_t now = clock_monotonic();
+	const struct input_hold *oldest;
+
+	(void)loop;
+	(void)revents;
+	for (GList *l = s->budget.holds.head; l; l = l->next)
+		check_client(((struct input_hold *)l->data)->owner, now);
+	oldest = input_budget_oldest(&s->budget, NULL, NULL);
+	metrics_set(s->oldest_ms, oldest ? (uint64_t)(now - oldest->since) : 0);
+	metrics_set(s->held_bytes, s->budget.held);
+	trim_heap(s);
+}
+
+/* Requests. */
+
 /// Called by MHD when a request line has arrived. The result is the request's state pointer.
 static void *on_request_line(void *ctx, const char *target, struct MHD_Connection *connection)
 {
@@ -57,8 +371,12 @@
 
 	req->server = ctx;
 	req->connection = connection;
+	req->client = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+			      ->socket_context;
 	req->target = g_strdup(target);
 	req->link.data = req;
+	req->client->request = req;
+	begin_arrival(req->client);
 	return req;
 }
 
@@ -69,6 +387,20 @@
 	req->watched = false;
 }
 
+/// The connection is idle again, or about to be closed.
+static void end_request(struct client *c)
+{
+	c->request = NULL;
+	c->answered_at = 0;
+	c->hold.used_at = clock_monotonic();
+	c->received = bytes_received(c->fd);
+	set_arriving(c, false);
+	if (c->closing)
+		return;
+	c->hold.is_kept = false;
+	input_budget_set(&c->server->budget, &c->hold, 0);
+}
+
 /// Called by MHD when a request has ended in any way. Frees it.
 static void on_completed(void *ctx, struct MHD_Connection *connection, void **state,
 			 enum MHD_RequestTerminationCode code)
@@ -82,22 +414,70 @@
 		return;
 	*state = NULL;
 	stop_client_watcher(req);
-	if (req->method)
-		req->server->active--;
+	end_request(req->client);
+	free_body(req);
 	if (req->response)
 		MHD_destroy_response(req->response);
-	if (req->body)
-		g_byte_array_unref(req->body);
 	g_free(req->method);
 	g_free(req->target);
 	g_free(req);
 }
 
-static bool declares_oversized_body(const struct http_request *req)
+/// Tells whether a body of the declared length would not fit beside the complete requests.
+static bool lacks_memory(const struct http_request *req)
 {
-	const char *length = http_header(req, "Content-Length");
+	const struct input_budget *b = &req->server->budget;
+	uint64_t need = req->declared_len * WAITING_COPIES;
 
-	return length && g_ascii_strtoull(length, NULL, 10) > req->server->limits.body_bytes;
+	return need && b->held + need > b->limit && input_budget_kept(b) + need > b->limit;
+}
+
+/// Refuses a request by its head. No byte of its body has been read, so it was not run.
+///
+/// @return true if it was refused and answered
+static bool refuse_head(struct http_request *req)
+{
+	if (req->declared_len > req->server->limits.body_bytes) {
+		http_reply_problem(req, HTTP_CONTENT_TOO_LARGE, "the body is too large", "not-run");
+		return true;
+	}
+	if (!lacks_memory(req))
+		return false;
+	log_closed(req->server, req->client, CLOSE_REFUSED);
+	http_reply_problem(req, HTTP_UNAVAILABLE, "no memory is left for the body", "not-run");
+	MHD_add_response_header(req->response, "Retry-After", "1");
+	return true;
+}
+
+/// Adds a part of the body. The memory grows with what has arrived, up to the declared length.
+static void receive(struct http_request *req, const char *data, size_t len)
+{
+	size_t need = req->body.len + len;
+	size_t most = req->declared_len ? req->declared_len : req->server->limits.body_bytes;
+	size_t size = MAX(need, MIN(MAX(req->body_size * 2, BODY_INITIAL_BYTES), most));
+
+	if (need > req->body_size) {
+		hold_bytes(req->client,
+			   req->server->limits.head_bytes + REQUEST_STATE_BYTES + size);
+		if (!req->client->closing && !resize_body(req, size))
+			close_client(req->client, CLOSE_MEMORY);
+		if (req->client->closing)
+			return;
+	}
+	memcpy(req->body.data + req->body.len, data, len);
+	req->body.len = need;
+}
+
+static void dispatch(struct http_request *req)
+{
+	struct http_server *s = req->server;
+
+	req->dispatched = true;
+	keep_request(req, 0);
+	if (req->too_large)
+		http_reply_problem(req, HTTP_CONTENT_TOO_LARGE, "the body is too large", "not-run");
+	else
+		s->handlers->on_request(s->ctx, req);
 }
 
 static void suspend(struct http_request *req)
@@ -130,31 +510,27 @@
 	(void)connection;
 	(void)url;
 	(void)version;
+	if (req->client->closing)
+		return MHD_NO;
+	req->client->progress_at = clock_monotonic();
 	if (!req->method) {
+		const char *length = http_header(req, "Content-Length");
+
 		req->method = g_strdup(method);
-		s->active++;
-		if (!declares_oversized_body(req))
-			return MHD_YES;
-		http_reply_problem(req, HTTP_CONTENT_TOO_LARGE, "the body is too large", "not-run");
-		return send_response(req);
+		req->declared_len = length ? g_ascii_strtoull(length, NULL, 10) : 0;
+		return refuse_head(req) ? send_response(req) : MHD_YES;
 	}
 	if (*len) {
-		if (!req->body)
-			req->body = g_byte_array_sized_new(MAX(*len, BODY_INITIAL_BYTES));
-		req->too_large |= req->body->len + *len > s->limits.body_bytes;
-		if (!req->too_large)
-			g_byte_array_append(req->body, (const guint8 *)data, *len);
-		*len = 0;
-		return MHD_YES;
-	}
-	if (!req->dispatched) {
-		req->dispatched = true;
+		req->too_large |= req->body.len + *len > s->limits.body_bytes;
 		if (req->too_large)
-			http_reply_problem(req, HTTP_CONTENT_TOO_LARGE, "the body is too large",
-					   "not-run");
+			free_body(req);
 		else
-			s->handlers->on_request(s->ctx, req);
+			receive(req, data, *len);
+		*len = 0;
+		return req->client->closing ? MHD_NO : MHD_YES;
 	}
+	if (!req->dispatched)
+		dispatch(req);
 	if (req->response)
 		return send_response(req);
 	suspend(req);
@@ -250,6 +626,38 @@
 	return http_server_new_on_listener(loop, listener_open(address, 0), limits, handlers, ctx);
 }
 
+static void complete_limits(struct http_limits *l)
+{
+	if (!l->fds_percent)
+		l->fds_percent = FDS_PERCENT;
+	l->connections = MIN(l->connections, listener_connections(l->fds_max, l->fds_percent));
+	if (!l->name)
+		l->name = "http";
+	if (!l->input_bytes)
+		l->input_bytes = INPUT_BUDGET_DEFAULT_BYTES;
+	if (!l->arrival_timeout_s)
+		l->arrival_timeout_s = HTTP_ARRIVAL_TIMEOUT_S;
+	if (!l->address_requests)
+		l->address_requests = l->connections;
+}
+
+static void create_metrics(struct http_server *s)
+{
+	g_autofree char *listener = g_strdup_printf("listener=\"%s\"", s->limits.name);
+
+	s->held_bytes = metrics_get(METRIC_GAUGE, "sesamewood_http_held_bytes", listener,
+				    "memory of unfinished, waiting and unread requests");
+	s->oldest_ms = metrics_get(METRIC_GAUGE, "sesamewood_http_oldest_unfinished_ms", listener,
+				   "age of the oldest unfinished request, ms");
+	for (int i = 0; i < CLOSE_REASONS; i++) {
+		g_autofree char *labels =
+			g_strdup_printf("%s,reason=\"%s\"", listener, reason_names[i]);
+
+		s->closed[i] = metrics_get(METRIC_COUNTER, "sesamewood_http_closed_total", labels,
+					   "connections closed and requests refused by limits");
+	}
+}
+
 struct http_server *http_server_new_on_listener(struct ev_loop *loop, int fd,
 						const struct http_limits *limits,
 						const struct http_handlers *handlers, void *ctx)
@@ -267,12 +675,16 @@
 		.ctx = ctx,
 	};
 	g_queue_init(&s->waiting);
+	complete_limits(&s->limits);
+	input_budget_init(&s->budget, s->limits.input_bytes);
+	create_metrics(s);
 	s->daemon = MHD_start_daemon(
 		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request_data, s,
 		MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_URI_LOG_CALLBACK, on_request_line, s,
-		MHD_OPTION_NOTIFY_COMPLETED, on_completed, s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		(size_t)limits->head_bytes, MHD_OPTION_CONNECTION_LIMIT, limits->connections,
-		MHD_OPTION_CONNECTION_TIMEOUT, limits->idle_timeout_s, MHD_OPTION_END);
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, s, MHD_OPTION_NOTIFY_CONNECTION,
+		on_connection, s, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)limits->head_bytes,
+		MHD_OPTION_CONNECTION_LIMIT, s->limits.connections, MHD_OPTION_CONNECTION_TIMEOUT,
+		limits->idle_timeout_s, MHD_OPTION_END);
 	if (!s->daemon) {
 		int error = errno;
 
@@ -291,28 +703,55 @@
 	s->before_wait.data = s;
 	s->timer.data = s;
 	s->disconnect_scan.data = s;
+	ev_timer_init(&s->sweep, on_sweep, SWEEP_S, SWEEP_S);
+	s->sweep.data = s;
+	ev_timer_start(loop, &s->sweep);
 	ev_io_start(loop, &s->epoll_watcher);
 	ev_prepare_start(loop, &s->before_wait);
 	ev_timer_start(loop, &s->disconnect_scan);
 	return s;
 }
 
+static void begin_stop(struct http_server *s)
+{
+	if (!s->stopping_at)
+		s->stopping_at = clock_monotonic();
+}
+
 void http_server_drain(struct http_server *s)
 {
 	if (s->draining)
 		return;
 	s->draining = true;
+	begin_stop(s);
 	MHD_quiesce_daemon(s->daemon);
 }
 
 void http_server_close_after_replies(struct http_server *s)
 {
 	s->closes_after_replies = true;
+	begin_stop(s);
 }
 
 unsigned int http_server_active(const struct http_server *s)
 {
-	return s->active;
+	clock_ms_t now = clock_monotonic();
+	bool receives = !s->stopping_at || now - s->stopping_at < STOP_RECEIVE_MS;
+	unsigned int n = 0;
+
+	for (const GList *l = s->budget.holds.head; l; l = l->next) {
+		const struct client *c = ((const struct input_hold *)l->data)->owner;
+
+		if (c->closing || (!c->request && c->hold.since == CLOCK_NEVER))
+			continue;
+		if (c->answered_at)
+			n += now - c->answered_at < UNREAD_RESPONSE_MS;
+		else if (c->request && c->request->dispatched)
+			n++;
+		else
+			n += receives && now - c->progress_at < PROGRESS_MS;
+	}
+	return n;
 }
 
 void http_server_free(struct http_server *s)
@@ -321,6 +760,7 @@
 	ev_prepare_stop(s->loop, &s->before_wait);
 	ev_timer_stop(s->loop, &s->timer);
 	ev_timer_stop(s->loop, &s->disconnect_scan);
+	ev_timer_stop(s->loop, &s->sweep);
 	MHD_stop_daemon(s->daemon);
 	g_free(s);
 }
@@ -365,9 +805,7 @@
 
 const GByteArray *http_body(const struct http_request *req)
 {
-	static GByteArray empty;
-
-	return req->body ? req->body : &empty;
+	return &req->body;
 }
 
 char *http_body_text(const struct http_request *req)
@@ -396,6 +834,8 @@
 {
 	req->response = MHD_create_response_from_buffer(len, (void *)body, MHD_RESPMEM_MUST_COPY);
 	req->status = status;
+	req->client->answered_at = clock_monotonic();
+	keep_request(req, len);
 	for (const struct http_header *h = headers; h && h->name; h++)
 		MHD_add_response_header(req->response, h->name, h->value);
 	if (!req->suspended)
--- a/src/sesamewood/base/http_server.h
+++ b/src/sesamewood/base/http_server.h
@@ -2,8 +2,8 @@
 #define SESAMEWOOD_BASE_HTTP_SERVER_H
 
 /// @file
-/// HTTP/1.1 server: libmicrohttpd on a libev loop. Body sizes are limited, and a handler may reply
-/// after it has returned.
+/// HTTP/1.1 server: libmicrohttpd on a libev loop. Body sizes, and the memory and the descriptors
+/// of all unfinished requests together, are limited. A handler may reply after it has returned.
 
 #include <ev.h>
 #include <glib.h>
@@ -12,12 +12,27 @@
 
 struct http_server;
 
+/// Time for a request to arrive, unless set otherwise.
+#define HTTP_ARRIVAL_TIMEOUT_S 30
+
 /// Resource limits of a server.
 struct http_limits {
+	const char *name;	 ///< of the listener, for metrics and logs; must outlive the server
 	uint32_t head_bytes;	 ///< memory of one connection, which bounds its request head
 	uint32_t body_bytes;	 ///< largest request body
 	uint32_t connections;	 ///< concurrent connections
 	uint32_t idle_timeout_s; ///< time after which an idle connection is closed
+	/// Memory of all unfinished requests, waiting requests and unread responses; 0:
+	/// INPUT_BUDGET_DEFAULT_BYTES.
+	uint64_t input_bytes;
+	uint32_t arrival_timeout_s; ///< time for a request to arrive; 0: HTTP_ARRIVAL_TIMEOUT_S
+	/// Unfinished requests of one client address; 0: as many as connections, since all clients
+	/// may come through one balancer.
+	uint32_t address_requests;
+	/// Descriptors that the process may use; 0: those of RLIMIT_NOFILE. They limit the
+	/// connections, too.
+	uint32_t fds_max;
+	uint32_t fds_percent; ///< part of them for this listener; 0: three quarters
 };
 
 /// A request whose body has been received completely.
@@ -62,7 +77,8 @@
 /// Keeps accepting connections, but closes each connection after its next response.
 void http_server_close_after_replies(struct http_server *s);
 
-/// @return number of requests that are being received or processed
+/// Returns the number of requests that are processed or answered. Requests that are being received
+/// count until shortly after a stop has begun, while their clients go on sending.
 unsigned int http_server_active(const struct http_server *s);
 
 /// Closes the listener and all connections, and frees the server.
--- a/src/sesamewood/control/main.c
+++ b/src/sesamewood/control/main.c
@@ -572,6 +572,7 @@
 		.body_bytes = SW_TABLE_MAX,
 		.connections = 256,
 		.idle_timeout_s = 60,
+		.name = "admin",
 	};
 
 	sh->http = http_server_new_on_listener(sh->loop, listener_open(admin, START_WAIT_MS),
--- a/src/sesamewood/entry/main.c
+++ b/src/sesamewood/entry/main.c
@@ -47,6 +47,12 @@
 	 "Memory for one connection and its request head", NULL, 0},
 	{"body-bytes", OPTION_NUMBER, "1048576", 0, 1073741824, "bytes", NULL,
 	 "Longest request body", NULL, 0},
+	{"input-bytes", OPTION_NUMBER, "67108864", 1048576, 1099511627776, "bytes", NULL,
+	 "Memory for all requests that are arriving, waiting or being answered", NULL, 0},
+	{"arrival", OPTION_NUMBER, "30", 1, 86400, "s", NULL,
+	 "Longest time for a request to arrive", NULL, 0},
+	{"address-requests", OPTION_NUMBER, "0", 0, 1000000, "requests", NULL,
+	 "Unfinished requests of one client address; 0: as many as connections", NULL, 0},
 	{"answer-bytes", OPTION_NUMBER, "8388608", 1024, 1073741824, "bytes", NULL,
 	 "Longest response body of an endpoint", NULL, 0},
 	{"kept-answers-bytes", OPTION_NUMBER, "4194304", 0, 1073741824, "bytes", NULL,
@@ -173,12 +179,17 @@
 		.body_bytes = options_number(options, "body-bytes"),
 		.connections = options_number(options, "connections"),
 		.idle_timeout_s = options_number(options, "idle"),
+		.name = "callers",
+		.input_bytes = options_number(options, "input-bytes"),
+		.arrival_timeout_s = options_number(options, "arrival"),
+		.address_requests = options_number(options, "address-requests"),
 	};
 	const struct http_limits admin_limits = {
 		.head_bytes = 16384,
 		.body_bytes = 1024,
 		.connections = 64,
 		.idle_timeout_s = 60,
+		.name = "admin",
 	};
 
 	p->caller_server = http_server_new_on_listener(p->loop, open_listener("listen"),
--- a/src/sesamewood/manager/control_shell.c
+++ b/src/sesamewood/manager/control_shell.c
@@ -1,5 +1,6 @@
 #include "manager/control_shell_internal.h"
 
+#include "base/input_budget.h"
 #include "base/lifecycle.h"
 #include "base/listener.h"
 #include "base/log.h"
@@ -15,6 +16,9 @@
 #define KEEP_RECORDS 2000 /* a follower may miss some seconds of peak load without a snapshot */
 #define TICK_S (MANAGER_TICK_MS / 1000.0)
 #define EXIT_LISTEN 4
+/// Parts of the descriptors; the rest is for orders to endpoints, replicas and files.
+#define HTTP_FDS_PERCENT 50
+#define RPC_FDS_PERCENT 25
 #define DISK_WAIT_MS 30000 /* during the start, for a disk that fails */
 
 static struct rpc_client *client_of(void *ctx, uint32_t node)
@@ -158,16 +162,27 @@
 	const struct control_shell_settings *s = &sh->settings;
 	g_autofree char *rpc = g_strdup_printf("%s:%u", s->ip, s->rpc_port);
 	clock_ms_t wait_ms = s->grace_ms + LIFECYCLE_WAIT_MARGIN_MS;
+	struct rpc_server *rpc_server;
 	const struct http_limits limits = {
 		.head_bytes = 32768,
 		.body_bytes = s->body_max_bytes,
 		.connections = 1024,
 		.idle_timeout_s = 60,
+		.name = "control",
+		.fds_percent = HTTP_FDS_PERCENT,
+		.input_bytes = input_budget_for_memory(s->memory_mb),
+		.arrival_timeout_s = s->arrival_timeout_s,
+		.address_requests = s->address_requests,
+		.fds_max = s->fds_max,
 	};
 
 	/* The address of the replicas first: callers are refused at once until all is set up. */
-	if (!rpc_server_new_on_listener(sh->loop, listener_open(rpc, wait_ms), shell_on_rpc, sh))
+	rpc_server =
+		rpc_server_new_on_listener(sh->loop, listener_open(rpc, wait_ms), shell_on_rpc, sh);
+	if (!rpc_server)
 		exit_without_listener(rpc);
+	rpc_server_set_limits(rpc_server, input_budget_for_memory(s->memory_mb),
+			      listener_connections(s->fds_max, RPC_FDS_PERCENT));
 	sh->http = http_server_new_on_listener(sh->loop, listener_open(s->listen, wait_ms), &limits,
 					       &shell_http_handlers, sh);
 	if (!sh->http)
--- a/src/sesamewood/manager/control_shell.h
+++ b/src/sesamewood/manager/control_shell.h
@@ -19,7 +19,11 @@
 	uint32_t tolerated_losses; ///< replicas that may be lost at once
 	uint32_t seeds[3];	   ///< control nodes, terminated by 0
 	uint32_t body_max_bytes;
-	uint32_t grace_ms; ///< time from SIGTERM until the process must have exited
+	uint32_t memory_mb;	    ///< memory of the process; 0: not stated
+	uint32_t fds_max;	    ///< descriptors of the process; 0: not stated
+	uint32_t arrival_timeout_s; ///< see http_limits; 0: default
+	uint32_t address_requests;  ///< see http_limits; 0: default
+	uint32_t grace_ms;	    ///< time from SIGTERM until the process must have exited
 };
 
 /// Runs the process until SIGTERM. Exits the process if the data directory or an address cannot be
--- a/src/sesamewood/manager/entry_shell.c
+++ b/src/sesamewood/manager/entry_shell.c
@@ -2,6 +2,7 @@
 
 #include "base/http_server.h"
 #include "base/http_status.h"
+#include "base/input_budget.h"
 #include "base/lifecycle.h"
 #include "base/listener.h"
 #include "base/log.h"
@@ -30,6 +31,7 @@
 #define MS_PER_S 1000
 #define EXIT_LISTEN 4
 #define CONNECTIONS_MAX 2000
+#define READY_FDS_PERCENT 10 /* health checks come from few clients */
 
 struct shell {
 	struct entry_shell_settings settings;
@@ -253,10 +255,18 @@
 		.body_bytes = s->body_max_bytes,
 		.connections = CONNECTIONS_MAX,
 		.idle_timeout_s = 60,
+		.input_bytes = input_budget_for_memory(s->memory_mb),
+		.arrival_timeout_s = s->arrival_timeout_s,
+		.address_requests = s->address_requests,
+		.fds_max = s->fds_max,
 	};
 
 	/* The address of callers last: they are refused at once until all is set up. */
+	limits.name = "ready";
+	limits.fds_percent = READY_FDS_PERCENT;
 	sh->ready = listen_on(sh, s->ready, &limits, &ready_handlers);
+	limits.name = "front";
+	limits.fds_percent = 0;
 	sh->front = listen_on(sh, s->front, &limits, &front_handlers);
 }
 
--- a/src/sesamewood/manager/entry_shell.h
+++ b/src/sesamewood/manager/entry_shell.h
@@ -18,7 +18,11 @@
 	const char *key_header; ///< header that carries a caller's access key
 	uint32_t body_max_bytes;
 	uint32_t head_max_bytes;
-	uint32_t grace_ms; ///< time from SIGTERM until the process must have exited
+	uint32_t memory_mb;	    ///< memory of the process; 0: not stated
+	uint32_t fds_max;	    ///< descriptors of the process; 0: not stated
+	uint32_t arrival_timeout_s; ///< see http_limits; 0: default
+	uint32_t address_requests;  ///< see http_limits; 0: default
+	uint32_t grace_ms;	    ///< time from SIGTERM until the process must have exited
 };
 
 /// Runs the process until SIGTERM. Exits the process if an address cannot be used.
--- a/tests/functional/test_slow_bodies.c
+++ b/tests/functional/test_slow_bodies.c
@@ -37,6 +37,7 @@
 #define ENTRY_CONNECTIONS 150
 #define ENTRY_FDS_AT_REST 64 /* of sesamewood-entry: listeners, control, endpoints */
 #define GRACE_S 6
+#define MS_PER_S ((clock_ms_t)1000)
 #define ENTRY_STOP_MS 10000 /* sesamewood-entry has no grace time; balancers allow 10 s */
 /// Memory besides that at rest and the input: allocator, buffers of sockets, answers.
 #define MARGIN_MB 16
@@ -46,9 +47,9 @@
 #define BODY_MISSING_BYTES 100
 #define PIECE_BYTES (16 * KIB)
 #define CHUNK_BYTES (64 * KIB)
-#define TINY_CHUNKS 20000  /* of one byte for each connection */
-#define TINY_PER_SEND 2000 /* chunks in one send() */
-#define RECORD_BYTES (2U * MIB)
+#define TINY_CHUNKS 20000	     /* of one byte for each connection */
+#define TINY_PER_SEND ((size_t)2000) /* chunks in one send() */
+#define RECORD_BYTES 2097152U
 #define CROWD_AT_STOP 20
 
 #define CONTROL_DELAY_S 0.5 /* so that a request is in progress at the SIGTERM */
@@ -57,6 +58,7 @@
 /// Waits of a client for a server that does not read: the first one, and each further one.
 #define SEND_MS 300
 #define SEND_AGAIN_MS 1
+#define US_PER_MS 1000L
 #define RELEASE_MS 15000
 /// After the last part is sent, the process still reads what the sockets hold.
 #define SETTLE_SAMPLES 20
@@ -205,7 +207,7 @@
 	t->head_bytes = 16 * KIB;
 	t->input_mb = MEMORY_MB / 4;
 	t->fds_max = FDS_MAX;
-	t->stop_ms = GRACE_S * 1000;
+	t->stop_ms = GRACE_S * MS_PER_S;
 }
 
 static void start_entry(struct target *t)
@@ -257,7 +259,7 @@
 
 static void set_send_timeout(int fd, unsigned int timeout_ms)
 {
-	const struct timeval timeout = {.tv_usec = timeout_ms * 1000};
+	const struct timeval timeout = {.tv_usec = timeout_ms * US_PER_MS};
 
 	setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
 }
