--- a/src/sesamewood/base/http_server.c
+++ b/src/sesamewood/base/http_server.c
@@ -41,7 +41,7 @@
 /// until entries refuse requests (STOP_REFUSE_MS before their end) with a grace time of 6 s.
 #define STOP_RECEIVE_MS 4000
 /// A client that has sent nothing for this time is not waited for in a stop.
-#define PROGRESS_MS 500
+#define PROGRESS_MS 1000
 /// Part of the descriptors of a process for its only busy listener.
 #define FDS_PERCENT 75
 /// Part of the connections, as a denominator, that is kept free by closing stale ones.
