--- a/src/sesamewood/entry/main.c
+++ b/src/sesamewood/entry/main.c
@@ -55,6 +55,8 @@
 	 "Unfinished requests of one client address; 0: as many as connections", NULL, 0},
 	{"answer-bytes", OPTION_NUMBER, "8388608", 1024, 1073741824, "bytes", NULL,
 	 "Longest response body of an endpoint", NULL, 0},
+	{"answers-bytes", OPTION_NUMBER, "67108864", 1048576, 1099511627776, "bytes", NULL,
+	 "Memory for all response bodies that endpoints are sending", NULL, 0},
 	{"kept-answers-bytes", OPTION_NUMBER, "4194304", 0, 1073741824, "bytes", NULL,
 	 "Memory for cached responses to requests with an idempotency key", NULL, 0},
 	{"connections", OPTION_NUMBER, "12000", 10, 1000000, "connections", NULL,
@@ -261,6 +263,7 @@
 	p.entry = entry_new(&settings, clock_monotonic());
 	p.control = control_client_new(p.loop, control, &process_control_client_handlers, &p);
 	p.upstream = upstream_new(p.loop, options_number(options, "answer-bytes"),
+				  options_number(options, "answers-bytes"),
 				  options_number(options, "host-connections"),
 				  &process_upstream_handlers, &p);
 	create_metrics(&p);
--- a/src/sesamewood/entry/upstream.c
+++ b/src/sesamewood/entry/upstream.c
@@ -3,6 +3,9 @@
 #include "base/clock.h"
 #include "base/curl_loop.h"
 #include "base/http_status.h"
+#include "base/input_budget.h"
+#include "base/log.h"
+#include "base/metrics.h"
 
 #include <curl/curl.h>
 #include <string.h>
@@ -11,13 +14,18 @@
 #define CONNECT_TIMEOUT_MS 500L
 #define CONNECTION_CACHE 512L
 #define BUFFER_BYTES 16384L
+#define LOG_INTERVAL_MS 1000
 
 struct upstream {
 	struct curl_loop *curl;
 	uint32_t response_max_bytes;
 	const struct upstream_handlers *handlers;
 	void *ctx;
-	GHashTable *attempts; ///< struct attempt by request id
+	GHashTable *attempts;	    ///< struct attempt by request id
+	struct input_budget budget; ///< of all responses that are not complete
+	clock_ms_t logged_at;	    ///< last report of a dropped response
+	struct metric *held_bytes;
+	struct metric *dropped;
 };
 
 struct attempt {
@@ -27,6 +35,7 @@
 	CURL *easy;
 	struct curl_slist *headers;
 	struct upstream_response *response;
+	struct input_hold hold;
 	bool sent;	  ///< sent at least once; curl may resend on another connection
 	bool has_framing; ///< Content-Length or chunks, which reveal a truncated response
 	bool too_large;
@@ -55,6 +64,8 @@
 {
 	struct upstream *u = a->upstream;
 
+	input_budget_remove(&u->budget, &a->hold);
+	metrics_set(u->held_bytes, u->budget.held);
 	curl_loop_release(u->curl, a->easy);
 	curl_slist_free_all(a->headers);
 	upstream_response_free(a->response);
@@ -122,17 +133,45 @@
 	return len;
 }
 
+/// Drops a response. Its transfer fails with its next part.
+static void drop_response(struct attempt *a)
+{
+	struct upstream *u = a->upstream;
+	clock_ms_t now = clock_monotonic();
+
+	a->too_large = true;
+	upstream_response_free(a->response);
+	a->response = response_new();
+	input_budget_set(&u->budget, &a->hold, 0);
+	metrics_add(u->dropped, 1);
+	if (u->logged_at && now - u->logged_at < LOG_INTERVAL_MS)
+		return;
+	u->logged_at = now;
+	log_warning("dropped a response: the incomplete responses of endpoints are too long",
+		    "COUNT", log_number(u->dropped->value));
+}
+
 static size_t on_body(char *data, size_t size, size_t count, void *ctx)
 {
 	struct attempt *a = ctx;
+	struct upstream *u = a->upstream;
 	size_t len = size * count;
+	struct input_hold *victim;
 
-	if (a->response->body->len + len > a->upstream->response_max_bytes) {
+	if (!len)
+		return 0;
+	if (a->too_large || a->response->body->len + len > u->response_max_bytes) {
 		a->too_large = true;
 		return 0;
 	}
 	g_byte_array_append(a->response->body, (const guint8 *)data, len);
-	return len;
+	/* The array doubles when it grows. */
+	input_budget_set(&u->budget, &a->hold,
+			 (uint64_t)1 << g_bit_storage(a->response->body->len - 1));
+	while ((victim = input_budget_choose(&u->budget)))
+		drop_response(victim->owner);
+	metrics_set(u->held_bytes, u->budget.held);
+	return a->too_large ? 0 : len;
 }
 
 /// Returns the verdict on an attempt whose transfer has ended. A response without framing may be
@@ -143,7 +182,7 @@
 	bool bodyless;
 
 	curl_easy_getinfo(a->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (code != CURLE_OK)
+	if (code != CURLE_OK || a->too_large)
 		return a->sent ? VERDICT_MAY_HAVE_RUN : VERDICT_NOT_RUN;
 	bodyless = a->is_head || status == HTTP_NO_CONTENT || status == HTTP_NOT_MODIFIED;
 	return a->has_framing || bodyless ? VERDICT_RAN : VERDICT_MAY_HAVE_RUN;
@@ -180,8 +219,8 @@
 }
 
 struct upstream *upstream_new(struct ev_loop *loop, uint32_t response_max_bytes,
-			      uint32_t host_connections, const struct upstream_handlers *handlers,
-			      void *ctx)
+			      uint64_t responses_max_bytes, uint32_t host_connections,
+			      const struct upstream_handlers *handlers, void *ctx)
 {
 	struct upstream *u = g_new0(struct upstream, 1);
 
@@ -192,6 +231,11 @@
 		.ctx = ctx,
 		.attempts = g_hash_table_new(g_int64_hash, g_int64_equal),
 	};
+	input_budget_init(&u->budget, responses_max_bytes);
+	u->held_bytes = metrics_get(METRIC_GAUGE, "sesamewood_entry_answers_held_bytes", "",
+				    "memory of incomplete responses of endpoints");
+	u->dropped = metrics_get(METRIC_COUNTER, "sesamewood_entry_answers_dropped_total", "",
+				 "responses dropped because all of them were too long");
 	curl_multi_setopt(curl_loop_multi(u->curl), CURLMOPT_MAX_HOST_CONNECTIONS,
 			  (long)host_connections);
 	curl_multi_setopt(curl_loop_multi(u->curl), CURLMOPT_MAXCONNECTS, CONNECTION_CACHE);
@@ -262,6 +306,7 @@
 		.easy = curl_loop_acquire(u->curl),
 		.response = response_new(),
 	};
+	input_budget_add(&u->budget, &a->hold, 0, a);
 	curl_easy_setopt(a->easy, CURLOPT_URL, url);
 	curl_easy_setopt(a->easy, CURLOPT_PATH_AS_IS, 1L);
 	curl_easy_setopt(a->easy, CURLOPT_PRIVATE, a);
--- a/src/sesamewood/entry/upstream.h
+++ b/src/sesamewood/entry/upstream.h
@@ -49,11 +49,13 @@
 
 /// @param response_max_bytes limit for a response body; a longer one ends with
 /// VERDICT_MAY_HAVE_RUN
+/// @param responses_max_bytes memory of all incomplete responses; over it, the longest one ends
+/// like one that is too long
 /// @param host_connections limit of connections to one address
 /// @param handlers must outlive the client
 struct upstream *upstream_new(struct ev_loop *loop, uint32_t response_max_bytes,
-			      uint32_t host_connections, const struct upstream_handlers *handlers,
-			      void *ctx);
+			      uint64_t responses_max_bytes, uint32_t host_connections,
+			      const struct upstream_handlers *handlers, void *ctx);
 
 /// Starts an attempt. At most one per request id at a time.
 void upstream_start(struct upstream *u, const struct upstream_request *request);
