--- a/tests/functional/test_slow_bodies.c
+++ b/tests/functional/test_slow_bodies.c
@@ -35,7 +35,8 @@
 #define DEFAULT_INPUT_MB 64 /* for incomplete input where no memory is stated */
 #define FDS_MAX 256	    /* stated to the platform's programs */
 #define ENTRY_CONNECTIONS 150
-#define ENTRY_FDS_AT_REST 64 /* of sesamewood-entry: listeners, control, endpoints */
+#define ADMIN_CONNECTIONS 256 /* of sesamewood-control */
+#define ENTRY_FDS_AT_REST 64  /* of sesamewood-entry: listeners, control, endpoints */
 #define GRACE_S 6
 #define MS_PER_S ((clock_ms_t)1000)
 #define ENTRY_STOP_MS 10000 /* sesamewood-entry has no grace time; balancers allow 10 s */
@@ -63,6 +64,8 @@
 #define ANSWER_ENDPOINTS 8
 #define ANSWERS 60U /* at most 8 slots of each endpoint */
 #define ANSWER_BYTES "4000000"
+#define ANSWERS_MB 64		 /* for incomplete answers of endpoints, as --answers-bytes */
+#define UNREAD_BUFFER_BYTES 4096 /* little of an answer fits into the caller's socket */
 /// A body that is sent for 3.6 s, longer than an entry without work waits after a SIGTERM (3.2 s).
 #define STOP_PIECES 18U
 #define STOP_PIECE_BYTES 1000U
@@ -128,6 +131,7 @@
 	PLATFORM_ENTRY,
 	PLATFORM_CONTROL,
 	ENTRY,
+	CONTROL,
 };
 
 struct target {
@@ -236,6 +240,21 @@
 	t->stop_ms = ENTRY_STOP_MS;
 }
 
+static void start_control(struct target *t)
+{
+	const struct harness_settings settings = {.entries = 0};
+
+	t->harness = harness_new(&settings);
+	t->process = g_object_ref(t->harness->controls[0].process);
+	t->http = address_of(t->harness->host, 7700);
+	t->path = "/metrics";
+	t->body_bytes = 1 * MIB;
+	t->head_bytes = 8 * KIB;
+	t->input_mb = DEFAULT_INPUT_MB;
+	t->fds_max = ADMIN_CONNECTIONS + ENTRY_FDS_AT_REST;
+	t->stop_ms = ENTRY_STOP_MS;
+}
+
 static long resident_mb(pid_t pid)
 {
 	g_autofree char *path = g_strdup_printf("/proc/%d/statm", pid);
@@ -273,12 +292,14 @@
 	setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
 }
 
-static int open_connection(const struct sockaddr_in *address)
+static int open_small_connection(const struct sockaddr_in *address, int receive_bytes)
 {
 	const struct timeval receive_timeout = {.tv_sec = REQUEST_S};
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
 	set_send_timeout(fd, SEND_MS);
+	if (receive_bytes)
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof(receive_bytes));
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &receive_timeout, sizeof(receive_timeout));
 	if (connect(fd, (const struct sockaddr *)address, sizeof(*address)) == 0)
 		return fd;
@@ -286,6 +307,11 @@
 	return -1;
 }
 
+static int open_connection(const struct sockaddr_in *address)
+{
+	return open_small_connection(address, 0);
+}
+
 /// Sends an ordinary request.
 ///
 /// @return descriptor from which its response is read
@@ -331,6 +357,7 @@
 
 struct crowd {
 	struct target *target;
+	int receive_bytes; ///< receive buffer of the sockets; 0: the system's
 	int fds[CROWD];
 	unsigned int n;
 	long peak_mb;
@@ -468,7 +495,7 @@
 
 	c->n = n;
 	for (unsigned int i = 0; i < n; i++)
-		c->fds[i] = open_connection(address);
+		c->fds[i] = open_small_connection(address, c->receive_bytes);
 	for (unsigned int round = 0; more; round++) {
 		more = false;
 		for (unsigned int i = 0; i < n; i++) {
@@ -498,6 +525,8 @@
 {
 	if (t->kind == ENTRY)
 		start_entry(t);
+	else if (t->kind == CONTROL)
+		start_control(t);
 	else
 		start_platform(t);
 	t->pid = (pid_t)strtol(g_subprocess_get_identifier(t->process), NULL, 10);
@@ -597,6 +626,7 @@
 	SLOW_CASES("/slow_bodies/platform_entry", PLATFORM_ENTRY),
 	SLOW_CASES("/slow_bodies/platform_control", PLATFORM_CONTROL),
 	SLOW_CASES("/slow_bodies/entry", ENTRY),
+	SLOW_CASES("/slow_bodies/control", CONTROL),
 	{"/slow_bodies/rpc/unfinished_records", PLATFORM_CONTROL, send_part_of_record, true, false},
 	{"/slow_bodies/rpc/huge_records", PLATFORM_CONTROL, send_huge_mark, true, false},
 };
@@ -717,6 +747,38 @@
 	return false;
 }
 
+static bool ask_for_answer(struct crowd *c, int fd, unsigned int round)
+{
+	static const char text[] = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+
+	(void)c;
+	(void)round;
+	send_all(fd, text, sizeof(text) - 1);
+	return false;
+}
+
+/// Guards against the memory of answers that callers do not read.
+static void test_answers_that_are_not_read(void)
+{
+	struct target t = {.kind = ENTRY};
+	struct crowd c = {.target = &t, .receive_bytes = UNREAD_BUFFER_BYTES};
+	unsigned int status;
+
+	target_start(&t);
+	set_up_pool(t.harness);
+	crowd_open(&c, &t.http, ANSWERS, ask_for_answer);
+	g_test_message("rest %ld MB, peak %ld MB of %ld", t.rest_mb, c.peak_mb,
+		       t.rest_mb + t.input_mb + ANSWERS_MB + MARGIN_MB);
+	g_assert_true(is_alive(&t));
+	g_assert_cmpint(c.peak_mb, >, t.rest_mb + MARGIN_MB); /* the answers did arrive */
+	/* Those from endpoints and those to callers have a budget each. */
+	g_assert_cmpint(c.peak_mb, <=, t.rest_mb + t.input_mb + ANSWERS_MB + MARGIN_MB);
+	status = read_response(send_request(&t));
+	g_assert_cmpuint(status, >, 0);
+	crowd_close(&c);
+	target_free(&t);
+}
+
 /// Guards against the memory of answers that endpoints begin and don't end, each of legal length.
 static void test_answers_that_never_end(void)
 {
@@ -752,5 +814,7 @@
 	g_test_add_func("/slow_bodies/limits/unfinished_requests_of_an_address",
 			test_unfinished_requests_of_an_address);
 	g_test_add_func("/slow_bodies/entry/answers_that_never_end", test_answers_that_never_end);
+	g_test_add_func("/slow_bodies/entry/answers_that_are_not_read",
+			test_answers_that_are_not_read);
 	return g_test_run();
 }
