--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -21,9 +21,10 @@
 /// Window in which the onset of a surge is seen: with 500 ms, the machines of a surge of 100 jobs a
 /// second were ordered over 2.5 s, and the jobs of these seconds were late.
 #define ONSET_WINDOW_MS 200
-#define ONSET_JOBS_MIN 8      /* fewer jobs in the window may be chance */
-#define ONSET_PERCENT_MIN 160 /* of the rate in the long window; steady arrivals vary by a third   \
-			       */
+#define ONSET_JOBS_MIN 8 /* fewer jobs in the window may be chance */
+#define ONSET_PERCENT_MIN                                                                          \
+	160 /* of the rate in the long window; steady arrivals vary by a third                     \
+	     */
 /// Number of jobs in the window that count half as a rate: one large job is not a surge.
 #define FEW_JOBS 2.0
 #define USABLE_PERCENT 90 /* usable share of a machine; fragmentation takes the rest */
@@ -45,7 +46,7 @@
 	struct pool_load load;
 	int idle_machines;		///< that may be moved, surplus or not
 	struct admission_supply supply; ///< without "more"; only with admission control
-	uint32_t not_due_machines; ///< of load.machines: no maintenance is pending
+	uint32_t not_due_machines;	///< of load.machines: no maintenance is pending
 	/// Of load.long_running_cpu_milli: attempts on machines due for maintenance.
 	int64_t due_long_running_cpu_milli;
 };
