--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -77,7 +77,7 @@
 	m->active = g_ptr_array_new();
 	m->accounts = accounts_new();
 	accounts_configure(m, now);
-	if (settings->admission || settings->has_accounts)
+	if (settings->admission)
 		m->admission = admission_new();
 	incarnations_inherit(m, now);
 	waves_inherit(m, now);
