--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -7,6 +7,7 @@
 #include "runs/runs.h"
 #include "sched/accounts.h"
 #include "sched/admission.h"
+#include "sched/interference.h"
 #include "sched/advice.h"
 #include "sched/machines.h"
 #include "sched/move_orders.h"
@@ -79,6 +80,8 @@
 	accounts_configure(m, now);
 	if (settings->admission || settings->has_accounts)
 		m->admission = admission_new();
+	if (settings->interference)
+		m->interference = interference_new();
 	incarnations_inherit(m, now);
 	waves_inherit(m, now);
 	log_info("leadership taken", "TERM", log_number(term), "JOBS",
@@ -111,6 +114,7 @@
 	g_ptr_array_unref(m->active);
 	accounts_free(m->accounts);
 	g_clear_pointer(&m->admission, admission_free);
+	g_clear_pointer(&m->interference, interference_free);
 	jobs_free(m->jobs);
 	g_free(m);
 }
--- a/src/sesamewood/manager/manager.h
+++ b/src/sesamewood/manager/manager.h
@@ -23,7 +23,8 @@
 	uint32_t move_ms;	       ///< duration of a machine's move to another pool
 	uint32_t maintenance_ms;       ///< duration of a machine's maintenance
 	bool has_accounts;	       ///< requests need a key of a client account
-	bool admission; ///< jobs that cannot end in time are refused; has_accounts implies it
+	bool admission;	   ///< jobs that cannot end in time are refused; has_accounts implies it
+	bool interference; ///< tasks of images that slow each other are placed apart
 };
 
 struct manager;
--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -40,8 +40,9 @@
 	GHashTable *due_machines;	  ///< names of machines with maintenance pending
 	GHashTable *relocating;		  ///< names of tasks that are being moved from due machines
 	struct admission *admission;	  ///< NULL: no admission control
-	struct overload *overload;	  ///< memory of refusals, borrowed; NULL: none
-	uint64_t start_cost_us;		  ///< of the event loop's time; 0: not measured
+	struct interference *interference; ///< NULL: tasks are not placed apart by image
+	struct overload *overload;	   ///< memory of refusals, borrowed; NULL: none
+	uint64_t start_cost_us;		   ///< of the event loop's time; 0: not measured
 	bool round_wanted; ///< a change since the last placement round may allow another placement
 	bool fenced_off;   ///< a receiver has seen a higher fencing token
 	clock_ms_t lag_ms; ///< age of the oldest input or commit not processed
--- a/src/sesamewood/runs/attempts.c
+++ b/src/sesamewood/runs/attempts.c
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "sched/accounts.h"
 #include "sched/cooldown.h"
+#include "sched/interference.h"
 #include "sched/pace.h"
 #include "sched/suspects.h"
 
@@ -68,6 +69,7 @@
 		.progress_at = now,
 		.pace = PACE_FULL,
 		.pace_wanted = PACE_FULL,
+		.image_key = m->interference ? interference_key(step->image) : 0,
 	};
 	r->loss = JOB_ATTEMPT_RELEASED;
 	r->suspected = task && suspects_is_suspected(task);
--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -23,6 +23,9 @@
 		       ///< executed: the attempt is stopped unless a status query lists it
 };
 
+/// Images of ended attempts that are remembered by attempt; see sched/interference.h.
+#define RUN_BESIDE_MAX 4
+
 /// One attempt at a task.
 struct run {
 	char *name; ///< task name: job.occurrence.step.index
@@ -88,6 +91,13 @@
 	uint32_t pace; ///< acknowledged by the endpoint
 	uint32_t pace_wanted;
 	bool pace_in_flight; ///< a pace order is in flight
+	/* Used by sched/interference.c. */
+	uint64_t image_key; ///< of the image; 0: it has none
+	struct {
+		uint64_t image_key;
+		clock_ms_t ms;	  ///< time that attempts of the image shared with this one
+	} beside[RUN_BESIDE_MAX]; ///< attempts that have ended
+	clock_ms_t latency_sampled_at;
 };
 
 /// An attempt that was released when its endpoint fell silent. The loss counts against its task if
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -5,6 +5,7 @@
 #include "runs/incarnations.h"
 #include "sched/estimates.h"
 #include "sched/health.h"
+#include "sched/interference.h"
 #include "sched/pace.h"
 #include "sched/suspects.h"
 
@@ -530,6 +531,7 @@
 	}
 	r->completion = row->number;
 	r->completion_age_ms = age_ms;
+	interference_record_end(m, now, r, row->outcome == ATTEMPT_DONE);
 	switch (row->outcome) {
 	case ATTEMPT_DONE: {
 		job_task_ref ref = r->ref;
@@ -662,6 +664,7 @@
 		else if (r->state == RUN_IN_DOUBT)
 			r->stop_wanted = true; /* its start order may still arrive */
 	}
+	interference_record_status(m, now, e, p->id);
 	pace_update_endpoint(e, now);
 	e->next_check_at = now;
 	m->round_wanted = true;
--- a/src/sesamewood/sched/place.c
+++ b/src/sesamewood/sched/place.c
@@ -15,6 +15,25 @@
 	return n;
 }
 
+static bool is_avoided(const struct place_request *q, uint64_t image_key)
+{
+	for (guint i = 0; i < q->avoid->len; i++)
+		if (g_array_index(q->avoid, uint64_t, i) == image_key)
+			return true;
+	return false;
+}
+
+/// Tells whether an attempt at an endpoint, or one planned there, forms a bad pair with the step.
+static bool has_bad_pair(const struct place_candidate *c, const struct place_request *q)
+{
+	if (c->planned && is_avoided(q, q->image_key))
+		return true;
+	for (guint i = 0; i < c->endpoint->runs->len; i++)
+		if (is_avoided(q, ((const struct run *)c->endpoint->runs->pdata[i])->image_key))
+			return true;
+	return false;
+}
+
 static bool has_capacity(const struct resources *available, const job_step *step)
 {
 	return (step->best_effort || available->cpu_milli >= step->cpu_milli) &&
@@ -70,6 +89,8 @@
 	if (q->suspected && !c->trial)
 		n += 10000000 + (c->long_running ? 20000000 : 0) + 5000000 * (int64_t)c->starting +
 		     100000 * (int64_t)c->runs;
+	if (q->avoid && !q->suspected && has_bad_pair(c, q))
+		n += 5000000;
 	if (step->best_effort)
 		n += 100000 * (int64_t)c->latency_sensitive + 10000 * (int64_t)c->best_effort;
 	else if (step->target_ms)
--- a/src/sesamewood/sched/place.h
+++ b/src/sesamewood/sched/place.h
@@ -45,6 +45,9 @@
 	const char *failed_at;	///< id of the endpoint where the task failed last, or NULL
 	const char *rack;	///< only endpoints with this label; NULL: any
 	bool remote_is_allowed; ///< the step may run on another rack than its data
+	/// Keys of images (uint64_t) that form a bad pair with the step's; borrowed; NULL: none.
+	const GArray *avoid;
+	uint64_t image_key; ///< of the step; set only with avoid
 };
 
 /// @return index of the best candidate, or -1 if the task fits on no candidate now
--- a/src/sesamewood/sched/schedule.c
+++ b/src/sesamewood/sched/schedule.c
@@ -6,6 +6,7 @@
 #include "sched/advice.h"
 #include "sched/estimates.h"
 #include "sched/capacity.h"
+#include "sched/interference.h"
 #include "sched/relocate.h"
 #include "sched/suspects.h"
 
@@ -284,6 +285,19 @@
 	return at;
 }
 
+/// Counts a choice that would be another one without the beliefs about images.
+static void count_if_moved(struct manager *m, const GArray *candidates,
+			   const struct place_request *q, int at)
+{
+	struct place_request plain = *q;
+
+	if (!q->avoid)
+		return;
+	plain.avoid = NULL;
+	if (place_choose(candidates, &plain) != at)
+		interference_count_moved(m);
+}
+
 /// @return true if all waiting tasks of the step were started that may start now
 static bool place_independent_tasks(struct manager *m, clock_ms_t now, struct waiting_step *w,
 				    struct place_request *q, GArray *candidates)
@@ -322,6 +336,7 @@
 			continue; /* others of the step need not wait for its trial */
 		if (at < 0)
 			return false;
+		count_if_moved(m, candidates, q, at);
 		c = &g_array_index(candidates, struct place_candidate, at);
 		if (suspected)
 			open_trial(w->capacity, c, q->job);
@@ -453,6 +468,7 @@
 			wall_ms - job_due_wall_ms(w->job, w->occurrence) >
 			(int64_t)step->estimate_ms * (m->settings.remote_data_factor - 1),
 	};
+	g_autoptr(GArray) avoid = NULL;
 	g_autofree char *name = NULL;
 
 	if (!accounts_allow_start(m, w->job, step))
@@ -467,6 +483,9 @@
 		if (!advice_set_tickets(m, now, name, candidates))
 			return false;
 	}
+	avoid = interference_avoid(m, step);
+	q.avoid = avoid;
+	q.image_key = avoid ? interference_key(step->image) : 0;
 	if (step->gang ? place_gang(m, now, w, &q, candidates)
 		       : place_independent_tasks(m, now, w, &q, candidates))
 		return true;
@@ -498,6 +517,7 @@
 
 	capacity_update(m, now);
 	relocate_hold_capacity(m);
+	interference_start_round(m, now);
 	waiting = collect_waiting(m, wall_ms);
 	record_backlog(m, waiting);
 	for (guint i = 0; i < waiting->len; i++)
