--- a/src/sesamewood/sched/place.c
+++ b/src/sesamewood/sched/place.c
@@ -66,8 +66,12 @@
 	return has_capacity(&c->available, q->step) && is_allowed(c, q);
 }
 
-/// @return cost of placing a task at a candidate; the lowest wins. Each term outweighs all terms
-/// that follow it.
+/// A bad pair counts less than due maintenance, and more than how many tasks of a kind are there:
+/// it is known of just these images.
+#define BAD_PAIR_COST 5000000
+
+/// @return cost of placing a task at a candidate, without BAD_PAIR_COST; the lowest wins. Each term
+/// outweighs all terms that follow it.
 static int64_t cost(const struct place_candidate *c, const struct place_request *q)
 {
 	const job_step *step = q->step;
@@ -89,8 +93,6 @@
 	if (q->suspected && !c->trial)
 		n += 10000000 + (c->long_running ? 20000000 : 0) + 5000000 * (int64_t)c->starting +
 		     100000 * (int64_t)c->runs;
-	if (q->avoid && !q->suspected && has_bad_pair(c, q))
-		n += 5000000;
 	if (step->best_effort)
 		n += 100000 * (int64_t)c->latency_sensitive + 10000 * (int64_t)c->best_effort;
 	else if (step->target_ms)
@@ -113,6 +115,11 @@
 		if (!fits(c, request))
 			continue;
 		n = cost(c, request);
+		if (n >= best_cost)
+			continue;
+		/* Last, since it reads all attempts of the endpoint. */
+		if (request->avoid && !request->suspected && has_bad_pair(c, request))
+			n += BAD_PAIR_COST;
 		if (n >= best_cost)
 			continue;
 		best_cost = n;
