--- a/src/sesamewood/runs/attempts.c
+++ b/src/sesamewood/runs/attempts.c
@@ -69,6 +69,7 @@
 		.progress_at = now,
 		.pace = PACE_FULL,
 		.pace_wanted = PACE_FULL,
+		.started_cold = now < e->cold_until,
 		.image_key = m->interference ? interference_key(step->image) : 0,
 	};
 	r->loss = JOB_ATTEMPT_RELEASED;
--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -93,6 +93,7 @@
 	bool pace_in_flight; ///< a pace order is in flight
 	/* Used by sched/interference.c. */
 	uint64_t image_key; ///< of the image; 0: it has none
+	bool started_cold;  ///< its endpoint was in its cold start, in which it runs slowly
 	struct {
 		uint64_t image_key;
 		clock_ms_t ms;	  ///< time that attempts of the image shared with this one
--- a/src/sesamewood/sched/interference.c
+++ b/src/sesamewood/sched/interference.c
@@ -39,6 +39,7 @@
 #define DROP_PERCENT 110.0 /* of the mean; below FORM_PERCENT, so that beliefs do not flap */
 #define LOG_LINES_PER_S 10
 #define MS_PER_S 1000
+#define PPM 1000000
 
 /// Decayed count, sum and sum of squares of logarithms of percent.
 struct moments {
@@ -519,12 +520,12 @@
 	double others;
 	double explained = 0;
 
-	if (!*s->image || s->percent <= 0)
+	if (!*s->image || s->ratio_ppm <= 0)
 		return;
 	image = touch_image(x, now, s->image);
 	endpoint = touch_endpoint(x, now, endpoint_key);
 	scale(&image->all, decay_factor(&image->decayed_at, now));
-	value = log((double)s->percent);
+	value = log((double)s->ratio_ppm);
 	center = image->all.n >= 1 ? mean(&image->all) : value;
 	value = CLAMP(value, center - DEVIATION_MAX, center + DEVIATION_MAX);
 	for (unsigned int i = 0; i < s->n_neighbours; i++)
@@ -650,7 +651,7 @@
 static bool has_own_run_time(const struct run *r)
 {
 	return r->estimate_ms && !r->long_running && !r->best_effort && !r->gang && !r->inherited &&
-	       !*r->checkpoint && r->started_at >= r->endpoint->cold_until;
+	       !*r->checkpoint && !r->started_cold;
 }
 
 void interference_record_end(struct manager *m, clock_ms_t now, const struct run *run, bool done)
@@ -680,7 +681,7 @@
 	for (unsigned int i = 0; i < RUN_BESIDE_MAX; i++)
 		if (run->beside[i].ms * 100 >= length_ms * INTERFERENCE_OVERLAP_PERCENT)
 			add_neighbour(&s, run->beside[i].image_key);
-	s.percent = length_ms * 100 / run->estimate_ms;
+	s.ratio_ppm = length_ms * PPM / run->estimate_ms;
 	interference_add(m->interference, now, &s);
 }
 
@@ -722,7 +723,7 @@
 			add_neighbour(&s, other->image_key);
 		}
 		s.is_latency = true;
-		s.percent = r->usage * 100 / r->target_ms;
+		s.ratio_ppm = r->usage * PPM / r->target_ms;
 		interference_add(m->interference, now, &s);
 	}
 }
--- a/src/sesamewood/sched/interference.h
+++ b/src/sesamewood/sched/interference.h
@@ -24,9 +24,9 @@
 struct interference_sample {
 	const char *image;
 	const char *endpoint; ///< id of the endpoint
-	/// Run time in percent of its estimate, or tail latency in percent of its target. Only
-	/// ratios between samples of one image matter.
-	int64_t percent;
+	/// Run time as part of its estimate, or tail latency as part of its target, in millionths.
+	/// Only ratios between samples of one image matter.
+	int64_t ratio_ppm;
 	bool is_latency;
 	unsigned int n_neighbours;
 	uint64_t neighbours[INTERFERENCE_NEIGHBOURS_MAX]; ///< keys of the images beside it
--- a/tests/unit/unit_interference.c
+++ b/tests/unit/unit_interference.c
@@ -3,6 +3,7 @@
 /// and their use by placement.
 
 #include "manager/manager_internal.h"
+#include "manager_fixture.h"
 #include "sched/interference.h"
 #include "sched/place.h"
 
@@ -459,8 +460,8 @@
 				.endpoint = at == 0   ? "e0"
 					    : at == 1 ? "e1"
 						      : "e2",
-				.percent = (int64_t)g_rand_int_range(random, 90, 111) *
-					   (beside ? 2 : 1),
+				.ratio_ppm = (int64_t)g_rand_int_range(random, 90, 111) *
+					     (beside ? 2 : 1),
 				.n_neighbours = beside,
 				.neighbours = {interference_key("c")},
 			};
@@ -476,7 +477,7 @@
 static void test_bounds(void)
 {
 	struct interference *x = interference_new();
-	struct interference_sample s = {.image = "", .endpoint = "e", .percent = 100};
+	struct interference_sample s = {.image = "", .endpoint = "e", .ratio_ppm = 1000000};
 
 	s.n_neighbours = 1;
 	s.neighbours[0] = interference_key("n");
@@ -497,6 +498,81 @@
 	interference_free(x);
 }
 
+/// Answers the orders of a manager: starts are accepted; the latest status query is answered when
+/// @p done is set, with the ends of both tasks.
+static void answer_orders(struct manager *m, clock_ms_t now, GPtrArray *started, bool done)
+{
+	g_autoptr(GPtrArray) effects = manager_take_effects(m);
+
+	for (guint i = 0; i < effects->len; i++) {
+		struct effect *e = effects->pdata[i];
+		struct order_result *r;
+
+		if (e->type != EFFECT_ORDER || !e->u.order->instance)
+			continue;
+		r = order_result_new(e->u.order->id, ORDER_OK);
+		r->clock_ms = now;
+		r->incarnation_wall_ms = 1;
+		if (e->u.order->type == ORDER_START)
+			g_ptr_array_add(started, g_strdup(e->u.order->task));
+		for (guint k = 0; e->u.order->type == ORDER_STATUS_QUERY && k < started->len; k++) {
+			struct completion_record end = {.number = k + 1, .attempt = 1};
+			struct running_attempt row = {.attempt = 1, .percent = 50};
+
+			if (done) {
+				end.task = g_strdup(started->pdata[k]);
+				end.checkpoint = g_strdup("");
+				g_array_append_val(r->completions, end);
+			} else {
+				row.task = g_strdup(started->pdata[k]);
+				row.checkpoint = g_strdup("");
+				g_array_append_val(r->runs, row);
+			}
+		}
+		manager_handle_result(m, now, now, r);
+		order_result_free(r);
+	}
+}
+
+/// Ends of attempts that the manager applies must give estimates if the setting is on and the tasks
+/// have an image, and otherwise none.
+static void test_manager_learns_from_ends(void)
+{
+	for (int variant = 0; variant < 3; variant++) {
+		struct manager_settings settings = fixture_settings();
+		struct jobs *state = jobs_new();
+		g_autoptr(GPtrArray) started = g_ptr_array_new_with_free_func(g_free);
+		clock_ms_t now = FIXTURE_START_MS;
+		job_step step = {.count = 2, .cpu_milli = 1000, .mem_mb = 10};
+		struct manager *m;
+
+		settings.interference = variant != 0;
+		m = manager_new(&settings, state, 1, now, now);
+		g_assert_true(!m->interference == !variant);
+		fixture_put_config(m, now);
+		fixture_heartbeat(m, now, "e1", "m1", 1);
+		fixture_submit_for(m, now, NULL, "j", &step);
+		if (variant < 2) {
+			job_step *s = &jobs_find(m->jobs, "j")->image.spec.steps.steps_val[0];
+
+			free(s->image);
+			s->image = strdup("a");
+		}
+		for (clock_ms_t end = now + 2000; now < end; now++) {
+			if (now % 1000 == 0)
+				fixture_heartbeat(m, now, "e1", "m1", 1);
+			manager_tick(m, now, now);
+			answer_orders(m, now, started, now > FIXTURE_START_MS + 1000);
+		}
+		g_assert_cmpuint(started->len, ==, 2);
+		if (m->interference)
+			g_assert_cmpuint(interference_count_pairs(m->interference), ==,
+					 variant == 1);
+		manager_free(m);
+		jobs_free(state);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -507,6 +583,7 @@
 	g_test_add_func("/interference/no-room", test_no_room);
 	g_test_add_func("/interference/tail-latency", test_tail_latency);
 	g_test_add_func("/interference/needs-two-endpoints", test_needs_two_endpoints);
+	g_test_add_func("/interference/manager-learns-from-ends", test_manager_learns_from_ends);
 	g_test_add_func("/interference/bounds", test_bounds);
 	return g_test_run();
 }
