--- a/src/sesamewood/manager/manager.h
+++ b/src/sesamewood/manager/manager.h
@@ -24,6 +24,7 @@
 	uint32_t maintenance_ms;       ///< duration of a machine's maintenance
 	bool has_accounts;	       ///< requests need a key of a client account
 	bool admission;		       ///< jobs that cannot end in time are refused
+	bool interference;	       ///< tasks of images that slow each other are placed apart
 };
 
 struct manager;
--- a/src/sesamewood/sched/place.c
+++ b/src/sesamewood/sched/place.c
@@ -15,6 +15,25 @@
 	return n;
 }
 
+static bool is_avoided(const struct place_request *q, uint64_t image_key)
+{
+	for (guint i = 0; i < q->avoid->len; i++)
+		if (g_array_index(q->avoid, uint64_t, i) == image_key)
+			return true;
+	return false;
+}
+
+/// Tells whether an attempt at an endpoint, or one planned there, forms a bad pair with the step.
+static bool has_bad_pair(const struct place_candidate *c, const struct place_request *q)
+{
+	if (c->planned && is_avoided(q, q->image_key))
+		return true;
+	for (guint i = 0; i < c->endpoint->runs->len; i++)
+		if (is_avoided(q, ((const struct run *)c->endpoint->runs->pdata[i])->image_key))
+			return true;
+	return false;
+}
+
 static bool has_capacity(const struct resources *available, const job_step *step)
 {
 	return (step->best_effort || available->cpu_milli >= step->cpu_milli) &&
@@ -47,8 +66,12 @@
 	return has_capacity(&c->available, q->step) && is_allowed(c, q);
 }
 
-/// @return cost of placing a task at a candidate; the lowest wins. Each term outweighs all terms
-/// that follow it.
+/// A bad pair counts less than due maintenance, and more than how many tasks of a kind are there:
+/// it is known of just these images.
+#define BAD_PAIR_COST 5000000
+
+/// @return cost of placing a task at a candidate, without BAD_PAIR_COST; the lowest wins. Each term
+/// outweighs all terms that follow it.
 static int64_t cost(const struct place_candidate *c, const struct place_request *q)
 {
 	const job_step *step = q->step;
@@ -92,6 +115,11 @@
 		if (!fits(c, request))
 			continue;
 		n = cost(c, request);
+		if (n >= best_cost)
+			continue;
+		/* Last, since it reads all attempts of the endpoint. */
+		if (request->avoid && !request->suspected && has_bad_pair(c, request))
+			n += BAD_PAIR_COST;
 		if (n >= best_cost)
 			continue;
 		best_cost = n;
