--- a/tests/functional/test_start.c
+++ b/tests/functional/test_start.c
@@ -28,7 +28,8 @@
 #define WAIT_MAX_MS 15000 /* longer than any wait of a start */
 #define HELD_MS 1000	  /* less than the grace time */
 #define REQUEST_TIMEOUT_MS 1000
-#define BODY_BYTES (3 * 1024 * 1024)
+#define BODY_BYTES 15000 /* below the size from which bodies have pages of their own */
+#define BODIES 200	 /* together they take far more than the heap has left */
 #define SIGNAL_STEP_MS 5
 #define SIGNAL_LAST_MS 100
 
@@ -499,9 +500,12 @@
 static void test_failed_allocation_leaves_a_line(void)
 {
 	struct node *n = node_new();
-	g_autofree char *url =
-		g_strdup_printf("http://%s:%d/api/config/replace", n->ip, CONTROL_PORT);
+	g_autofree char *head = g_strdup_printf("POST /api/config/replace HTTP/1.1\r\nHost: h\r\n"
+						"Content-Length: %d\r\n\r\n",
+						BODY_BYTES + 1);
 	g_autofree char *body = g_strnfill(BODY_BYTES, ' ');
+	struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons(CONTROL_PORT)};
+	int fds[BODIES];
 	struct rlimit limit = {.rlim_cur = 1, .rlim_max = RLIM_INFINITY};
 	struct process p;
 	int end;
@@ -509,9 +513,21 @@
 	write_settings(n);
 	p = start(n, CONTROL);
 	g_assert_true(becomes_started(&p, START_MAX_MS));
+	address.sin_addr.s_addr = inet_addr(n->ip);
+	for (int i = 0; i < BODIES; i++) {
+		fds[i] = socket(AF_INET, SOCK_STREAM, 0);
+		g_assert_cmpint(connect(fds[i], (struct sockaddr *)&address, sizeof(address)), ==,
+				0);
+		g_assert_cmpint(send(fds[i], head, strlen(head), MSG_NOSIGNAL), ==,
+				(int)strlen(head));
+	}
+	g_usleep(500000); /* the heads have been read, so that only the bodies need memory */
 	g_assert_cmpint(prlimit(pid_of(&p), RLIMIT_AS, &limit, NULL), ==, 0);
-	harness_http("POST", url, NULL, body, NULL, NULL);
+	for (int i = 0; i < BODIES; i++)
+		(void)!send(fds[i], body, BODY_BYTES, MSG_NOSIGNAL);
 	end = end_of(&p);
+	for (int i = 0; i < BODIES; i++)
+		close(fds[i]);
 	g_assert_true(end == -SIGTRAP || end == -SIGABRT);
 	g_assert_true(logged(&p, "failed to allocate"));
 	g_assert_true(logged(&p, "\"message\":\"ended by a signal\""));
