--- a/src/sesamewood/sched/pools.c
+++ b/src/sesamewood/sched/pools.c
@@ -30,7 +30,7 @@
 #define USABLE_PERCENT 90 /* usable share of a machine; fragmentation takes the rest */
 /// Idle time before a machine is moved to standby: by then idling has cost as much as two moves.
 /// Counts from the first work on: before, nothing is known of the demand, and the first surge would
-/// find the machines switched off (67% of it in time, 99% since; a trial).
+/// find the machines switched off (245 of 363 jobs in time, 356 since, in a trial with 2.5 s).
 #define STANDBY_AFTER_IDLE_MS 2200
 /// Share of a machine that the long-running tasks of a pool use while they move away from machines
 /// due for maintenance; the machine's size is that of the largest, and other tasks use the rest.
