--- a/review/common-2/world.c
+++ b/review/common-2/world.c
@@ -54,9 +54,9 @@
 	gint64 lease_until;
 	gint64 last_end;
 	enum executor_mode mode;
-	guint cuts; ///< counts the changes of its mode
-	GPtrArray *runs;  ///< of struct run
-	GPtrArray *ended; ///< of struct ended_run, not acknowledged; borrowed
+	guint cuts;	     ///< counts the changes of its mode
+	GPtrArray *runs;     ///< of struct run
+	GPtrArray *ended;    ///< of struct ended_run, not acknowledged; borrowed
 	GHashTable *highest; ///< highest run that ended or was stopped, by task
 	int heartbeat_to;
 };
@@ -174,10 +174,10 @@
 	struct sockaddr_in a = address_of(ip, port);
 	struct timeval timeout = {timeout_ms / 1000, (timeout_ms % 1000) * 1000};
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	g_autofree char *request = g_strdup_printf(
-		"%s %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n"
-		"Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
-		method, path, host, strlen(text), text);
+	g_autofree char *request =
+		g_strdup_printf("%s %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n"
+				"Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+				method, path, host, strlen(text), text);
 	g_autoptr(GString) buffer = g_string_new(NULL);
 	g_autofree char *head = NULL;
 	g_autofree char *body = NULL;
@@ -363,8 +363,10 @@
 static void begin_life(struct executor *e)
 {
 	e->life++;
-	g_free(e->id);
-	e->id = g_strdup_printf("i-%04u-%u", e->number, e->life);
+	if (!e->id || !world.keeps_ids) {
+		g_free(e->id);
+		e->id = g_strdup_printf("i-%04u-%u", e->number, e->life);
+	}
 	e->born = MAX(g_get_real_time() / 1000, e->born + 1);
 	e->clock_from_ms = now_ms() - 1000 * (gint64)e->number;
 	e->sequence = 0;
@@ -379,8 +381,7 @@
 {
 	const char *task = json_object_get_string_member(o, "task");
 	guint attempt = (guint)json_object_get_int_member(o, "attempt");
-	const char *checkpoint =
-		json_object_get_string_member_with_default(o, "checkpointAt", "");
+	const char *checkpoint = json_object_get_string_member_with_default(o, "checkpointAt", "");
 	gint64 until = json_object_get_int_member(o, "untilMs");
 	struct run *r;
 
@@ -443,16 +444,17 @@
 {
 	GString *out = g_string_new(NULL);
 
-	g_string_printf(out, "{\"clockMs\":%" G_GINT64_FORMAT ",\"born\":%" G_GINT64_FORMAT
-			     ",\"running\":[",
+	g_string_printf(out,
+			"{\"clockMs\":%" G_GINT64_FORMAT ",\"born\":%" G_GINT64_FORMAT
+			",\"running\":[",
 			clock_of(e), e->born);
 	for (guint i = 0; i < e->runs->len; i++) {
 		const struct run *r = e->runs->pdata[i];
 		gint64 ms = MAX(spec_number(r->spec, "ms="), 1);
 
 		g_string_append_printf(out, "%s[\"%s\",%u,\"%s\",%d,%d]", i ? "," : "", r->task,
-				       r->attempt, r->saved,
-				       (int)MIN(r->worked_ms * 100 / ms, 100), 100);
+				       r->attempt, r->saved, (int)MIN(r->worked_ms * 100 / ms, 100),
+				       100);
 	}
 	g_string_append(out, "],\"endedRuns\":[");
 	for (guint i = 0; i < e->ended->len && i < 500; i++) {
@@ -483,8 +485,7 @@
 	} else if (g_str_equal(path, "/api/hold")) {
 		gint64 until = json_object_get_int_member_with_default(o, "untilMs", 0);
 
-		e->lease_until =
-			MAX(e->lease_until, MIN(until, clock_of(e) + WORLD_HOLD_MAX_MS));
+		e->lease_until = MAX(e->lease_until, MIN(until, clock_of(e) + WORLD_HOLD_MAX_MS));
 		acknowledge(e, json_object_get_int_member_with_default(o, "ackThrough", 0));
 	}
 	return NULL;
@@ -619,14 +620,14 @@
 	for (guint i = 0; i < world.executors->len; i++) {
 		const struct executor *e = world.executors->pdata[i];
 
-		g_string_append_printf(out,
-				       "%s{\"hostMachine\":\"m-%04u\",\"pool\":\"" POOL
-				       "\",\"state\":\"%s\",\"zone\":\"xela\",\"labels\":[\"a\","
-				       "\"r1-%u\"],\"capacity\":{\"cpu\":%d,\"memMb\":%d,\"gpu\":0},"
-				       "\"id\":\"%s\"}",
-				       i ? "," : "", e->number,
-				       e->mode == EXECUTOR_DOWN ? "down" : "up", e->number / 4,
-				       WORLD_EXECUTOR_CPU, WORLD_EXECUTOR_MEM, e->id);
+		g_string_append_printf(
+			out,
+			"%s{\"hostMachine\":\"m-%04u\",\"pool\":\"" POOL
+			"\",\"state\":\"%s\",\"zone\":\"xela\",\"labels\":[\"a\","
+			"\"r1-%u\"],\"capacity\":{\"cpu\":%d,\"memMb\":%d,\"gpu\":0},"
+			"\"id\":\"%s\"}",
+			i ? "," : "", e->number, e->mode == EXECUTOR_DOWN ? "down" : "up",
+			e->number / 4, WORLD_EXECUTOR_CPU, WORLD_EXECUTOR_MEM, e->id);
 	}
 	g_string_append(out, "]}");
 	*status = 200;
@@ -716,13 +717,15 @@
 
 static char *format_heartbeat(struct executor *e)
 {
-	return g_strdup_printf(
-		"{\"backend\":\"" POOL "\",\"address\":\"%s:%d\",\"zone\":\"xela\",\"version\":\"v1\","
-		"\"slots\":8,\"state\":\"ready\",\"coldLeftMs\":0,\"capacity\":{\"cpu\":%d,\"memMb\":%d,"
-		"\"gpu\":0},\"labels\":[\"a\",\"r1-%u\"],\"hostMachine\":\"m-%04u\",\"clockMs\":%"
-		G_GINT64_FORMAT ",\"born\":%" G_GINT64_FORMAT ",\"sequence\":%" G_GINT64_FORMAT "}",
-		e->ip, EXECUTOR_PORT, WORLD_EXECUTOR_CPU, WORLD_EXECUTOR_MEM, e->number / 4,
-		e->number, clock_of(e), e->born, ++e->sequence);
+	return g_strdup_printf("{\"backend\":\"" POOL
+			       "\",\"address\":\"%s:%d\",\"zone\":\"xela\",\"version\":\"v1\","
+			       "\"slots\":8,\"state\":\"ready\",\"coldLeftMs\":0,\"capacity\":{"
+			       "\"cpu\":%d,\"memMb\":%d,"
+			       "\"gpu\":0},\"labels\":[\"a\",\"r1-%u\"],\"hostMachine\":\"m-%04u\","
+			       "\"clockMs\":%" G_GINT64_FORMAT ",\"born\":%" G_GINT64_FORMAT
+			       ",\"sequence\":%" G_GINT64_FORMAT "}",
+			       e->ip, EXECUTOR_PORT, WORLD_EXECUTOR_CPU, WORLD_EXECUTOR_MEM,
+			       e->number / 4, e->number, clock_of(e), e->born, ++e->sequence);
 }
 
 static gpointer send_heartbeats(gpointer p)
@@ -887,21 +890,21 @@
 		g_string_append_printf(out, "%s%s:%d", i ? "," : "", processes[i].ip, CONTROL_PORT);
 	g_string_append_printf(out, "\nbootstrap=%s\ninFaultBudget=%s\n",
 			       bootstrap ? "true" : "false", p->is_control ? "true" : "false");
-	g_string_append(out,
-			"limits.cpuShare=0.39\nlimits.cores=1\nlimits.linkMbps=1000.0\n"
-			"discovery=registry\nentry=vip\nheartbeatMs=1500\n"
-			"contracts=base,drain,config,cost,recover,sched,advice,upkeep,sharing\n"
-			"faultTolerance.machines=1\nfaultTolerance.zones=0\nfaultTolerance.regions=0\n"
-			"bounds.seedLagS=3\nbounds.reuseAfterS=2\nbounds.contactMs=3000\n"
-			"bounds.ackMs=4000\nbounds.catchUpS=4\nbounds.drainMs=2000\nbounds.graceS=6\n"
-			"bounds.lossSlackMs=200\nbounds.configMs=2000\nbounds.rollbackSlackMs=250\n"
-			"bounds.maxStretchMs=5000\nbounds.recoverS=12\nbounds.holdMaxMs=6000\n"
-			"bounds.stopMs=400\nbounds.gangMs=3000\nbounds.cancel_ms=3000\n"
-			"bounds.visible_ms=3000\nbounds.early_ms=250\nbounds.finish_s=14\n"
-			"bounds.status_s=120\nbounds.farX=3\nbounds.saveS=1\nbounds.restoreMs=600\n"
-			"bounds.noticeMs=4500\nbounds.moveS=1.5\nbounds.upkeepS=2\n"
-			"bounds.requireFence=true\nbounds.leaseMs=3000\nbounds.thawMs=300\n"
-			"bounds.paceMs=100\nbounds.harmMs=4000\nconfig_mode=highest\ncommands=rpc\n");
+	g_string_append(
+		out, "limits.cpuShare=0.39\nlimits.cores=1\nlimits.linkMbps=1000.0\n"
+		     "discovery=registry\nentry=vip\nheartbeatMs=1500\n"
+		     "contracts=base,drain,config,cost,recover,sched,advice,upkeep,sharing\n"
+		     "faultTolerance.machines=1\nfaultTolerance.zones=0\nfaultTolerance.regions=0\n"
+		     "bounds.seedLagS=3\nbounds.reuseAfterS=2\nbounds.contactMs=3000\n"
+		     "bounds.ackMs=4000\nbounds.catchUpS=4\nbounds.drainMs=2000\nbounds.graceS=6\n"
+		     "bounds.lossSlackMs=200\nbounds.configMs=2000\nbounds.rollbackSlackMs=250\n"
+		     "bounds.maxStretchMs=5000\nbounds.recoverS=12\nbounds.holdMaxMs=6000\n"
+		     "bounds.stopMs=400\nbounds.gangMs=3000\nbounds.cancel_ms=3000\n"
+		     "bounds.visible_ms=3000\nbounds.early_ms=250\nbounds.finish_s=14\n"
+		     "bounds.status_s=120\nbounds.farX=3\nbounds.saveS=1\nbounds.restoreMs=600\n"
+		     "bounds.noticeMs=4500\nbounds.moveS=1.5\nbounds.upkeepS=2\n"
+		     "bounds.requireFence=true\nbounds.leaseMs=3000\nbounds.thawMs=300\n"
+		     "bounds.paceMs=100\nbounds.harmMs=4000\nconfig_mode=highest\ncommands=rpc\n");
 	g_string_append_printf(out,
 			       "cloud.address=%s.99:%d\ncloud.perS=64.0\ncloud.duties=\n"
 			       "cloud.dutyPerS=64.0\n",
@@ -1082,7 +1085,8 @@
 		"\"targetDurationMs\":600,\"priority\":0,\"backend\":\"" POOL
 		"\",\"maxAttempts\":2,\"stretch\":1.6}],\"services\":[{\"name\":\"" POOL
 		"\",\"healthPath\":\"/health\",\"maxConns\":64,\"protocol\":\"h1\",\"tls\":false,"
-		"\"admissionControl\":false,\"standby\":false}],\"limits\":{\"maxHeaderBytes\":16384,"
+		"\"admissionControl\":false,\"standby\":false}],\"limits\":{\"maxHeaderBytes\":"
+		"16384,"
 		"\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}";
 	gint64 until = now_ms() + 30000;
 
@@ -1127,7 +1131,8 @@
 		struct process *p = &processes[i];
 
 		p->is_control = i < WORLD_CONTROLS;
-		g_snprintf(p->name, sizeof(p->name), "%s-%u", p->is_control ? "core" : "edge", i + 1);
+		g_snprintf(p->name, sizeof(p->name), "%s-%u", p->is_control ? "core" : "edge",
+			   i + 1);
 		g_snprintf(p->ip, sizeof(p->ip), "%s.%u", world.prefix, i + 1);
 		p->program = g_strdup_printf("%s/sesamewood-platform-%s", argv[2],
 					     p->is_control ? "control" : "entry");
@@ -1158,17 +1163,43 @@
 			 answer);
 }
 
+guint operator_put(guint number, const char *body)
+{
+	guint status = http_call(processes[number].ip, CONTROL_PORT, "POST", "/api/config/replace",
+				 "control", body, 1000, NULL);
+
+	record("configuration sent to %s, answered %u: %s", processes[number].name, status, body);
+	return status;
+}
+
+char *operator_read(guint number)
+{
+	char *answer = NULL;
+	guint status = http_call(processes[number].ip, CONTROL_PORT, "GET", "/api/config/read",
+				 "control", "", 1000, &answer);
+
+	record("configuration read at %s, answered %u: %s", processes[number].name, status,
+	       answer ? answer : "");
+	if (status != 200)
+		g_clear_pointer(&answer, g_free);
+	return answer;
+}
+
+guint client_submit_once(const char *id, const char *spec, const char *phases)
+{
+	g_autofree char *body = g_strdup_printf("{\"spec\":\"%s\",\"phases\":%s}", spec, phases);
+	guint status = client_call("POST", id, body, NULL);
+
+	record("submit %s answered %u: %s", id, status, body);
+	return status;
+}
+
 void client_submit(const char *id, const char *spec, const char *phases)
 {
-	g_autofree char *body =
-		g_strdup_printf("{\"spec\":\"%s\",\"phases\":%s}", spec, phases);
 	gint64 until = now_ms() + 20000;
 
 	while (now_ms() < until) {
-		guint status = client_call("POST", id, body, NULL);
-
-		record("submit %s answered %u: %s", id, status, body);
-		if (status / 100 == 2)
+		if (client_submit_once(id, spec, phases) / 100 == 2)
 			return;
 		sleep_ms(300);
 	}
--- a/review/common-2/world.h
+++ b/review/common-2/world.h
@@ -46,7 +46,7 @@
 	guint attempt;
 	const char *how;
 	char *saved;
-	gint64 at_ms;	///< time of the end
+	gint64 at_ms;	 ///< time of the end
 	gint64 acked_ms; ///< time at which ackThrough reached it; 0: not yet
 	struct executor *executor;
 };
@@ -58,15 +58,16 @@
 struct world {
 	GMutex lock;
 	GCond changed;
-	bool trouble;	///< false: TROUBLE=0, the same without the disruption
-	bool ended;	///< the script is over
-	char *dir;	///< temporary folder
+	bool trouble;	 ///< false: TROUBLE=0, the same without the disruption
+	bool ended;	 ///< the script is over
+	char *dir;	 ///< temporary folder
 	char prefix[32]; ///< first three parts of the loopback addresses
 	GPtrArray *executors;
 	GPtrArray *ends; ///< of struct ended_run: all ends, in order
 	start_hook on_start;
+	bool keeps_ids;	     ///< executors start again under the id that they had
 	guint list_delay_ms; ///< time until an executor answers with its lists
-	guint crashes; ///< processes of the system that ended by themselves
+	guint crashes;	     ///< processes of the system that ended by themselves
 	guint64 starts;
 };
 
@@ -88,10 +89,23 @@
 gint64 now_ms(void);
 void sleep_ms(guint ms);
 
+/// Sends a configuration to a control replica.
+///
+/// @return status of the answer, or 0
+guint operator_put(guint number, const char *body);
+/// Reads the configuration.
+///
+/// @return body of the answer with status 200, or NULL; released with g_free()
+char *operator_read(guint number);
+
 /// Submits a job, with retries until it is accepted. Exits with 2 if it is not within 20 s.
 ///
 /// @param phases  the JSON text of the member "phases"
 void client_submit(const char *id, const char *spec, const char *phases);
+/// Submits a job once.
+///
+/// @return status of the answer, or 0
+guint client_submit_once(const char *id, const char *spec, const char *phases);
 /// Asks for the state of a job.
 ///
 /// @return state, or NULL without an answer; released with g_free()
@@ -106,7 +120,8 @@
 /// Returns the number of runs of the task names that begin with @p prefix.
 guint executors_count(const char *prefix);
 const char *executor_id(const struct executor *e);
-/// Sets the mode; from EXECUTOR_DOWN the executor comes back as a new life under a new id.
+/// Sets the mode; from EXECUTOR_DOWN the executor comes back as a new life, under a new id unless
+/// world.keeps_ids is set.
 void executor_set_mode(struct executor *e, enum executor_mode mode);
 /// Crashes an executor: what runs there is gone.
 void executor_crash(struct executor *e);
