--- a/review/10/case.c
+++ b/review/10/case.c
@@ -1,46 +1,45 @@
 /// @file
-/// The operator sends a body that is no JSON text: two configurations, one after the other. See
-/// claim.txt.
+/// Executors are added to a pool whose queue has a policy. See claim.txt.
 
 #include "world.h"
 
-#define EXECUTORS 4
-#define CONFIG_MS 2000 /* bounds.configMs of the settings */
-#define JOB "[{\"count\":1,\"cpu\":1800,\"memMb\":3600,\"estimateMs\":300}]"
-#define ROUTE(NAME, PATH)                                                                          \
-	"{\"name\":\"" NAME "\",\"hostname\":\"pule25.example\",\"pathPrefix\":\"" PATH            \
-	"\",\"routeKind\":\"mutating\",\"timeoutMs\":3000,\"targetDurationMs\":600,"               \
-	"\"priority\":0,\"backend\":\"troquel\",\"maxAttempts\":2,\"stretch\":1.6}"
-#define CONFIG(VERSION, ROUTES)                                                                    \
-	"{\"version\":" VERSION ",\"routes\":[" ROUTES "],\"services\":[{\"name\":\"troquel\","    \
-	"\"healthPath\":\"/health\",\"maxConns\":64,\"protocol\":\"h1\",\"tls\":false,"            \
-	"\"admissionControl\":false,\"standby\":false}],\"limits\":{\"maxHeaderBytes\":16384,"     \
-	"\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}"
+#include <string.h>
+
+#define EXECUTORS 30
+#define ADDED 7 /* a share of 0.233; the site's scale_out: 0.25 */
+#define JOBS 320
+#define JOB_GAP_MS 75
+#define FINISH_MS 14000 /* bounds.finish_s of the settings */
 
 int main(int argc, char **argv)
 {
-	/* A new version, and behind it what is left of another file. */
-	const char *two = CONFIG("8", ROUTE("r-1", "/puxa400/") "," ROUTE("r-2", "/tije37/"))
-		CONFIG("9", ROUTE("r-2", "/tije37/"));
-	g_autofree char *held = NULL;
-	guint put = 400;
-	guint before;
-	guint after;
+	guint open = 0;
 
+	world.has_advice = true;
 	world_begin(argc, argv, EXECUTORS);
-	before = client_submit_once("5c0e7a21d94b3a01", "ms=300", JOB);
-	if (before != 200)
-		world_end(2);
-	if (world.trouble)
-		put = operator_put(0, two);
-	sleep_ms(CONFIG_MS + 500);
-	held = operator_read(1);
-	after = client_submit_once("5c0e7a21d94b3a02", "ms=300", JOB);
-	record("invalid configuration answered %u; a job on the route that was there: %u before, "
-	       "%u "
-	       "after; read back is the invalid one: %s",
-	       put, before, after, held && g_str_equal(held, two) ? "yes" : "no");
-	if (!held || !put || !after)
-		world_end(2);
-	world_end(put / 100 == 2 || after == 404 || g_str_equal(held, two) ? 1 : 0);
+	for (guint i = 0; world.trouble && i < ADDED; i++) {
+		executor_add();
+		sleep_ms(300);
+	}
+	sleep_ms(WORLD_HEARTBEAT_MS * 2);
+	for (guint i = 0; i < JOBS; i++) {
+		g_autofree char *id = g_strdup_printf("5c0e7a21d94b%04x", i);
+
+		client_submit(id, "ms=300",
+			      "[{\"count\":1,\"cpu\":1800,\"memMb\":3600,\"estimateMs\":300}]");
+		sleep_ms(JOB_GAP_MS);
+	}
+	sleep_ms(FINISH_MS);
+	for (guint i = 0; i < JOBS; i++) {
+		g_autofree char *id = g_strdup_printf("5c0e7a21d94b%04x", i);
+		g_autofree char *state = client_state(id);
+
+		if (g_strcmp0(state, "completed") == 0)
+			continue;
+		record("job %s is %s", id, state ? state : "without an answer");
+		open++;
+	}
+	record("jobs that have not run: %u of %d; runs at work: %u", open, JOBS,
+	       executors_count(""));
+	world_end(open ? 1 : 0);
 }
--- a/review/common-2/world.c
+++ b/review/common-2/world.c
@@ -22,7 +22,11 @@
 #define FRONT_PORT 8624
 #define READY_PORT 8622
 #define EXECUTOR_PORT 8080
-#define CLOUD_PORT 8621
+#define CLOUD_PORT 8621 /* of the machine service and the advisor */
+#define DECIDE_MS 20
+#define EACH_MS 2
+#define TICKET_MS 3000
+#define ALLOWED 2    /* executors that may run a step */
 #define LATE_MS 6000 /* a start without an answer is executed after this time */
 #define POOL "troquel"
 #define HOST "pule25.example"
@@ -468,6 +472,84 @@
 	return g_string_free(out, FALSE);
 }
 
+/// Tells whether the policy of the queue allows a step at an executor: at ALLOWED of them, drawn by
+/// the name of the step among those that were there when it was first asked for.
+static bool policy_allows(const char *phase, const struct executor *e)
+{
+	static GHashTable *drawn; /* seed and number of executors by step */
+	guint *draw;
+
+	if (!drawn)
+		drawn = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	draw = g_hash_table_lookup(drawn, phase);
+	if (!draw) {
+		draw = g_new(guint, ALLOWED);
+		for (guint i = 0; i < ALLOWED; i++)
+			draw[i] = (guint)g_random_int_range(1, (gint)world.executors->len + 1);
+		g_hash_table_insert(drawn, g_strdup(phase), draw);
+		record("the policy allows %s at executors %u and %u", phase, draw[0], draw[1]);
+	}
+	for (guint i = 0; i < ALLOWED; i++)
+		if (draw[i] == e->number)
+			return true;
+	return false;
+}
+
+/// Returns the ticket for a step at an executor in its present life.
+static char *ticket_of(const char *phase, const struct executor *e, gint64 at_ms)
+{
+	return g_strdup_printf("%s|%s|%u|%" G_GINT64_FORMAT, phase, e->id, e->life, at_ms);
+}
+
+/// Tells whether a start carries a valid ticket for its step.
+static bool has_ticket(const struct executor *e, JsonObject *o)
+{
+	const char *ticket = json_object_get_string_member_with_default(o, "ticket", "");
+	const char *task = json_object_get_string_member(o, "task");
+	g_autofree char *phase = g_strndup(task, step_length(task));
+	const char *at = strrchr(ticket, '|');
+	gint64 at_ms = at ? g_ascii_strtoll(at + 1, NULL, 10) : 0;
+	g_autofree char *valid = ticket_of(phase, e, at_ms);
+
+	return g_str_equal(ticket, valid) && now_ms() - at_ms <= TICKET_MS;
+}
+
+/// Answers a request for advice.
+static char *answer_advice(const char *body)
+{
+	g_autoptr(JsonParser) parser = json_parser_new();
+	GString *out = g_string_new("{\"good\":[");
+	JsonArray *workers;
+	const char *phase;
+	JsonObject *o;
+	bool first = true;
+
+	json_parser_load_from_data(parser, body, -1, NULL);
+	o = json_node_get_object(json_parser_get_root(parser));
+	phase = json_object_get_string_member(o, "phase");
+	workers = json_object_get_array_member(o, "workers");
+	for (guint i = 0; i < json_array_get_length(workers); i++)
+		for (guint k = 0; k < world.executors->len; k++) {
+			const struct executor *e = world.executors->pdata[k];
+			g_autofree char *ticket = NULL;
+
+			if (!g_str_equal(e->id, json_array_get_string_element(workers, i)) ||
+			    !policy_allows(phase, e))
+				continue;
+			ticket = ticket_of(phase, e, now_ms());
+			g_string_append_printf(out, "%s[\"%s\",\"%s\"]", first ? "" : ",", e->id,
+					       ticket);
+			first = false;
+		}
+	g_string_append_printf(out, "],\"validMs\":%d}", TICKET_MS);
+	record("advice asked for %s at %u executors: %s", phase, json_array_get_length(workers),
+	       out->str);
+	g_mutex_unlock(&world.lock);
+	sleep_ms(DECIDE_MS + EACH_MS * json_array_get_length(workers));
+	g_mutex_lock(&world.lock);
+	return g_string_free(out, FALSE);
+}
+
 /// Executes an order.
 ///
 /// @return reason to refuse it, or NULL
@@ -479,7 +561,7 @@
 		return "fence";
 	e->fence = fence;
 	if (g_str_equal(path, "/api/run-start"))
-		return add_run(e, o);
+		return world.has_advice && !has_ticket(e, o) ? "ticket" : add_run(e, o);
 	if (g_str_equal(path, "/api/run-stop")) {
 		stop_run(e, o);
 	} else if (g_str_equal(path, "/api/hold")) {
@@ -605,13 +687,18 @@
 
 struct connection {
 	int fd;
-	struct executor *executor; ///< NULL: the machine service
+	struct executor *executor; ///< NULL: the machine service and the advisor
 };
 
-static char *answer_machines(const char *path, guint *status)
+static char *answer_service(const char *path, const char *body, guint *status)
 {
 	GString *out = g_string_new("{\"machines\":[");
 
+	if (g_str_equal(path, "/api/advise")) {
+		g_string_free(out, TRUE);
+		*status = 200;
+		return answer_advice(body);
+	}
 	if (!g_str_has_prefix(path, "/api/machines")) {
 		*status = 429;
 		g_string_assign(out, "{}");
@@ -651,7 +738,7 @@
 			break;
 		g_mutex_lock(&world.lock);
 		out = c->executor ? answer_order(c->executor, head, words[1], body, &status)
-				  : answer_machines(words[1], &status);
+				  : answer_service(words[1], body, &status);
 		g_mutex_unlock(&world.lock);
 		if (g_str_equal(words[1], "/api/hold"))
 			sleep_ms(world.list_delay_ms);
@@ -794,6 +881,14 @@
 	g_thread_unref(g_thread_new("heartbeats", send_heartbeats, e));
 }
 
+void executor_add(void)
+{
+	g_mutex_lock(&world.lock);
+	add_executor(world.executors->len + 1);
+	record("executor %u is added", world.executors->len);
+	g_mutex_unlock(&world.lock);
+}
+
 const char *executor_id(const struct executor *e)
 {
 	return e->id;
@@ -905,6 +1000,7 @@
 		     "bounds.noticeMs=4500\nbounds.moveS=1.5\nbounds.upkeepS=2\n"
 		     "bounds.requireFence=true\nbounds.leaseMs=3000\nbounds.thawMs=300\n"
 		     "bounds.paceMs=100\nbounds.harmMs=4000\nconfig_mode=highest\ncommands=rpc\n");
+	g_string_append_printf(out, "advice=%s.99:%d\n", world.prefix, CLOUD_PORT);
 	g_string_append_printf(out,
 			       "cloud.address=%s.99:%d\ncloud.perS=64.0\ncloud.duties=\n"
 			       "cloud.dutyPerS=64.0\n",
@@ -1079,15 +1175,21 @@
 
 static void put_config(void)
 {
-	const char *config =
+	g_autofree char *advice =
+		g_strdup_printf(",\"advice\":{\"decideMs\":%d,\"eachMs\":%d,\"validMs\":%d}",
+				DECIDE_MS, EACH_MS, TICKET_MS);
+	g_autofree char *config = g_strconcat(
 		"{\"version\":7,\"routes\":[{\"name\":\"r-1\",\"hostname\":\"" HOST
 		"\",\"pathPrefix\":\"" PREFIX "\",\"routeKind\":\"mutating\",\"timeoutMs\":3000,"
 		"\"targetDurationMs\":600,\"priority\":0,\"backend\":\"" POOL
-		"\",\"maxAttempts\":2,\"stretch\":1.6}],\"services\":[{\"name\":\"" POOL
+		"\",\"maxAttempts\":2,\"stretch\":1.6",
+		world.has_advice ? advice : "",
+		"}],\"services\":[{\"name\":\"" POOL
 		"\",\"healthPath\":\"/health\",\"maxConns\":64,\"protocol\":\"h1\",\"tls\":false,"
 		"\"admissionControl\":false,\"standby\":false}],\"limits\":{\"maxHeaderBytes\":"
 		"16384,"
-		"\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}";
+		"\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}",
+		NULL);
 	gint64 until = now_ms() + 30000;
 
 	for (guint i = 0; now_ms() < until; i++) {
--- a/review/common-2/world.h
+++ b/review/common-2/world.h
@@ -65,6 +65,8 @@
 	GPtrArray *executors;
 	GPtrArray *ends; ///< of struct ended_run: all ends, in order
 	start_hook on_start;
+	bool has_advice;     ///< the queue has a policy that the advisor knows; set before
+			     ///< world_begin()
 	bool keeps_ids;	     ///< executors start again under the id that they had
 	guint list_delay_ms; ///< time until an executor answers with its lists
 	guint crashes;	     ///< processes of the system that ended by themselves
@@ -115,6 +117,8 @@
 /// @return state, or NULL after @p timeout_ms
 char *client_wait(const char *id, guint timeout_ms);
 
+/// Adds an executor of the pool.
+void executor_add(void);
 /// Returns the executor that runs a task, or NULL.
 struct executor *executor_running(const char *task);
 /// Returns the number of runs of the task names that begin with @p prefix.
