review: case 12, a job whose executors are beyond the first 30 never starts

The advisor is asked about the first 30 candidates only, always the same ones. A service grows from 30 to 37 executors, and jobs whose policy allows only executors that are never named stay pending.

--- a/review/common-3/kit.hh
+++ b/review/common-3/kit.hh
@@ -506,6 +506,7 @@
 			fprintf(f, "%s=%s\n", m.first.c_str(), m.second.c_str());
 		fclose(f);
 	}
+	/// Only for the main thread, which outlives the process: its end would end the process, too.
 	void start()
 	{
 		if (is_control)
@@ -737,6 +738,9 @@
 	std::atomic<bool> alive{false};
 	/// Called without the lock when a task has begun.
 	std::function<void(Executor &, const Run &)> on_begin;
+	/// Called with the lock for a start that is otherwise in order.
+	/// @return reason to refuse it, or NULL
+	std::function<const char *(Executor &, const Json &)> refuses;
 	std::vector<Run> begun; ///< all runs of all lives
 	std::vector<End> ends;	///< the same
 
@@ -784,6 +788,11 @@
 		work_thread.join();
 		server.reset();
 	}
+	/// @return start time of this life, which its tickets are bound to
+	int64_t life() const
+	{
+		return born;
+	}
 	size_t count_running()
 	{
 		Lock lock(mutex);
@@ -928,6 +937,10 @@
 		extend(until);
 		if (r != running.end() || attempt <= highest[task])
 			return refuse("old");
+		const char *reason = refuses ? refuses(*this, body) : nullptr;
+
+		if (reason)
+			return refuse(reason);
 		Run run = {task, attempt, body["spec"].text, now_ms(), now_ms() + task_ms};
 
 		running[task] = run;
