--- a/review/15/case.cc
+++ b/review/15/case.cc
@@ -1,78 +1,64 @@
 /// @file
-/// Case 15: an operator's tool sends a file to which a second configuration has been appended.
+/// Case 15: a client's spec contains the character U+0000, which JSON writes as \u0000.
 
 #include "../common-3/kit.hh"
 
 using namespace kit;
 
-static std::string config(int version, const std::string &prefix)
-{
-	return "{\"version\":" + std::to_string(version) +
-	       ",\"routes\":[{\"name\":\"r1\",\"hostname\":\"q.example\",\"pathPrefix\":\"" +
-	       prefix +
-	       "\",\"routeKind\":\"mutating\",\"timeoutMs\":3000,\"targetDurationMs\":600,"
-	       "\"priority\":1,\"backend\":\"pool-a\",\"maxAttempts\":2,\"stretch\":1.6}],"
-	       "\"services\":[{\"name\":\"pool-a\",\"healthPath\":\"/health\",\"maxConns\":64,"
-	       "\"protocol\":\"h1\",\"tls\":false,\"admissionControl\":false,\"standby\":false}],"
-	       "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,"
-	       "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}";
-}
-
-/// @return end of the first JSON object in @p s
-static size_t object_end(const std::string &s)
-{
-	int depth = 0;
-	bool in_text = false;
-
-	for (size_t i = 0; i < s.size(); i++) {
-		if (in_text) {
-			i += s[i] == '\\';
-			in_text = s[i] != '"';
-		} else if (s[i] == '"') {
-			in_text = true;
-		} else if (s[i] == '{' || s[i] == '}') {
-			depth += s[i] == '{' ? 1 : -1;
-			if (!depth)
-				return i + 1;
-		}
-	}
-	return 0;
-}
+static const char *const config =
+	"{\"version\":1,\"routes\":[{\"name\":\"r1\",\"hostname\":\"q.example\",\"pathPrefix\":"
+	"\"/q/\",\"routeKind\":\"mutating\",\"timeoutMs\":3000,\"targetDurationMs\":600,"
+	"\"priority\":1,\"backend\":\"pool-a\",\"maxAttempts\":2,\"stretch\":1.6}],\"services\":[{"
+	"\"name\":\"pool-a\",\"healthPath\":\"/health\",\"maxConns\":64,\"protocol\":\"h1\","
+	"\"tls\":false,\"admissionControl\":false,\"standby\":false}],\"limits\":{"
+	"\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,"
+	"\"idleTimeoutMs\":15000}}";
 
 int main(int argc, char **argv)
 {
 	open_record(argc > 1 ? argv[1] : "record.txt");
 	System system(choose_net(), 3, 2);
-	std::string second = config(7, "/new/") + "\n" + config(5, "/old/");
+	std::vector<std::unique_ptr<Executor>> executors;
+	const char *end = has_trouble() ? "\\u0000" : ",";
+	/* Fields of an order, each with its end. */
+	std::string spec = std::string("pay town=xela") + end + "sheets=400" + end + "colour=red" +
+			   end;
+	std::string body = "{\"spec\":\"" + spec +
+			   "\",\"phases\":[{\"count\":1,\"cpu\":500,\"memMb\":256,\"estimateMs\":500}]}";
+	std::string sent = parse(body)["spec"].text;
 	bool broken = false;
+	size_t runs = 0;
 	Answer a;
-	const char *const prefixes[] = {"/first/", "/new/", "/old/"};
 
 	system.start();
-	a = system.order("POST", "/api/config/replace", config(3, "/first/"), 15000);
-	record("version 3: %d", a.status);
+	a = system.order("POST", "/api/config/replace", config, 15000);
+	record("configuration: %d", a.status);
 	if (a.status != 200 || !system.wait_ready(15000))
 		return 2;
-	if (!has_trouble())
-		second = config(7, "/new/");
-	a = system.order("POST", "/api/config/replace", second, 10000);
-	record("operator sends %s", second.c_str());
-	record("answer %d", a.status);
-	if (has_trouble() && a.status == 200) {
-		broken = true;
-		record("BROKEN: what cannot be read as one JSON text is acknowledged");
-	}
-	sleep_ms(3000);
-	a = system.order("GET", "/api/config/read", "", 10000);
-	record("read back: %d %s", a.status, a.body.c_str());
-	if (a.status == 200 && object_end(a.body) != a.body.size()) {
-		broken = true;
-		record("BROKEN: what is read back isn't a JSON text");
+	for (int i = 0; i < 8; i++) {
+		executors.push_back(std::make_unique<Executor>(
+			system, "i-" + std::to_string(i + 1), "pool-a",
+			system.ip(2, i + 1) + ":8080", "m-" + std::to_string(i + 1)));
+		executors.back()->task_ms = 500;
+		executors.back()->start();
 	}
-	for (const char *p : prefixes) {
-		a = call(system.front(0), "GET", p, "q.example", "", 3000);
-		record("GET %s: %d %s", p, a.status, a.body.c_str());
-	}
-	record("%s", broken ? "BROKEN" : "held");
+	sleep_ms(2500);
+	a = system.ask("POST", "q.example", "/q/00000000abc00001", body, 10000);
+	record("client sends %s", body.c_str());
+	record("the spec has %zu bytes; answer %d", sent.size(), a.status);
+	if (a.status == 200)
+		sleep_ms(3000);
+	for (auto &e : executors)
+		for (auto &r : e->begun) {
+			runs++;
+			broken |= r.spec != sent;
+			record("%s was told to start %s with a spec of %zu bytes: %.*s%s", e->id.c_str(),
+			       r.task.c_str(), r.spec.size(), (int)r.spec.size(), r.spec.c_str(),
+			       r.spec == sent ? "" : "  BROKEN: not the spec that was sent");
+		}
+	a = system.ask("GET", "q.example", "/q/00000000abc00001", "", 5000);
+	record("%zu runs; the job is shown as %d %s; %s", runs, a.status, a.body.c_str(),
+	       broken ? "BROKEN" : "held");
+	executors.clear();
 	return broken;
 }
