review: case 11, tasks of an executor that leaves run twice

An executor that has said that it leaves, and gets no acknowledgement, counts as ended after one unanswered call; its tasks start elsewhere while it runs on for some seconds.

--- a/review/11/case.cc
+++ b/review/11/case.cc
@@ -1,5 +1,5 @@
 /// @file
-/// Case 11: one executor of eight crash-loops: in three lives it crashes just after it has begun a task.
+/// Case 11: an executor that leaves is cut off one way while it does.
 
 #include "../common-3/kit.hh"
 
@@ -15,22 +15,17 @@
 	"\"idleTimeoutMs\":15000}}";
 
 #define EXECUTORS 8
-#define CRASH_AFTER_MS 100 /* from the start of a task */
-#define DOWN_MS 1500
-#define CRASHES 3
+#define DRAIN_MS 2000 /* bounds.drainMs */
+#define CUT_MS 5500
+#define CUT_BEFORE_END_MS 500 /* the cut begins so long before the executor says that it leaves */
+#define ENDS_ANYWAY_MS 3000
 
 int main(int argc, char **argv)
 {
 	open_record(argc > 1 ? argv[1] : "record.txt");
 	System system(choose_net(), 3, 2);
 	std::vector<std::unique_ptr<Executor>> executors;
-	std::map<std::string, std::string> last;
-	std::atomic<int> crashes{0};
-	std::atomic<int> wanted{has_trouble() ? CRASHES : 0};
-	std::atomic<bool> due{false};
-	std::thread crasher;
-	std::atomic<bool> over{false};
-	bool broken = false;
+	std::atomic<int> twice{0};
 	Answer a;
 
 	system.start();
@@ -42,73 +37,63 @@
 		auto e = std::make_unique<Executor>(system, "i-" + std::to_string(i + 1), "pool-a",
 						    system.ip(2, i + 1) + ":8080",
 						    "m-" + std::to_string(i + 1));
-		e->rack = "r1-" + std::to_string(i / 4 + 1);
-		e->on_begin = [&due, i](Executor &, const Run &) {
-			if (i == 0)
-				due = true;
+		e->task_ms = 12000;
+		executors.push_back(std::move(e));
+	}
+	for (auto &e : executors) {
+		e->on_begin = [&](Executor &at, const Run &r) {
+			for (auto &other : executors)
+				if (other.get() != &at && other->runs(r.task)) {
+					twice++;
+					record("BROKEN: %s runs on %s and on %s", r.task.c_str(),
+					       other->id.c_str(), at.id.c_str());
+				}
 		};
 		e->start();
-		executors.push_back(std::move(e));
 	}
 	sleep_ms(2500);
-	/* The unsound executor: in each of its first lives it crashes soon after it has begun a task. */
-	crasher = std::thread([&] {
-		while (!over) {
-			if (!due || crashes >= wanted) {
-				sleep_ms(2);
-				continue;
-			}
-			sleep_ms(CRASH_AFTER_MS);
-			executors[0]->crash();
-			crashes++;
-			sleep_ms(DOWN_MS);
-			due = false;
-			executors[0]->start();
-		}
-	});
-	std::vector<std::string> ids;
-	int64_t until = now_ms() + 8000;
+	a = system.ask("POST", "q.example", "/q/00000000abc00001",
+		       "{\"spec\":\"job\",\"phases\":[{\"count\":16,\"cpu\":4000,\"memMb\":1024,"
+		       "\"estimateMs\":12000}]}",
+		       10000);
+	record("job: %d", a.status);
+	if (a.status != 200)
+		return 2;
+	sleep_ms(1500);
+	size_t at = 0;
+
+	while (at < executors.size() && !executors[at]->count_running())
+		at++;
+	if (at == executors.size())
+		return 2;
+	Executor &leaving = *executors[at];
 
-	for (int i = 0; now_ms() < until; i++) {
-		char id[17];
+	leaving.drain();
+	for (int i = 0; i < 100 && !leaving.drain_acknowledged; i++)
+		sleep_ms(20);
+	if (!leaving.drain_acknowledged)
+		return 2;
+	record("draining is acknowledged");
+	sleep_ms(DRAIN_MS + 500 - CUT_BEFORE_END_MS);
+	int64_t cut_at = now_ms();
 
-		snprintf(id, sizeof(id), "%016x", 0xabc00000 + i);
-		a = system.ask("POST", "q.example", std::string("/q/") + id,
-			       "{\"spec\":\"job\",\"phases\":[{\"count\":8,\"cpu\":4000,\"memMb\":1024,"
-			       "\"estimateMs\":800}]}",
-			       10000);
-		record("job %s: %d", id, a.status);
-		if (a.status == 200)
-			ids.push_back(id);
-		sleep_ms(300);
-	}
-	until = now_ms() + 40000;
-	for (bool open = true; open && now_ms() < until; sleep_ms(300)) {
-		open = false;
-		for (auto &id : ids) {
-			if (last[id] == "completed" || last[id] == "failed")
-				continue;
-			a = system.ask("GET", "q.example", "/q/" + id, "", 5000);
-			if (a.status == 200)
-				last[id] = parse(a.body)["state"].text;
-			open |= last[id] != "completed" && last[id] != "failed";
-		}
+	if (has_trouble()) {
+		leaving.cut = true;
+		record("what is sent to %s is lost from now on", leaving.id.c_str());
 	}
-	over = true;
-	crasher.join();
-	int failed_ends = 0;
+	sleep_ms(CUT_BEFORE_END_MS);
+	int64_t leaves_at = now_ms();
 
-	for (auto &e : executors)
-		for (auto &end : e->ends)
-			failed_ends += end.how == "failed";
-	for (auto &id : ids) {
-		record("job %s is shown as %s", id.c_str(), last[id].c_str());
-		broken |= last[id] == "failed";
-	}
-	record("%zu jobs, %d crashes, %d ends failed; %s", ids.size(), crashes.load(), failed_ends,
-	       broken ? "BROKEN: a job is shown as failed without cause" : "held");
-	if (has_trouble() && crashes < wanted)
-		return 2;
+	if (!leaving.deregister())
+		sleep_ms(std::max<int64_t>(0, leaves_at + ENDS_ANYWAY_MS - now_ms()));
+	record("%s ends with %zu tasks, %lld ms after it has said that it leaves",
+	       leaving.id.c_str(), leaving.count_running(), (long long)(now_ms() - leaves_at));
+	leaving.crash();
+	sleep_ms(std::max<int64_t>(0, cut_at + CUT_MS - now_ms()));
+	sleep_ms(14000);
+	a = system.ask("GET", "q.example", "/q/00000000abc00001", "", 5000);
+	record("the job is shown as %s; %d tasks ran twice at the same time; %s", a.body.c_str(),
+	       twice.load(), twice ? "BROKEN" : "held");
 	executors.clear();
-	return broken;
+	return twice > 0;
 }
--- a/review/common-3/kit.hh
+++ b/review/common-3/kit.hh
@@ -30,7 +30,8 @@
 #include <thread>
 #include <vector>
 
-namespace kit {
+namespace kit
+{
 
 using Lock = std::unique_lock<std::mutex>;
 
@@ -96,9 +97,12 @@
 	}
 };
 
-class JsonReader {
-public:
-	explicit JsonReader(const std::string &s) : s(s) {}
+class JsonReader
+{
+      public:
+	explicit JsonReader(const std::string &s) : s(s)
+	{
+	}
 
 	Json read()
 	{
@@ -150,7 +154,7 @@
 		return v;
 	}
 
-private:
+      private:
 	const std::string &s;
 	size_t at = 0;
 
@@ -225,7 +229,7 @@
 /* HTTP. */
 
 struct Message {
-	std::string start; ///< request or status line
+	std::string start;			    ///< request or status line
 	std::map<std::string, std::string> headers; ///< names in lower case
 	std::string body;
 
@@ -256,9 +260,8 @@
 				std::string line = buffer.substr(at + 2, end - at - 2);
 				size_t colon = line.find(':');
 				std::string name = line.substr(0, colon);
-				std::string value = colon == std::string::npos
-							    ? ""
-							    : line.substr(colon + 1);
+				std::string value =
+					colon == std::string::npos ? "" : line.substr(colon + 1);
 
 				for (char &c : name)
 					c = (char)tolower(c);
@@ -336,10 +339,11 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	int64_t deadline = now_ms() + timeout_ms;
 	if (connect(fd, (sockaddr *)&a, sizeof(a)) == 0 &&
-	    send_all(fd, method + " " + path + " HTTP/1.1\r\nHost: " +
-				 (host.empty() ? address : host) +
+	    send_all(fd, method + " " + path +
+				 " HTTP/1.1\r\nHost: " + (host.empty() ? address : host) +
 				 "\r\nContent-Type: application/json\r\nContent-Length: " +
-				 std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" + body) &&
+				 std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" +
+				 body) &&
 	    read_message(fd, buffer, m, deadline)) {
 		out.status = atoi(m.start.c_str() + strlen("HTTP/1.1 "));
 		out.body = m.body;
@@ -349,8 +353,9 @@
 }
 
 /// Serves HTTP/1.1, a thread for each connection.
-class Server {
-public:
+class Server
+{
+      public:
 	using Handler = std::function<Answer(const std::string &method, const std::string &path,
 					     const Message &m)>;
 
@@ -390,7 +395,7 @@
 		ended.wait(lock, [this] { return connections.empty(); });
 	}
 
-private:
+      private:
 	Handler handler;
 	int fd;
 	std::thread acceptor;
@@ -453,8 +458,9 @@
 	std::vector<std::pair<std::string, std::string>> more;
 };
 
-class Process {
-public:
+class Process
+{
+      public:
 	std::string name;
 	std::string ip;
 	bool is_control;
@@ -469,16 +475,15 @@
 		data = folder + "/" + name + ".data";
 		FILE *f = fopen(path.c_str(), "w");
 
-		fprintf(f, "nodeName=%s\nrole=%s\nmachineClass=%s\nserves=%s\nip=%s\n", name.c_str(),
-			is_control ? "control" : "entry", is_control ? "core" : "edge",
-			is_control ? "control" : "edge", ip.c_str());
+		fprintf(f, "nodeName=%s\nrole=%s\nmachineClass=%s\nserves=%s\nip=%s\n",
+			name.c_str(), is_control ? "control" : "entry",
+			is_control ? "core" : "edge", is_control ? "control" : "edge", ip.c_str());
 		fprintf(f, "zone=zone-a\nregion=region\nzones.zone-a=region\n");
 		if (is_control)
 			fprintf(f, "listen.control=%s:8623\ndataDir=%s\nlimits.diskMb=128\n",
 				ip.c_str(), data.c_str());
 		else
-			fprintf(f,
-				"listen.front=%s:8624\nlisten.ready=%s:8622\nlimits.diskMb=0\n",
+			fprintf(f, "listen.front=%s:8624\nlisten.ready=%s:8622\nlimits.diskMb=0\n",
 				ip.c_str(), ip.c_str());
 		fprintf(f, "internalPorts=7060,7075\nseeds=%s\nbootstrap=%s\ninFaultBudget=%s\n",
 			seeds.c_str(), bootstrap ? "true" : "false", is_control ? "true" : "false");
@@ -506,7 +511,8 @@
 			fprintf(f, "%s=%s\n", m.first.c_str(), m.second.c_str());
 		fclose(f);
 	}
-	/// Only for the main thread, which outlives the process: its end would end the process, too.
+	/// Only for the main thread, which outlives the process: its end would end the process,
+	/// too.
 	void start()
 	{
 		if (is_control)
@@ -554,14 +560,15 @@
 		pid = 0;
 	}
 
-private:
+      private:
 	std::string path;
 	std::string log;
 	std::string data;
 };
 
-class System {
-public:
+class System
+{
+      public:
 	std::string folder;
 	std::vector<std::unique_ptr<Process>> controls;
 	std::vector<std::unique_ptr<Process>> entries;
@@ -690,7 +697,7 @@
 		return net + "." + std::to_string(group) + "." + std::to_string(n);
 	}
 
-private:
+      private:
 	std::string net;
 	size_t next = 0;
 
@@ -724,8 +731,9 @@
 };
 
 /// An executor: it carries out what it is told, as the protocol says.
-class Executor {
-public:
+class Executor
+{
+      public:
 	std::string id;
 	std::string pool;
 	std::string address;
@@ -733,9 +741,13 @@
 	std::string rack = "r1-1";
 	int64_t cpu = 16000;
 	int64_t mem_mb = 65536;
-	int64_t task_ms = 800;	 ///< run time of a task
+	int64_t task_ms = 800; ///< run time of a task
 	System &system;
 	std::atomic<bool> alive{false};
+	std::atomic<bool> draining{false};
+	/// What the system sends to the executor is lost, answers included; what it sends arrives.
+	std::atomic<bool> cut{false};
+	std::atomic<bool> drain_acknowledged{false};
 	/// Called without the lock when a task has begun.
 	std::function<void(Executor &, const Run &)> on_begin;
 	/// Called with the lock for a start that is otherwise in order.
@@ -746,8 +758,8 @@
 
 	Executor(System &system, std::string id, std::string pool, std::string address,
 		 std::string machine)
-		: id(std::move(id)), pool(std::move(pool)), address(std::move(address)),
-		  machine(std::move(machine)), system(system)
+	    : id(std::move(id)), pool(std::move(pool)), address(std::move(address)),
+	      machine(std::move(machine)), system(system)
 	{
 	}
 	~Executor()
@@ -788,6 +800,37 @@
 		work_thread.join();
 		server.reset();
 	}
+	/// Begins to leave: says so with a heartbeat at once.
+	void drain()
+	{
+		draining = true;
+		record("%s drains", id.c_str());
+		changed.notify_all();
+	}
+	/// Says that it leaves.
+	/// @return whether that was acknowledged
+	bool deregister()
+	{
+		std::string body = "{\"born\":" + std::to_string(born) + "}";
+
+		for (size_t i = 0; alive && i < 3; i++) {
+			int status = call(system.control(i), "POST",
+					  "/api/executors/" + id + "/deregister", "", body, 1000)
+					     .status;
+
+			record("%s deregisters at replica %zu: %s", id.c_str(), i + 1,
+			       cut ? "no answer arrives" : std::to_string(status).c_str());
+			if (status == 200 && !cut)
+				return true;
+		}
+		return false;
+	}
+	bool runs(const std::string &task)
+	{
+		Lock lock(mutex);
+
+		return alive && running.count(task);
+	}
 	/// @return start time of this life, which its tickets are bound to
 	int64_t life() const
 	{
@@ -800,7 +843,7 @@
 		return running.size();
 	}
 
-private:
+      private:
 	std::mutex mutex;
 	std::condition_variable changed;
 	std::unique_ptr<Server> server;
@@ -840,21 +883,30 @@
 
 				body = "{\"backend\":\"" + pool + "\",\"address\":\"" + address +
 				       "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":8,"
-				       "\"state\":\"ready\",\"coldLeftMs\":0,\"capacity\":{\"cpu\":" +
-				       std::to_string(cpu) + ",\"memMb\":" + std::to_string(mem_mb) +
+				       "\"state\":\"" +
+				       (draining ? "draining" : "ready") +
+				       "\",\"coldLeftMs\":0,\"capacity\":{\"cpu\":" +
+				       std::to_string(cpu) +
+				       ",\"memMb\":" + std::to_string(mem_mb) +
 				       ",\"gpu\":0},\"labels\":[\"a\",\"" + rack +
-				       "\"],\"hostMachine\":\"" + machine + "\"," + clock_members() +
+				       "\"],\"hostMachine\":\"" + machine + "\"," +
+				       clock_members() +
 				       ",\"sequence\":" + std::to_string(++sequence) + "}";
 			}
+			bool was_draining = draining;
+
 			for (size_t tries = 0; alive && tries < 5; tries++, i++)
 				if (call(system.control(i), "POST",
 					 "/api/executors/" + id + "/heartbeat", "", body, 1000)
-					    .status == 200)
+						    .status == 200 &&
+				    !cut) {
+					drain_acknowledged = was_draining;
 					break;
+				}
 			Lock lock(mutex);
 			changed.wait_for(lock,
 					 std::chrono::milliseconds(system.settings.heartbeat_ms),
-					 [this] { return !alive; });
+					 [&] { return !alive || draining != was_draining; });
 		}
 	}
 	void end_run(const std::string &task, const char *how)
@@ -901,7 +953,10 @@
 		int64_t attempt = body["attempt"].integer();
 		Lock lock(mutex);
 
-		if (!alive)
+		if (cut)
+			changed.wait_for(lock, std::chrono::seconds(60),
+					 [this] { return !alive || !cut; });
+		if (!alive || cut)
 			return {};
 		if (method == "GET")
 			return {200, "{}"};
@@ -968,9 +1023,9 @@
 		out = "{" + clock_members() + ",\"running\":[";
 		for (auto &r : running) {
 			int64_t percent = std::min<int64_t>(
-				100, (now_ms() - r.second.began_ms) * 100 /
-					     std::max<int64_t>(1, r.second.ends_ms -
-									  r.second.began_ms));
+				100,
+				(now_ms() - r.second.began_ms) * 100 /
+					std::max<int64_t>(1, r.second.ends_ms - r.second.began_ms));
 
 			out += std::string(first ? "" : ",") + "[\"" + r.first + "\"," +
 			       std::to_string(r.second.attempt) + ",\"\"," +
@@ -986,18 +1041,23 @@
 	}
 };
 
-/// Chooses the first two bytes of this run's loopback addresses, on which no port is in use.
+/// Chooses the first two bytes of this run's loopback addresses. A socket reserves them until the
+/// process ends.
 inline std::string choose_net()
 {
 	for (int i = 0; i < 200; i++) {
 		std::string net = "127." + std::to_string(20 + (getpid() + i) % 200);
-		sockaddr_in a = address_of(net + ".1.10:8623");
+		sockaddr_in reserved = address_of(net + ".9.9:9999");
+		sockaddr_in first = address_of(net + ".1.10:8623");
+		int reservation = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-		bool is_free = bind(fd, (sockaddr *)&a, sizeof(a)) == 0;
+		bool is_free = bind(reservation, (sockaddr *)&reserved, sizeof(reserved)) == 0 &&
+			       bind(fd, (sockaddr *)&first, sizeof(first)) == 0;
 
 		close(fd);
 		if (is_free)
 			return net;
+		close(reservation);
 	}
 	_exit(2);
 }
