--- a/review/12/case.cc
+++ b/review/12/case.cc
@@ -16,8 +16,9 @@
 	"\"idleTimeoutMs\":15000}}";
 
 #define FREEZE_MS 5000
-#define ROUNDS 7
-#define CALM_MS 6000 /* between two freezes */
+#define ROUNDS 9
+#define CALM_MS 4000 /* between two freezes */
+#define SPEC_BYTES 3800
 #define GIVE_UP_MS 1000
 #define CANCEL_MS 3000 /* bounds.cancel_ms */
 
@@ -31,7 +32,7 @@
 /// @return time since the cancelling was acknowledged, ms; -1: it was not
 static int play(System &system, int round)
 {
-	Process &frozen = *system.entries[(size_t)round];
+	Process &frozen = *system.entries[(size_t)round % system.entries.size()];
 	std::string address = frozen.ip + ":8624";
 	int64_t frozen_at = now_ms();
 	int64_t cancelled_at;
@@ -42,8 +43,9 @@
 		record("%s freezes", frozen.name.c_str());
 	}
 	a = call(address, "POST", path_of(round), "q.example",
-		 "{\"spec\":\"job\",\"phases\":[{\"count\":1,\"cpu\":1000,\"memMb\":1024,"
-		 "\"estimateMs\":800}]}",
+		 "{\"spec\":\"" + std::string(SPEC_BYTES, 'x') +
+			 "\",\"phases\":[{\"count\":1,\"cpu\":1000,\"memMb\":1024,"
+			 "\"estimateMs\":800}]}",
 		 GIVE_UP_MS);
 	record("client hands %s in at %s: %d", path_of(round).c_str(), frozen.name.c_str(),
 	       a.status);
