fix(sched): ask for placement advice beyond the first 30 endpoints

Cause: a request named the first 30 placement candidates, whose order does not change while a pool is quiet.

Advice is now kept for each endpoint and incarnation: ticket, refused or unknown. A step with tasks left to place asks about those that it does not know, or whose ticket has expired, until the pool is known; endpoints where a task fits now come first. A wide step may name up to 100 at once, since a gang needs its tickets at the same time. A start that is refused for its ticket drops what is known of its endpoint only; it dropped all advice, which would set back the search of other steps. Advice of steps that are no longer placed is dropped; it was kept for as long as the leader led.

Test: property-advice (the model gets a policy and an advisor).

--- a/src/sesamewood/manager/manager.c
+++ b/src/sesamewood/manager/manager.c
@@ -175,6 +175,7 @@
 		return;
 	m->next_cleanup_at = now + FORGET_PERIOD_MS;
 	incarnations_forget_terminated(m, now);
+	advice_forget_unused(m, now);
 	if (g_hash_table_size(m->failed_at) > FAILED_TASKS_MAX)
 		g_hash_table_remove_all(m->failed_at);
 	g_hash_table_iter_init(&iter, m->jobs->by_id);
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "runs/attempts.h"
 #include "runs/incarnations.h"
+#include "sched/advice.h"
 #include "sched/estimates.h"
 #include "sched/health.h"
 #include "sched/interference.h"
@@ -457,7 +458,7 @@
 		e->next_status_at = now;
 		return;
 	case ORDER_INVALID_TICKET:
-		g_hash_table_remove_all(m->advice);
+		advice_forget_endpoint(m, e->id);
 		break;
 	case ORDER_NO_CAPACITY:
 	case ORDER_TRY_LATER:
--- a/src/sesamewood/sched/place.c
+++ b/src/sesamewood/sched/place.c
@@ -66,6 +66,14 @@
 	return has_capacity(&c->available, q->step) && is_allowed(c, q);
 }
 
+bool place_fits_with_ticket(const struct place_candidate *c, const struct place_request *request)
+{
+	struct place_request q = *request;
+
+	q.needs_ticket = false;
+	return fits(c, &q);
+}
+
 /// A bad pair counts less than due maintenance, and more than how many tasks of a kind are there:
 /// it is known of just these images.
 #define BAD_PAIR_COST 5000000
--- a/src/sesamewood/sched/place.h
+++ b/src/sesamewood/sched/place.h
@@ -53,6 +53,9 @@
 /// @return index of the best candidate, or -1 if the task fits on no candidate now
 int place_choose(const GArray *candidates, const struct place_request *request);
 
+/// Tells whether a task fits at a candidate now, apart from the ticket that it may need.
+bool place_fits_with_ticket(const struct place_candidate *c, const struct place_request *request);
+
 /// Finds the candidate to reserve for a long-running task that fits nowhere now: the one that lacks
 /// the least capacity and has enough once its tasks of bounded run time have ended. Without a
 /// reservation, small tasks would take all capacity as it becomes free and starve a large one.
--- a/src/sesamewood/sched/schedule.c
+++ b/src/sesamewood/sched/schedule.c
@@ -470,6 +470,7 @@
 	};
 	g_autoptr(GArray) avoid = NULL;
 	g_autofree char *name = NULL;
+	bool all_started;
 
 	if (!accounts_allow_start(m, w->job, step))
 		return false;
@@ -480,14 +481,19 @@
 	}
 	if (w->needs_placement_advice) {
 		name = g_strdup_printf("%s.%u.%u", q.job, w->occurrence, w->step);
-		if (!advice_set_tickets(m, now, name, candidates))
+		if (!advice_set_tickets(m, now, name, candidates)) {
+			advice_request(m, now, name, &q, candidates);
 			return false;
+		}
 	}
 	avoid = interference_avoid(m, step);
 	q.avoid = avoid;
 	q.image_key = avoid ? interference_key(step->image) : 0;
-	if (step->gang ? place_gang(m, now, w, &q, candidates)
-		       : place_independent_tasks(m, now, w, &q, candidates))
+	all_started = step->gang ? place_gang(m, now, w, &q, candidates)
+				 : place_independent_tasks(m, now, w, &q, candidates);
+	if (name && has_waiting_task(w->job, w->occurrence, w->step))
+		advice_request(m, now, name, &q, candidates);
+	if (all_started)
 		return true;
 	capacity_update_max(w->capacity);
 	if (lacks_only_capacity(step, w))
--- a/tests/model/fleet_model.cc
+++ b/tests/model/fleet_model.cc
@@ -35,6 +35,9 @@
 constexpr clock_ms_t kSilentMaxMs = 3000;
 constexpr clock_ms_t kHolderLeaseMs = 3000;
 constexpr const char *kStandbyPool = "standby";
+/// Endpoints that a request for advice may name, and requests that may wait at the advisor.
+constexpr guint kAdvisedMax = 100;
+constexpr clock_ms_t kAdviceWaitingMax = 32;
 /// Time until the leader must know that a task has become unavailable without an order, after a
 /// crash or an expired lease.
 constexpr clock_ms_t kDetectionMs = 4500;
@@ -68,6 +71,12 @@
 	return "/" + pool + "/";
 }
 
+/// Returns the step "job.occurrence.step" of a task.
+std::string step_name_of(const std::string &task)
+{
+	return task.substr(0, task.rfind('.'));
+}
+
 std::shared_ptr<struct order_result> make_result(const struct order &o, order_status status)
 {
 	return {order_result_new(o.id, status), order_result_free};
@@ -306,6 +315,77 @@
 	process_effects();
 }
 
+void Fleet::put_policy(const PlacementPolicy &new_policy)
+{
+	if (!manager)
+		return;
+	policy = new_policy;
+	put_config();
+	process_effects();
+}
+
+bool Fleet::policy_allows(const std::string &step, const Endpoint &e) const
+{
+	auto rank = [&step](const Endpoint &other) {
+		return std::hash<std::string>{}(step + "|" + other.machine);
+	};
+	unsigned int before = 0;
+
+	for (const auto &other : endpoints)
+		before += other->pool == e.pool && rank(*other) < rank(e);
+	return before < policy.allowed;
+}
+
+std::string Fleet::ticket_of(const std::string &step, const Endpoint &e, clock_ms_t at) const
+{
+	return step + "|" + e.id + "|" + std::to_string(e.incarnation_wall_ms) + "|" +
+	       std::to_string(at);
+}
+
+/// Returns whether the ticket of a start is for its step and this incarnation, and still valid.
+bool Fleet::ticket_is_valid(const Endpoint &e, const struct order &o) const
+{
+	std::string ticket = o.ticket;
+	size_t last = ticket.rfind('|');
+	clock_ms_t at;
+
+	if (last == std::string::npos)
+		return false;
+	at = std::stol(ticket.substr(last + 1));
+	return ticket == ticket_of(step_name_of(o.task), e, at) && now - at <= policy.valid_ms;
+}
+
+/// Answers a request for advice. The tickets count from when the advisor takes the request up.
+std::shared_ptr<struct order_result> Fleet::advise(const struct order &o)
+{
+	clock_ms_t taken_up_at = std::max(now, advisor_free_at);
+	clock_ms_t decision_ms =
+		policy.base_ms + policy.each_ms * static_cast<clock_ms_t>(o.instances->len);
+	std::shared_ptr<struct order_result> r;
+
+	if (o.instances->len > kAdvisedMax)
+		throw RuleViolation(std::string("names too many endpoints: ") + o.task);
+	if (taken_up_at - now > kAdviceWaitingMax * decision_ms)
+		return make_result(o, ORDER_TRY_LATER);
+	advice_requests++;
+	endpoints_advised += o.instances->len;
+	advisor_free_at = taken_up_at + decision_ms;
+	r = make_result(o, ORDER_OK);
+	r->valid_ms = static_cast<uint32_t>(policy.valid_ms);
+	for (guint i = 0; i < o.instances->len; i++)
+		for (const auto &e : endpoints) {
+			struct advice_row row = {};
+
+			if (e->id != static_cast<const char *>(o.instances->pdata[i]) ||
+			    !policy_allows(o.task, *e))
+				continue;
+			row.instance = g_strdup(e->id.c_str());
+			row.ticket = g_strdup(ticket_of(o.task, *e, taken_up_at).c_str());
+			g_array_append_val(r->advice, row);
+		}
+	return r;
+}
+
 /// Records the caps of the committed configuration if they have changed.
 void Fleet::record_committed_caps()
 {
@@ -391,6 +471,7 @@
 		q->objective_ms = 600;
 		q->max_attempts = kMaxAttempts;
 		q->stretch_milli = 1600;
+		q->needs_placement_advice = policy.allowed > 0;
 		c.config.pools.pools_val[c.config.pools.pools_len++].name = new_c_string(name);
 	}
 	if (has_standby_pool) {
@@ -846,6 +927,10 @@
 	 * finding 1. */
 	if (late && !e.executed_current_order && !strict)
 		return make_result(o, ORDER_NO_CAPACITY);
+	if (policy.allowed && !ticket_is_valid(e, o)) {
+		tickets_refused++;
+		return make_result(o, ORDER_INVALID_TICKET);
+	}
 	check_start(e, o, *plan, step, late);
 	run.task = o.task;
 	run.attempt = o.attempt;
@@ -1066,6 +1151,8 @@
 		return list_machines(o);
 	if (o.type == ORDER_MACHINE_MOVE && has_standby_pool)
 		return move_machine(o, late);
+	if (o.type == ORDER_ADVISE && policy.allowed)
+		return advise(o);
 	if (o.type == ORDER_MACHINE_LIST || o.type == ORDER_MACHINE_MOVE || !o.address)
 		return make_result(o, ORDER_TRY_LATER);
 	e = find_endpoint(o.address);
@@ -1240,8 +1327,14 @@
 			pending_status_queries.push_back({now + f.order->wait_ms, f.term, f.order,
 							  e, e->incarnation_wall_ms});
 			return;
-		} else
+		} else if (f.order->type == ORDER_ADVISE && f.result->status == ORDER_OK)
+			f.due_at = advisor_free_at + answer_ms;
+		else
 			f.due_at = now + answer_ms;
+		if (f.due_at - now > f.order->timeout_ms) {
+			f.due_at = now + f.order->timeout_ms;
+			f.result = make_result(*f.order, ORDER_NO_ANSWER);
+		}
 		orders_in_flight.emplace(f.due_at, f);
 		return;
 	}
--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -118,6 +118,16 @@
 	bool unreachable = false;
 };
 
+/// The placement policy of all queues, and the advisor that knows it.
+struct PlacementPolicy {
+	/// Machines of its pool on which a step may run; 0: there is no policy.
+	unsigned int allowed = 0;
+	/// Time of a decision, and more for each endpoint that the request names.
+	clock_ms_t base_ms = 20, each_ms = 2;
+	/// Validity of a ticket.
+	clock_ms_t valid_ms = 3000;
+};
+
 /// A job to submit. Its steps form a sequence: each waits for the step before it.
 struct JobPlan {
 	std::string id;
@@ -166,6 +176,11 @@
 	/// Sends a configuration in which the accounts have these caps; does nothing without a
 	/// leader. A leader that is deposed may lose it. The key of an account is its name.
 	void put_accounts(const std::map<std::string, job_cap> &caps);
+	/// Sends a configuration with this policy; does nothing without a leader.
+	void put_policy(const PlacementPolicy &policy);
+	/// Returns whether the policy lets a step "job.occurrence.step" run on an endpoint's
+	/// machine.
+	bool policy_allows(const std::string &step, const Endpoint &e) const;
 	/// Orders a maintenance wave over the machines of the given endpoints; does nothing
 	/// if there is one with that number.
 	/// @param cap highest number of machines that may be down at once
@@ -213,6 +228,9 @@
 	uint64_t moves = 0;
 	/// Starts that took the running work of an account to its cap.
 	uint64_t starts_up_to_cap = 0;
+	/// Endpoints named in requests for advice, those requests, and starts refused for their
+	/// ticket.
+	uint64_t endpoints_advised = 0, advice_requests = 0, tickets_refused = 0;
 	/// Endpoints crashed by their tasks.
 	uint64_t crashes_by_tasks = 0;
 	/// From a crash under a task, or by crash_and_stay_down(), until the next incarnation is
@@ -349,6 +367,9 @@
 	std::map<std::string, job_cap> account_caps;
 	std::vector<CapsInForce> caps_in_force;
 	uint64_t config_version = 0;
+	PlacementPolicy policy;
+	/// When the advisor will have answered all requests so far; it handles one at a time.
+	clock_ms_t advisor_free_at = 0;
 	unsigned int pool_count;
 	/// By job id: the account that the committed state shows; "" for none.
 	std::map<std::string, std::string> job_accounts;
@@ -393,6 +414,9 @@
 	std::shared_ptr<struct order_result> machine_order(const struct order &o, bool late);
 	std::shared_ptr<struct order_result> move_machine(const struct order &o, bool late);
 	std::shared_ptr<struct order_result> list_machines(const struct order &o) const;
+	std::shared_ptr<struct order_result> advise(const struct order &o);
+	std::string ticket_of(const std::string &step, const Endpoint &e, clock_ms_t at) const;
+	bool ticket_is_valid(const Endpoint &e, const struct order &o) const;
 	bool is_reachable(const Endpoint &e) const;
 	void check_holder_lease(const struct order &o);
 	void finish_attempt(Endpoint &e, const std::string &task, attempt_outcome outcome);
