fix(sched): bound the open requests for placement advice

Cause: each waiting step sent its request at once, and the advisor handles those of one caller in turn. The ones at the end of the queue were answered after their tickets had expired or the request had timed out, were sent again, and kept the queue long.

At most four requests are open now, in the order of service of their steps; the advisor stays busy, and a ticket is at most four requests old.

--- a/src/sesamewood/manager/manager_internal.h
+++ b/src/sesamewood/manager/manager_internal.h
@@ -28,6 +28,7 @@
 	GHashTable *runs;		  ///< struct run by task name; owned
 	GHashTable *orders;		  ///< struct pending_order by order id; owned
 	GHashTable *advice;		  ///< struct advice by step name; owned
+	unsigned int advice_requests_open; ///< requests for placement advice without a result
 	GHashTable *ratios; ///< uint32_t, run time ratio in percent, by "queue|step|image"; owned
 	struct accounts *accounts;   ///< use and limits of client accounts
 	GPtrArray *active;	     ///< struct job that has not ended or has attempts assigned
--- a/src/sesamewood/sched/advice.c
+++ b/src/sesamewood/sched/advice.c
@@ -6,7 +6,10 @@
 /// the same time.
 #define REQUEST_ENDPOINTS 30
 #define REQUEST_ENDPOINTS_MAX 100 /* more are refused */
-#define TICKET_MARGIN_MS 300	  /* time for a start order to reach its endpoint */
+/// The advisor handles the requests of one caller in turn: tickets of requests that wait behind
+/// many others would have expired when they arrive.
+#define OPEN_REQUESTS_MAX 4
+#define TICKET_MARGIN_MS 300 /* time for a start order to reach its endpoint */
 #define ADVICE_TIMEOUT_MS 2000
 /// Time between requests of a step that name endpoints where it may not run. The policy does not
 /// change, but an advisor may not know a new endpoint yet.
@@ -157,7 +160,7 @@
 	g_autoptr(GArray) choices = NULL;
 	struct order *o;
 
-	if (a->request_open)
+	if (a->request_open || m->advice_requests_open >= OPEN_REQUESTS_MAX)
 		return;
 	choices = choose_endpoints(a, now, q, candidates);
 	if (!choices->len)
@@ -181,6 +184,7 @@
 	log_debug("placement advice requested", "STEP", step_name, "ENDPOINTS",
 		  log_number(choices->len), "CANDIDATES", log_number(candidates->len));
 	a->request_open = true;
+	m->advice_requests_open++;
 	effects_send_order(m, now, o, NULL, NULL, 0);
 }
 
@@ -211,6 +215,7 @@
 {
 	struct advice *a = find_or_add_advice(m, p->task);
 
+	m->advice_requests_open--;
 	m->round_wanted = true;
 	close_request(a, now, result->status == ORDER_OK);
 	for (guint i = 0; i < result->advice->len; i++) {
--- a/src/sesamewood/sched/advice.h
+++ b/src/sesamewood/sched/advice.h
@@ -19,8 +19,8 @@
 bool advice_set_tickets(struct manager *m, clock_ms_t now, const char *step_name,
 			GArray *candidates);
 
-/// Requests advice for a step that has tasks left to place, unless a request of the step is open
-/// or all candidates are known.
+/// Requests advice for a step that has tasks left to place, unless a request of the step is open,
+/// too many of all steps are, or all candidates are known.
 void advice_request(struct manager *m, clock_ms_t now, const char *step_name,
 		    const struct place_request *q, const GArray *candidates);
 
--- a/tests/property/property_advice.cc
+++ b/tests/property/property_advice.cc
@@ -195,6 +195,36 @@
 	}
 	record_reached(fleet);
 }
+
+/// More steps wait at once than the advisor answers within the validity of a ticket: requests that
+/// wait behind others there must not leave every ticket expired.
+void burst_of_steps_gets_valid_tickets(uint32_t seed)
+{
+	constexpr clock_ms_t kRequestsMs = 6000; /* of one request for each step */
+	std::mt19937 random(seed);
+	const unsigned int n = 20 + random() % 60;
+	model::Fleet fleet(seed, 1, n);
+	model::PlacementPolicy policy;
+	std::vector<model::JobPlan> plans;
+	clock_ms_t request_ms;
+
+	policy.allowed = n / 2 + random() % (n / 2);
+	policy.each_ms = 1 + random() % 4;
+	request_ms = policy.base_ms + policy.each_ms * 30;
+	try {
+		fleet.put_policy(policy);
+		fleet.advance(1600); /* until all endpoints have announced themselves */
+		for (unsigned int i = 0; i < kRequestsMs / request_ms; i++) {
+			plans.push_back(plan_of(i, random, 1));
+			plans.back().steps.resize(1);
+			fleet.submit(plans.back());
+		}
+		check_all_end(fleet, plans);
+	} catch (const model::RuleViolation &broken) {
+		RC_FAIL(broken.what());
+	}
+	record_reached(fleet);
+}
 } // namespace
 
 int main()
@@ -210,6 +240,9 @@
 	property.check("wide_step_gets_enough_tickets", [] {
 		wide_step_gets_enough_tickets(*rc::gen::inRange<uint32_t>(0, 1000000));
 	});
+	property.check("burst_of_steps_gets_valid_tickets", [] {
+		burst_of_steps_gets_valid_tickets(*rc::gen::inRange<uint32_t>(0, 1000000));
+	});
 	std::printf("# reached: %lu jobs, %lu that no endpoint may run, %lu starts, %lu requests "
 		    "naming %lu endpoints, %lu tickets refused, %lu leaders deposed\n",
 		    reached.jobs, reached.excluded, reached.starts, reached.requests, reached.named,
