fix(runs): stop tracking the members of a gang that was done while released

Cause: the first endpoint's leases had expired, so its member was released, while the second member was still tracked. When the first endpoint listed the end "done", complete_untracked() recorded it. That completes the whole gang: the job ends and frees its steps. The second attempt stayed tracked, and its own end, listed 0.7 s later, read the freed steps. Where the end of a tracked member is recorded, the others stop being tracked; here they did not. The stack, from the model: runs_handle_result(), handle_status_result(), apply_completion().

complete_untracked() now stops tracking the other members as well, and logs that it recorded an end; that left no line before.

Test: property-gangs. The model plays gangs, and checks after each result that every tracked attempt is the one to which its task is assigned.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 $(BUILD)-sanitized: deps
 	@cmake -S . -B $@ -DSANITIZE=ON -DCMAKE_BUILD_TYPE=Debug >/dev/null
 	@cmake --build $@ -j $(JOBS) -- --no-print-directory -s unit-base unit-tables unit-raft unit-membership unit-waves unit-sched unit-scale unit-pools unit-runs unit-suspects unit-access unit-accounts unit-admission unit-interference unit-jobs unit-codec unit-order-sender unit-snapshot unit-storage \
-		property-raft property-fleet property-storage property-jobs property-jobs-troubles property-advice
+		property-raft property-fleet property-storage property-jobs property-jobs-troubles property-advice property-gangs
 
 $(BUILD)-fuzz: deps
 	@scripts/install-packages $(TEST_PACKAGES)
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -486,24 +486,12 @@
 	r->endpoint->next_status_at = MIN(r->endpoint->next_status_at, now);
 }
 
-/// Records the completion of an attempt that is no longer tracked.
-static void complete_untracked(struct manager *m, const struct completion_record *row)
+/// @return number of members of the gang that a task belongs to, or 0
+static uint32_t count_members(const struct job *job, const job_task_ref *ref)
 {
-	char id[SW_NAME_MAX + 1];
-	job_command c = {.type = JOB_COMMAND_ATTEMPT_END};
-	const job_task *task;
+	const job_step *step = &job->image.spec.steps.steps_val[ref->step];
 
-	c.job_command_u.end = (job_attempt_end){
-		.attempt = row->attempt,
-		.cause = JOB_ATTEMPT_DONE,
-		.checkpoint = (char *)"",
-	};
-	if (row->outcome != ATTEMPT_DONE ||
-	    !attempts_parse_task_name(row->task, id, sizeof(id), &c.job_command_u.end.task))
-		return;
-	task = jobs_task(m->jobs, &c.job_command_u.end.task);
-	if (task && task->phase == JOB_TASK_WAITING && task->attempt == row->attempt)
-		effects_propose(m, &c);
+	return step->gang ? step->count : 0;
 }
 
 /// Stops tracking the other members of a completed gang, since a gang completes as a whole.
@@ -520,6 +508,35 @@
 	}
 }
 
+/// Records the completion of an attempt that is no longer tracked. Other members of its gang may
+/// still be: their tasks complete with it, and their job may no longer hold its steps.
+static void complete_untracked(struct manager *m, const struct endpoint *e,
+			       const struct completion_record *row)
+{
+	char id[SW_NAME_MAX + 1];
+	job_command c = {.type = JOB_COMMAND_ATTEMPT_END};
+	const job_task_ref *ref = &c.job_command_u.end.task;
+	const job_task *task;
+	uint32_t members;
+
+	c.job_command_u.end = (job_attempt_end){
+		.attempt = row->attempt,
+		.cause = JOB_ATTEMPT_DONE,
+		.checkpoint = (char *)"",
+	};
+	if (row->outcome != ATTEMPT_DONE ||
+	    !attempts_parse_task_name(row->task, id, sizeof(id), &c.job_command_u.end.task))
+		return;
+	task = jobs_task(m->jobs, ref);
+	if (!task || task->phase != JOB_TASK_WAITING || task->attempt != row->attempt)
+		return;
+	members = count_members(jobs_find(m->jobs, ref->job), ref);
+	log_info("attempt was done when it was released", "TASK", row->task, "ATTEMPT",
+		 log_number(row->attempt), "ENDPOINT", e->id, "MEMBERS", log_number(members));
+	effects_propose(m, &c);
+	untrack_gang_members(m, ref, members);
+}
+
 /// @param age_ms  time since the status query that returned the record was sent
 static void apply_completion(struct manager *m, clock_ms_t now, struct endpoint *e,
 			     const struct completion_record *row, clock_ms_t age_ms)
@@ -527,7 +544,7 @@
 	struct run *r = g_hash_table_lookup(m->runs, row->task);
 
 	if (!r || r->endpoint != e || r->attempt != row->attempt) {
-		complete_untracked(m, row);
+		complete_untracked(m, e, row);
 		return;
 	}
 	r->completion = row->number;
@@ -537,7 +554,7 @@
 	case ATTEMPT_DONE: {
 		job_task_ref ref = r->ref;
 		g_autofree char *id = g_strdup(ref.job);
-		uint32_t members = r->gang ? r->job->image.spec.steps.steps_val[ref.step].count : 0;
+		uint32_t members = count_members(r->job, &ref);
 
 		ref.job = id;
 		health_record_success(e);
--- a/tests/model/fleet_model.cc
+++ b/tests/model/fleet_model.cc
@@ -6,6 +6,7 @@
 extern "C" {
 #include "base/codec.h"
 #include "jobs/access.h"
+#include "manager/manager_internal.h"
 #include "sched/waves.h"
 }
 
@@ -31,6 +32,8 @@
 constexpr clock_ms_t kCancelMs = 3000;
 constexpr clock_ms_t kMaintenanceMs = 2000; ///< a maintained machine is down for this time
 constexpr clock_ms_t kMoveMs = 1500;
+/// Time that a member of a gang waits for the others.
+constexpr clock_ms_t kGangMs = 3000;
 /// Longest time from the start of an incarnation to its first heartbeat.
 constexpr clock_ms_t kSilentMaxMs = 3000;
 constexpr clock_ms_t kHolderLeaseMs = 3000;
@@ -509,6 +512,7 @@
 		job_step *to = &c.spec.steps.steps_val[c.spec.steps.steps_len++];
 
 		*to = from;
+		has_gangs |= from.gang;
 		to->label = new_c_string("");
 		to->data_rack = new_c_string("");
 		to->image = new_c_string("");
@@ -610,6 +614,7 @@
 		     it != task_history.end() && it->first.compare(0, prefix.size(), prefix) == 0;
 		     ++it)
 			has_cause |= it->second.failures >= kMaxAttempts ||
+				     it->second.gang_failures >= kMaxAttempts ||
 				     it->second.crashes >= kOwnCrashesMin;
 		if (!has_cause)
 			throw RuleViolation("shown as failed without cause: " + plan.first);
@@ -935,7 +940,9 @@
 	run.task = o.task;
 	run.attempt = o.attempt;
 	run.started_at = now;
-	run.ends_at = plan->steps[step].long_running ? CLOCK_NEVER : now + plan->task_ms;
+	run.ends_at = plan->steps[step].gang	       ? kWithGang
+		      : plan->steps[step].long_running ? CLOCK_NEVER
+						       : now + plan->task_ms;
 	run.will_fail = chance(fault.task_fail_percent);
 	if (plan->crashes_after_ms >= 0 && o.task == plan->id + ".0.0.0")
 		run.crashes_at = now + plan->crashes_after_ms;
@@ -977,10 +984,14 @@
 		row.task = g_strdup(run.task.c_str());
 		row.attempt = run.attempt;
 		row.checkpoint = g_strdup("");
-		row.percent = run.ends_at == CLOCK_NEVER
-				      ? (now - run.started_at >= warm_up_of(run.task) ? 100 : 0)
-				      : static_cast<uint32_t>((now - run.started_at) * 100 /
-							      (run.ends_at - run.started_at));
+		if (run.ends_at == kWithGang) /* progress, in a round of 100 ms */
+			row.percent = static_cast<uint32_t>((now - run.started_at) % 100);
+		else
+			row.percent =
+				run.ends_at == CLOCK_NEVER
+					? (now - run.started_at >= warm_up_of(run.task) ? 100 : 0)
+					: static_cast<uint32_t>((now - run.started_at) * 100 /
+								(run.ends_at - run.started_at));
 		g_array_append_val(r->runs, row);
 	}
 	for (const CompletionRecord &end : e.completions) {
@@ -1199,13 +1210,8 @@
 			TaskHistory &f = task_history[end.task];
 
 			trace(now, "is acknowledged", end.task, e->id, end.number);
-			if (end.outcome == ATTEMPT_DONE && !end.lease_lapsed) {
-				f.done_acknowledged = true;
-				if (f.last_started_at > end.ended_at)
-					throw RuleViolation(
-						"started after its acknowledged completion: " +
-						end.task);
-			}
+			if (end.outcome == ATTEMPT_DONE && !end.lease_lapsed)
+				record_acknowledged_done(end.task, end.ended_at);
 			f.failures_acknowledged += end.outcome == ATTEMPT_FAILED;
 			e->completions.erase(e->completions.begin());
 		}
@@ -1216,6 +1222,92 @@
 	}
 }
 
+/// Records that a leader has taken note of an end with success, for all members of a gang. Throws
+/// RuleViolation if one of them has started since. Long-running tasks start however they end.
+void Fleet::record_acknowledged_done(const std::string &task, clock_ms_t ended_at)
+{
+	unsigned int step;
+	const JobPlan *plan = find_plan(task, step);
+	const job_step &s = plan->steps[step];
+
+	if (s.long_running)
+		return;
+	for (unsigned int i = 0; i < s.count; i++) {
+		std::string member = step_name_of(task) + "." + std::to_string(i);
+		TaskHistory &f = task_history[member];
+
+		if (member != task && !s.gang)
+			continue;
+		f.done_acknowledged = true;
+		if (f.last_started_at > ended_at)
+			throw RuleViolation("started after its acknowledged completion: " + member);
+	}
+}
+
+/// Begins the work of gangs whose members are all present, and ends those that are done or that
+/// have lost a member. A member that has waited too long for the others ends alone.
+void Fleet::end_due_gangs()
+{
+	std::map<std::pair<std::string, uint32_t>, std::vector<std::pair<Endpoint *, std::string>>>
+		present;
+
+	for (auto &e : endpoints)
+		for (const auto &run : e->running)
+			if (run.second.ends_at == kWithGang)
+				present[{step_name_of(run.first), run.second.attempt}].emplace_back(
+					e.get(), run.first);
+	for (const auto &gang : present) {
+		unsigned int step;
+		const JobPlan *plan = find_plan(gang.second[0].second, step);
+		auto ends_at = gang_ends.find(gang.first);
+		bool complete = gang.second.size() == plan->steps[step].count;
+		bool failed = false;
+
+		if (ends_at == gang_ends.end() && complete) {
+			gang_ends[gang.first] = now + plan->task_ms;
+			gangs_begun++;
+			continue;
+		}
+		if (ends_at == gang_ends.end()) {
+			for (const auto &member : gang.second)
+				if (now - member.first->running[member.second].started_at >=
+				    kGangMs)
+					finish_attempt(*member.first, member.second,
+						       ATTEMPT_INTERRUPTED);
+			continue;
+		}
+		if (complete && now < ends_at->second)
+			continue;
+		for (const auto &member : gang.second)
+			failed |= member.first->running[member.second].will_fail;
+		gangs_done += complete && !failed;
+		task_history[gang.first.first + ".0"].gang_failures += complete && failed;
+		for (const auto &member : gang.second)
+			finish_attempt(*member.first, member.second,
+				       !complete ? ATTEMPT_INTERRUPTED
+				       : !failed ? ATTEMPT_DONE
+				       : member.first->running[member.second].will_fail
+					       ? ATTEMPT_FAILED
+					       : ATTEMPT_INTERRUPTED);
+	}
+}
+
+/// Throws RuleViolation if the leader tracks an attempt to which its task is not assigned.
+void Fleet::check_tracked_attempts() const
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, manager->runs);
+	while (g_hash_table_iter_next(&iter, nullptr, &value)) {
+		auto *r = static_cast<const struct run *>(value);
+		const job_task *task = jobs_task(manager->jobs, &r->ref);
+
+		if (!task || task->phase != JOB_TASK_ASSIGNED || task->attempt != r->attempt)
+			throw RuleViolation(std::string("tracked, but not assigned: ") + r->name);
+	}
+}
+
 /// Ends the attempts that have finished, or all of them if the endpoint's lease has expired.
 void Fleet::end_due_attempts(Endpoint &e)
 {
@@ -1357,6 +1449,8 @@
 		if (f.result->incarnation_wall_ms)
 			record_known_incarnation(f.order->instance, f.result->incarnation_wall_ms);
 		manager_handle_result(manager, now, now, f.result.get());
+		if (has_gangs)
+			check_tracked_attempts();
 	}
 }
 
@@ -1394,6 +1488,8 @@
 		now++;
 		commit();
 		deliver_held_heartbeats();
+		if (has_gangs)
+			end_due_gangs();
 		for (auto &e : endpoints) {
 			count_shrink_notice(*e);
 			if (!e->running.empty() || !e->completions.empty())
--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -30,12 +30,15 @@
 	using std::runtime_error::runtime_error;
 };
 
+/// The attempt ends together with the other members of its gang.
+constexpr clock_ms_t kWithGang = CLOCK_NEVER - 1;
+
 /// An attempt that an endpoint executes.
 struct RunningAttempt {
 	std::string task;
 	uint32_t attempt = 0;
 	clock_ms_t started_at = 0;
-	/// CLOCK_NEVER for long-running tasks.
+	/// CLOCK_NEVER for long-running tasks, kWithGang for members of a gang.
 	clock_ms_t ends_at = 0;
 	bool will_fail = false;
 	/// When it crashes its endpoint; CLOCK_NEVER: never.
@@ -256,6 +259,8 @@
 	/// are read later by it. Above the senders' timeout all heartbeats are lost: they reach
 	/// other replicas, which can't forward them to the leader in time.
 	clock_ms_t lag_ms = 0;
+	/// Attempts of gangs that were complete, and of those that ended so.
+	uint64_t gangs_begun = 0, gangs_done = 0;
 	/// Also checks that no task starts again after the answer to a status query has listed it
 	/// as done. Holds only where answers reach a leader that does not change.
 	bool check_listed_completions = false;
@@ -313,8 +318,9 @@
 		clock_ms_t done_listed_at = 0;
 		clock_ms_t last_started_at = 0;
 		uint32_t failures_acknowledged = 0;
-		/// Attempts that ended by their own failure.
-		uint32_t failures = 0;
+		/// Attempts that ended by their own failure, and, for the first member of a gang,
+		/// attempts of the gang in which any member did.
+		uint32_t failures = 0, gang_failures = 0;
 		/// Endpoints that it has crashed, and its starts since the third of these.
 		uint32_t crashes = 0, starts_after_crashes = 0;
 		/// Long-running tasks: whether an order ended the last attempt.
@@ -375,6 +381,9 @@
 	std::map<std::string, std::string> job_accounts;
 	std::map<std::string, JobPlan> plans;
 	std::map<std::string, TaskHistory> task_history;
+	/// By step and attempt: when a gang whose members have all been present is done.
+	std::map<std::pair<std::string, uint32_t>, clock_ms_t> gang_ends;
+	bool has_gangs = false;
 	std::map<std::string, uint64_t> machine_fencing_token;
 	/// By machine: term and time of the latest order sent.
 	std::map<std::string, std::pair<uint64_t, clock_ms_t>> machine_ordered;
@@ -421,6 +430,9 @@
 	void check_holder_lease(const struct order &o);
 	void finish_attempt(Endpoint &e, const std::string &task, attempt_outcome outcome);
 	void end_due_attempts(Endpoint &e);
+	void end_due_gangs();
+	void check_tracked_attempts() const;
+	void record_acknowledged_done(const std::string &task, clock_ms_t ended_at);
 	void answer_status_queries();
 	void record_committed_caps();
 	const std::string &account_of(const std::string &job);
