fix(runs): start a gang of long-running tasks again after each end

Cause: recording the end of one member stopped the tracking of all others, as a gang completes as a whole. Tasks that last do not complete: the end releases only the member that it names. The others stayed assigned in the state with nothing left to release them, and a gang starts when all its members wait.

Now only those members stop being tracked whose tasks are no longer assigned; the others are released by their own ends.

--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -494,7 +494,16 @@
 	return step->gang ? step->count : 0;
 }
 
-/// Stops tracking the other members of a completed gang, since a gang completes as a whole.
+/// Tells whether the task of a tracked attempt is still assigned to it.
+static bool is_assigned(const struct manager *m, const struct run *r)
+{
+	const job_task *task = jobs_task(m->jobs, &r->ref);
+
+	return task && task->phase == JOB_TASK_ASSIGNED && task->attempt == r->attempt;
+}
+
+/// Stops tracking the members of a gang that completed with another one. A gang of long-running
+/// tasks does not complete: each member is released by its own end.
 static void untrack_gang_members(struct manager *m, const job_task_ref *ref, uint32_t count)
 {
 	job_task_ref member = *ref;
@@ -503,7 +512,7 @@
 		g_autofree char *name = attempts_task_name(&member);
 		struct run *r = g_hash_table_lookup(m->runs, name);
 
-		if (r)
+		if (r && !is_assigned(m, r))
 			attempts_untrack(m, r);
 	}
 }
--- a/tests/property/property_gangs.cc
+++ b/tests/property/property_gangs.cc
@@ -140,6 +140,47 @@
 	record_reached(fleet);
 	RC_ASSERT(fleet.settled());
 }
+/// A gang that is to last ends "done" again and again, and its members are cut off or crash. Each
+/// end must be followed by another start: members that stopped being tracked when the first end was
+/// recorded stayed assigned for good.
+void lasting_gang_starts_after_each_end(uint32_t seed)
+{
+	constexpr clock_ms_t kCalmMs = 40000;
+	constexpr clock_ms_t kRestartMaxMs = 6000; /* of a task that is to last */
+	std::mt19937 random(seed);
+	model::Fleet fleet(seed, 1, kEndpoints);
+	model::JobPlan plan = plan_of(0, random);
+	uint64_t begun = 0;
+
+	plan.steps.resize(1);
+	plan.steps[0].gang = true;
+	plan.steps[0].long_running = true;
+	fleet.fault.unreachable = random() % 2;
+	try {
+		fleet.advance(1000); /* until the configuration is committed */
+		fleet.submit(plan);
+		for (unsigned int i = 0; i < 3; i++) {
+			fleet.advance(plan.task_ms + random() % 2000);
+			for (unsigned int k : endpoints_of(fleet, plan.id, random)) {
+				if (random() % 4 == 0)
+					fleet.crash_and_stay_down(k, random() % 2);
+				else if (random() % 2)
+					fleet.endpoints[k]->cut = true;
+				fleet.advance(random() % 2500);
+			}
+			fleet.advance(random() % 6500);
+			bring_back(fleet, random);
+		}
+		fleet.advance(kCalmMs / 2);
+		begun = fleet.gangs_begun;
+		fleet.advance(kCalmMs);
+	} catch (const model::RuleViolation &broken) {
+		RC_FAIL(broken.what());
+	}
+	record_reached(fleet);
+	RC_ASSERT(fleet.gangs_begun - begun >=
+		  static_cast<uint64_t>(kCalmMs / (plan.task_ms + kRestartMaxMs)));
+}
 } // namespace
 
 int main()
@@ -149,6 +190,9 @@
 	property.check("gangs_end_while_members_are_cut_off", [] {
 		gangs_end_while_members_are_cut_off(*rc::gen::inRange<uint32_t>(0, 1000000));
 	});
+	property.check("lasting_gang_starts_after_each_end", [] {
+		lasting_gang_starts_after_each_end(*rc::gen::inRange<uint32_t>(0, 1000000));
+	});
 	std::printf("# reached: %lu jobs, %lu attempts of gangs, %lu of them done, %lu cuts, "
 		    "%lu crashes, %lu cancelled, %lu leaders deposed\n",
 		    reached.jobs, reached.begun, reached.done, reached.cuts, reached.crashes,
