fix(sched): keep waiting steps from taking all requests for advice

Found by a test of the bound on open requests: a step whose endpoints are idle got no advice for 14 s while others waited for full endpoints.

Cause: steps that wait for room renew their tickets every 3 s and come first in the order of service, so that many of them fill the four places for open requests for good.

A request that names no endpoint where a task fits now is sent only while fewer than two are open.

Test: /advice/steps_that_wait_for_room_delay_no_others, failed in its 42nd case ("waits though endpoints may run it: job84").

--- a/src/sesamewood/sched/advice.c
+++ b/src/sesamewood/sched/advice.c
@@ -9,6 +9,9 @@
 /// The advisor handles the requests of one caller in turn: tickets of requests that wait behind
 /// many others would have expired when they arrive.
 #define OPEN_REQUESTS_MAX 4
+/// Fewer, for a request that names no endpoint where a task fits now: steps that wait for room
+/// would otherwise keep later ones from their first advice.
+#define OPEN_IDLE_REQUESTS_MAX 2
 #define TICKET_MARGIN_MS 300 /* time for a start order to reach its endpoint */
 #define ADVICE_TIMEOUT_MS 2000
 /// Time between requests of a step that name endpoints where it may not run. The policy does not
@@ -36,7 +39,7 @@
 enum request_rank {
 	RANK_EXPIRED_FITS, ///< may run the step, which fits there now
 	RANK_UNKNOWN_FITS,
-	RANK_EXPIRED,
+	RANK_EXPIRED, ///< as the following: no task fits there now, or it may not run there
 	RANK_UNKNOWN,
 	RANK_REFUSED,
 	RANK_NONE, ///< its ticket is valid, or it was refused just now
@@ -165,6 +168,9 @@
 	choices = choose_endpoints(a, now, q, candidates);
 	if (!choices->len)
 		return;
+	if (g_array_index(choices, struct request_choice, 0).rank >= RANK_EXPIRED &&
+	    m->advice_requests_open >= OPEN_IDLE_REQUESTS_MAX)
+		return;
 	o = g_new0(struct order, 1);
 	*o = (struct order){
 		.type = ORDER_ADVISE,
--- a/tests/property/property_advice.cc
+++ b/tests/property/property_advice.cc
@@ -225,6 +225,54 @@
 	}
 	record_reached(fleet);
 }
+/// Many steps wait for endpoints that are full, and renew their tickets for as long as they wait.
+/// Steps that come later must get advice all the same, as their endpoints are idle.
+void steps_that_wait_for_room_delay_no_others(uint32_t seed)
+{
+	constexpr unsigned int kEndpoints = 30, kLate = 5;
+	constexpr clock_ms_t kTaskMs = 40000;
+	std::mt19937 random(seed);
+	model::Fleet fleet(seed, 1, kEndpoints);
+	model::PlacementPolicy policy;
+	std::vector<model::JobPlan> late;
+	const unsigned int early = 50 + random() % 30;
+	unsigned int jobs = 0;
+
+	policy.allowed = 1;
+	policy.base_ms = 50 + random() % 100;
+	policy.each_ms = 1;
+	try {
+		fleet.put_policy(policy);
+		fleet.advance(1600); /* until all endpoints have announced themselves */
+		for (; jobs < early; jobs++) {
+			model::JobPlan plan = plan_of(jobs, random, 1);
+
+			plan.steps.resize(1);
+			plan.steps[0].cpu_milli = model::kCpu;
+			plan.task_ms = kTaskMs;
+			fleet.submit(plan);
+		}
+		/* Until each step has had its first advice. */
+		fleet.advance(early * (policy.base_ms + kEndpoints * policy.each_ms) + 1000);
+		while (late.size() < kLate && jobs < 1000) {
+			model::JobPlan plan = plan_of(jobs++, random, 1);
+			bool idle = false;
+
+			plan.steps.resize(1);
+			for (const auto &e : fleet.endpoints)
+				idle |= e->running.empty() &&
+					fleet.policy_allows(plan.id + ".0.0", *e);
+			if (!idle)
+				continue;
+			late.push_back(plan);
+			fleet.submit(plan);
+		}
+		check_all_end(fleet, late);
+	} catch (const model::RuleViolation &broken) {
+		RC_FAIL(broken.what());
+	}
+	record_reached(fleet);
+}
 } // namespace
 
 int main()
@@ -243,6 +291,9 @@
 	property.check("burst_of_steps_gets_valid_tickets", [] {
 		burst_of_steps_gets_valid_tickets(*rc::gen::inRange<uint32_t>(0, 1000000));
 	});
+	property.check("steps_that_wait_for_room_delay_no_others", [] {
+		steps_that_wait_for_room_delay_no_others(*rc::gen::inRange<uint32_t>(0, 1000000));
+	});
 	std::printf("# reached: %lu jobs, %lu that no endpoint may run, %lu starts, %lu requests "
 		    "naming %lu endpoints, %lu tickets refused, %lu leaders deposed\n",
 		    reached.jobs, reached.excluded, reached.starts, reached.requests, reached.named,
