fix(runs): silence does not end an endpoint that leaves

Cause: has_left() took one unanswered call, 300 ms after the deregistration, for the end of the endpoint. Behind a partition calls are not answered either.

Change: order results say whether the receiver's host refused the connection. An endpoint that drains and has deregistered counts as ended when a call sent after that was refused and no answer has arrived since. If it is only silent, its leases must end, as for any other endpoint. Status queries follow each other at 20 ms while the first few are unanswered, because the host may be taken away soon after the process.

The model gained partitions in one direction, departures, slow clocks and foreign deregistrations of draining endpoints.

--- a/src/sesamewood/base/http_async_client.c
+++ b/src/sesamewood/base/http_async_client.c
@@ -3,6 +3,7 @@
 #include "base/curl_loop.h"
 #include "base/input_budget.h"
 
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -85,6 +86,18 @@
 	return CURL_SOCKOPT_OK;
 }
 
+/// Tells whether the host of the address refused the connection. A host that cannot be reached does
+/// not answer.
+static bool is_refused(CURL *easy, CURLcode code)
+{
+	long error = 0;
+
+	if (code != CURLE_COULDNT_CONNECT)
+		return false;
+	curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &error);
+	return error == ECONNREFUSED;
+}
+
 static void on_transfer_done(void *ctx, CURL *easy, CURLcode code)
 {
 	struct transfer *t;
@@ -94,6 +107,7 @@
 	(void)ctx;
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&t);
 	result.sends = t->sends;
+	result.refused = is_refused(easy, code);
 	input_budget_remove(&t->owner->budget, &t->hold);
 	if (code == CURLE_OK && !t->aborted) {
 		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
--- a/src/sesamewood/base/http_async_client.h
+++ b/src/sesamewood/base/http_async_client.h
@@ -28,6 +28,7 @@
 	/// Connections on which the request or a part of it was sent. curl sends it again when a
 	/// reused connection closes without a response, and the server may have executed each copy.
 	unsigned int sends;
+	bool refused; ///< nothing listens at the address: its host refused the last connection
 	const char *body;
 	size_t len; ///< length of the body, bytes
 };
--- a/src/sesamewood/manager/manager_defs.h
+++ b/src/sesamewood/manager/manager_defs.h
@@ -211,6 +211,9 @@
 struct order_result {
 	uint64_t id;
 	enum order_status status;
+	/// Nothing listens at the receiver's address; known only for orders that this replica sent
+	/// itself.
+	bool refused;
 	int64_t clock_ms;	     ///< the endpoint's monotonic clock, -1: unknown
 	int64_t incarnation_wall_ms; ///< start time of the endpoint's incarnation, 0: unknown
 	GArray *runs;		     ///< struct running_attempt
--- a/src/sesamewood/manager/order_sender.c
+++ b/src/sesamewood/manager/order_sender.c
@@ -85,6 +85,7 @@
 	else
 		result =
 			order_result_new(o->order->id, r->sends ? ORDER_NO_ANSWER : ORDER_NOT_SENT);
+	result->refused = r->refused;
 	if (r->sends > 1 && leaves_other_copies_open(result->status))
 		mark_unanswered(o->order, result);
 	metrics_observe(s->order_ms, clock_monotonic() - o->sent_at);
--- a/src/sesamewood/runs/endpoint.h
+++ b/src/sesamewood/runs/endpoint.h
@@ -143,6 +143,9 @@
 	bool draining;
 	bool deregistered;
 	clock_ms_t deregistered_at;
+	/// When a call that was sent after its deregistration found that nothing listens at its
+	/// address; 0: none has, or it has answered since.
+	clock_ms_t refused_at;
 	bool terminated;	    ///< certainly terminated: it runs no attempt
 	uint64_t sequence;	    ///< of the latest heartbeat
 	int64_t heartbeat_clock_ms; ///< its clock reading; -1: none
--- a/src/sesamewood/runs/incarnations.c
+++ b/src/sesamewood/runs/incarnations.c
@@ -7,6 +7,10 @@
 #define VERIFICATION_GAP_MS 900
 /// The same after a deregistration; a few queries find the end of an endpoint that leaves.
 #define DEREGISTRATION_QUERY_GAP_MS 150
+/// The same once calls fail: the process has ended or is ending, and its host may be taken away
+/// within 100 ms, after which nothing refuses a connection.
+#define ENDING_QUERY_GAP_MS 20
+#define ENDING_QUERIES_MAX 4
 /// Time without an accepted heartbeat after which one that seems old calls for a query.
 #define OLD_HEARTBEATS_MAX_MS 2000
 #define ODD_HEARTBEAT_LOG_INTERVAL_MS 1000
@@ -70,6 +74,7 @@
 	e->heartbeat_clock_ms = -1;
 	e->draining = false;
 	e->deregistered = false;
+	e->refused_at = 0;
 	e->has_heartbeat = false;
 	e->cordoned = false;
 	/* An order for its machine that is not settled may still shut the new incarnation down. */
@@ -147,11 +152,21 @@
 	}
 }
 
+/// @return least time between the queries to an endpoint that has said that it leaves
+static clock_ms_t deregistration_query_gap(const struct endpoint *e)
+{
+	if (!e->unanswered_calls)
+		return DEREGISTRATION_QUERY_GAP_MS;
+	return e->unanswered_calls <= ENDING_QUERIES_MAX ? ENDING_QUERY_GAP_MS
+							 : VERIFICATION_GAP_MS;
+}
+
 bool incarnations_needs_verification(const struct endpoint *e, clock_ms_t now)
 {
 	if (e->terminated_at)
 		return false;
-	if (e->deregistered && e->draining && now - e->verified_at >= DEREGISTRATION_QUERY_GAP_MS)
+	if (e->deregistered && e->draining && !e->refused_at &&
+	    now - e->verified_at >= deregistration_query_gap(e))
 		return true;
 	return e->questioned_at && e->verified_at < e->questioned_at &&
 	       now - e->verified_at >= VERIFICATION_GAP_MS;
--- a/src/sesamewood/runs/runs.c
+++ b/src/sesamewood/runs/runs.c
@@ -84,7 +84,8 @@
 	o->instance = g_strdup(e->id);
 	o->timeout_ms = timeout_ms;
 	o->not_after = CLOCK_NEVER;
-	o->direct = e->unanswered_calls > 0; /* not through an agent: its path may have failed */
+	/* Not through an agent if its path may have failed, or if a refused connection matters. */
+	o->direct = e->unanswered_calls > 0 || e->deregistered;
 	return o;
 }
 
@@ -352,6 +353,15 @@
 	return p->sent_at > e->answered_sent_at;
 }
 
+/// Tells whether a call proves that an endpoint which has said that it leaves has ended: it was
+/// sent after that to an address at which the incarnation had answered, and nothing listens there.
+static bool proves_departure(const struct endpoint *e, const struct pending_order *p,
+			     const struct order_result *result)
+{
+	return result->refused && e->deregistered && p->sent_at >= e->deregistered_at &&
+	       e->fenced && e->last_status_at <= p->sent_at;
+}
+
 static void record_response(struct manager *m, clock_ms_t now, struct endpoint *e,
 			    const struct pending_order *p, const struct order_result *result)
 {
@@ -371,8 +381,11 @@
 			e->unanswered_calls++;
 			e->unanswered_at = now;
 		}
+		if (proves_departure(e, p, result) && shows_silence(e, p))
+			e->refused_at = now;
 		return;
 	}
+	e->refused_at = 0;
 	e->answered_sent_at = MAX(e->answered_sent_at, p->sent_at);
 	if (e->unanswered_calls) {
 		log_info("endpoint answers again", "ENDPOINT", e->id, "UNANSWERED",
@@ -913,14 +926,19 @@
 	return false;
 }
 
-/// Tells whether a deregistered endpoint has terminated: it had said that it drains, and answers no
-/// more. Anyone may send a deregistration, so otherwise its leases must expire. An attempt whose
-/// start may be executed late may run at a later incarnation, which a status query finds.
+/// Tells whether a deregistered endpoint has terminated. It had said that it drains, and its
+/// process is gone: its host refuses connections. An endpoint that is only silent may run on behind
+/// a partition until its leases have ended, whatever it has said. An attempt whose start may be
+/// executed late may run at a later incarnation, which a status query finds.
 static bool has_left(const struct manager *m, const struct endpoint *e, clock_ms_t now)
 {
-	return e->deregistered && e->draining &&
-	       now - e->deregistered_at > DEREGISTRATION_DELAY_MS && e->unanswered_calls &&
-	       e->unanswered_at > e->deregistered_at && !has_late_start(m, e, now);
+	if (!e->deregistered || !e->draining ||
+	    now - e->deregistered_at <= DEREGISTRATION_DELAY_MS || has_late_start(m, e, now))
+		return false;
+	if (e->refused_at)
+		return true;
+	return !e->runs->len && e->unanswered_calls && e->unanswered_at > e->deregistered_at &&
+	       is_lost(m, e, now);
 }
 
 static void check_endpoint(struct manager *m, clock_ms_t now, struct endpoint *e)
--- a/tests/model/fleet_model.cc
+++ b/tests/model/fleet_model.cc
@@ -14,6 +14,8 @@
 {
 namespace
 {
+constexpr clock_ms_t kStartMs = 100000;	  ///< the model's clock at its start
+constexpr clock_ms_t kRefusesMaxMs = 300; ///< until the host of an ended process is taken away
 constexpr clock_ms_t kHeartbeatTimeoutMs = 1000; ///< senders of heartbeats wait this long
 /// The leader abandons an order when this time has passed after the order's timeout.
 constexpr clock_ms_t kResultMarginMs = 400;
@@ -133,7 +135,7 @@
 
 clock_ms_t Fleet::clock_of(const Endpoint &e) const
 {
-	return now + e.clock_offset_ms;
+	return now + e.clock_offset_ms - (now - kStartMs) * e.clock_slow_percent / 100;
 }
 
 void Fleet::start_incarnation(Endpoint &e, bool same_id)
@@ -152,6 +154,7 @@
 	e.draining = false;
 	e.silent_until = 0;
 	e.drain_reported_at = 0;
+	e.leaves_at = CLOCK_NEVER;
 	e.up = true;
 	e.clock_offset_ms = static_cast<clock_ms_t>(random() % 50000) - now;
 }
@@ -656,6 +659,12 @@
 	return e.up && !e.cut && now >= e.down_until && e.pool != kStandbyPool;
 }
 
+/// Returns whether calls to an endpoint arrive.
+bool Fleet::hears(const Endpoint &e) const
+{
+	return is_reachable(e) && !e.deaf;
+}
+
 /// Returns the delay of a late order or heartbeat.
 clock_ms_t Fleet::random_delay()
 {
@@ -760,24 +769,70 @@
 void Fleet::send_foreign_deregistration(unsigned int i)
 {
 	Endpoint &e = *endpoints[i % endpoints.size()];
-	struct call c = {};
 
-	/* Of one that drains, it is believed once a call is not answered. */
-	if (!manager || !is_reachable(e) || e.draining)
+	if (!is_reachable(e))
 		return;
 	trace(now, "foreign deregistration", "", e.id, 0);
+	deliver_deregistration(e.id);
+}
+
+void Fleet::deliver_deregistration(const std::string &id)
+{
+	struct call c = {};
+
+	if (!manager || lag_ms > kHeartbeatTimeoutMs)
+		return;
 	c.type = CALL_DEREGISTER;
-	c.heartbeat.id = g_strdup(e.id.c_str());
+	c.heartbeat.id = g_strdup(id.c_str());
 	manager_handle_call(manager, now, now, ++next_token, &c);
 	call_clear(&c);
 }
 
+void Fleet::leave(unsigned int i, clock_ms_t stay_ms)
+{
+	Endpoint &e = *endpoints[i % endpoints.size()];
+
+	if (!is_reachable(e) || e.leaves_at != CLOCK_NEVER)
+		return;
+	trace(now, "leaves", "", e.id, static_cast<uint64_t>(stay_ms));
+	e.draining = true;
+	e.leaves_at = now + stay_ms;
+	send_heartbeat(e);
+	if (chance(fault.late_percent))
+		held_deregistrations.emplace(now + random_delay(), e.id);
+	else if (!chance(fault.lost_percent))
+		deliver_deregistration(e.id);
+	process_effects();
+}
+
+/// Ends the processes that have said that they leave, and whose time is over.
+void Fleet::end_departures()
+{
+	for (auto &e : endpoints) {
+		if (now < e->leaves_at)
+			continue;
+		trace(now, "has left", "", e->id, 0);
+		departures++;
+		for (const auto &run : e->running)
+			task_history[run.first].record_end(now, false);
+		start_incarnation(*e, false);
+		e->refuses_until =
+			now + refuses_min_ms +
+			static_cast<clock_ms_t>(random() % (kRefusesMaxMs - refuses_min_ms));
+		e->down_until = now + kRestartMs;
+	}
+}
+
 void Fleet::deliver_held_heartbeats()
 {
 	while (!held_heartbeats.empty() && held_heartbeats.begin()->first <= now) {
 		deliver_heartbeat(held_heartbeats.begin()->second);
 		held_heartbeats.erase(held_heartbeats.begin());
 	}
+	while (!held_deregistrations.empty() && held_deregistrations.begin()->first <= now) {
+		deliver_deregistration(held_deregistrations.begin()->second);
+		held_deregistrations.erase(held_deregistrations.begin());
+	}
 }
 
 void Fleet::resize(unsigned int i, uint32_t cpu, uint32_t mem)
@@ -1151,6 +1206,21 @@
 	return make_result(o, ORDER_REJECTED);
 }
 
+/// Returns the result of an order that its endpoint does not hear. A host without the process
+/// refuses connections; a partition is silent.
+std::shared_ptr<struct order_result> Fleet::unreachable_result(const Endpoint *e,
+							       const struct order &o)
+{
+	auto r = make_result(o, fault.unreachable ? ORDER_NOT_SENT : ORDER_NO_ANSWER);
+
+	if (!e || e->cut || e->deaf || now >= e->refuses_until)
+		return r;
+	r->status = ORDER_NOT_SENT;
+	r->refused = true;
+	calls_refused++;
+	return r;
+}
+
 std::shared_ptr<struct order_result> Fleet::execute_order(const struct order &o, bool late,
 							  int64_t made_for)
 {
@@ -1167,8 +1237,8 @@
 	if (o.type == ORDER_MACHINE_LIST || o.type == ORDER_MACHINE_MOVE || !o.address)
 		return make_result(o, ORDER_TRY_LATER);
 	e = find_endpoint(o.address);
-	if (!e || !is_reachable(*e))
-		return make_result(o, fault.unreachable ? ORDER_NOT_SENT : ORDER_NO_ANSWER);
+	if (!e || !hears(*e))
+		return unreachable_result(e, o);
 	if (e->id != o.instance)
 		return make_result(o, ORDER_WRONG_INSTANCE);
 	if (o.fencing_token < e->fencing_token)
@@ -1410,7 +1480,9 @@
 		f.result = execute_order(*f.order, f.late, f.made_for);
 		if (!f.leader_gets_answer)
 			return;
-		if (f.result->status == ORDER_NO_ANSWER || f.result->status == ORDER_NOT_SENT)
+		if (f.result->refused)
+			f.due_at = now + answer_ms;
+		else if (f.result->status == ORDER_NO_ANSWER || f.result->status == ORDER_NOT_SENT)
 			f.due_at = now + f.order->timeout_ms;
 		else if (f.order->type == ORDER_STATUS_QUERY && f.order->wait_ms &&
 			 f.result->status == ORDER_OK && !f.result->completions->len) {
@@ -1461,11 +1533,14 @@
 	for (size_t i = pending_status_queries.size(); i > 0; i--) {
 		PendingStatusQuery l = pending_status_queries[i - 1];
 		bool reachable = l.endpoint->incarnation_wall_ms == l.incarnation_wall_ms &&
-				 !l.endpoint->cut && now >= l.endpoint->down_until;
+				 !l.endpoint->cut && !l.endpoint->deaf &&
+				 now >= l.endpoint->down_until;
 
 		if (reachable && l.endpoint->completions.empty() && now < l.until)
 			continue;
-		if (!reachable && now < l.until)
+		/* The host of an ended process closes its connections. */
+		if (!reachable && now < l.until &&
+		    (now >= l.endpoint->refuses_until || l.endpoint->cut || l.endpoint->deaf))
 			continue;
 		pending_status_queries.erase(pending_status_queries.begin() +
 					     static_cast<long>(i - 1));
@@ -1488,6 +1563,7 @@
 		now++;
 		commit();
 		deliver_held_heartbeats();
+		end_departures();
 		if (has_gangs)
 			end_due_gangs();
 		for (auto &e : endpoints) {
--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -86,10 +86,19 @@
 	/// Partitioned from the leader: sends no heartbeats and answers no orders, but goes on
 	/// executing its attempts until its lease expires.
 	bool cut = false;
+	/// Behind a partition in one direction: its heartbeats and deregistration arrive, calls to
+	/// it do not. It goes on executing its attempts until its lease expires.
+	bool deaf = false;
+	/// When a process that has said that it leaves ends; CLOCK_NEVER: it has not said so.
+	clock_ms_t leaves_at = CLOCK_NEVER;
+	/// No process listens at the address, and the host refuses connections until this time.
+	clock_ms_t refuses_until = 0;
 	/// Sends no heartbeats until this time, but executes orders.
 	clock_ms_t silent_until = 0;
 	/// Clock of the endpoint minus the clock of the model.
 	clock_ms_t clock_offset_ms = 0;
+	/// How far its clock falls behind, from the model's start.
+	clock_ms_t clock_slow_percent = 0;
 	/// An order was executed that the leader made for this incarnation, not for an earlier one
 	/// with the same id.
 	bool executed_current_order = false;
@@ -116,8 +125,8 @@
 	/// Heartbeats of which a copy, held up by another replica, reaches the leader 0.3 to 10 s
 	/// later.
 	int repeated_heartbeat_percent = 0;
-	/// Connections to cut endpoints are refused, so that orders to them count as not sent;
-	/// otherwise they count as unanswered.
+	/// Connections to cut endpoints are not established, so that orders to them count as not
+	/// sent; otherwise they count as unanswered.
 	bool unreachable = false;
 };
 
@@ -176,6 +185,10 @@
 	void crash_and_stay_down(unsigned int endpoint, bool same_id);
 	/// Marks an endpoint as draining and sends a heartbeat that reports it.
 	void drain(unsigned int endpoint);
+	/// An endpoint says that it drains, sends its deregistration, which may be lost or late,
+	/// and ends after stay_ms. Its host then refuses connections for refuses_min_ms to 300 ms.
+	/// A new endpoint comes up in its place after kRestartMs.
+	void leave(unsigned int endpoint, clock_ms_t stay_ms);
 	/// Sends a configuration in which the accounts have these caps; does nothing without a
 	/// leader. A leader that is deposed may lose it. The key of an account is its name.
 	void put_accounts(const std::map<std::string, job_cap> &caps);
@@ -198,7 +211,7 @@
 	/// Sends a heartbeat of the present incarnation of an endpoint with a sequence number, and
 	/// perhaps a clock reading, that are far too high.
 	void send_odd_heartbeat(unsigned int endpoint, bool odd_clock);
-	/// Sends a deregistration that the endpoint did not send.
+	/// Sends a deregistration that the endpoint did not send, perhaps while it drains.
 	void send_foreign_deregistration(unsigned int endpoint);
 	/// Changes the capacity of an endpoint, which reports it with its next heartbeats.
 	void resize(unsigned int endpoint, uint32_t cpu, uint32_t mem);
@@ -227,6 +240,8 @@
 	clock_ms_t now = 100000;
 	/// Started attempts, calls of depose_leader(), and attempts that ended with success.
 	uint64_t starts = 0, leader_changes = 0, done = 0;
+	/// Processes that ended after leave(), and calls that their hosts refused.
+	uint64_t departures = 0, calls_refused = 0;
 	/// Moves executed.
 	uint64_t moves = 0;
 	/// Starts that took the running work of an account to its cap.
@@ -236,6 +251,8 @@
 	uint64_t endpoints_advised = 0, advice_requests = 0, tickets_refused = 0;
 	/// Endpoints crashed by their tasks.
 	uint64_t crashes_by_tasks = 0;
+	/// Least time for which the host of an endpoint that has left refuses connections.
+	clock_ms_t refuses_min_ms = 0;
 	/// From a crash under a task, or by crash_and_stay_down(), until the next incarnation is
 	/// up.
 	clock_ms_t restart_ms = kRestartMs;
@@ -392,6 +409,8 @@
 	std::set<std::pair<uint64_t, std::string>> maintained_machines;
 	/// By the time of their arrival.
 	std::multimap<clock_ms_t, Heartbeat> held_heartbeats;
+	/// Ids, by the time of the arrival of their deregistration.
+	std::multimap<clock_ms_t, std::string> held_deregistrations;
 	int64_t next_incarnation_wall_ms = 1;
 	int64_t foreign_heartbeats = 0;
 	unsigned int next_endpoint_id = 0;
@@ -427,6 +446,11 @@
 	std::string ticket_of(const std::string &step, const Endpoint &e, clock_ms_t at) const;
 	bool ticket_is_valid(const Endpoint &e, const struct order &o) const;
 	bool is_reachable(const Endpoint &e) const;
+	bool hears(const Endpoint &e) const;
+	void end_departures();
+	void deliver_deregistration(const std::string &id);
+	std::shared_ptr<struct order_result> unreachable_result(const Endpoint *e,
+								const struct order &o);
 	void check_holder_lease(const struct order &o);
 	void finish_attempt(Endpoint &e, const std::string &task, attempt_outcome outcome);
 	void end_due_attempts(Endpoint &e);
--- a/tests/property/property_jobs.cc
+++ b/tests/property/property_jobs.cc
@@ -17,7 +17,7 @@
 /// Counts of what the random actions caused, over all cases.
 struct Reached {
 	unsigned long actions, starts, done, leader_changes, jobs, cancelled, moves, crashes,
-		crashing_jobs, starts_up_to_cap;
+		crashing_jobs, starts_up_to_cap, departures, calls_refused;
 	/// Jobs whose calls were left unanswered, those of them delayed for long, and the longest
 	/// delay, ms.
 	unsigned long unanswered_jobs, delayed, delay_max_ms, delay_sum_ms;
@@ -288,6 +288,109 @@
 	RC_ASSERT(fleet.phase("job1") == JOB_COMPLETED);
 }
 
+/// A job whose tasks fill about half of 5 endpoints.
+model::JobPlan half_load(const std::string &id, bool long_running, clock_ms_t task_ms)
+{
+	model::JobPlan plan;
+	job_step step = {};
+
+	step.count = 5;
+	step.cpu_milli = 2000;
+	step.mem_mb = 1000;
+	step.long_running = long_running;
+	step.max_unavailable = long_running ? 1 : 0;
+	plan.id = id;
+	plan.pool = "pool0";
+	plan.task_ms = task_ms;
+	plan.steps = {step};
+	return plan;
+}
+
+/// Endpoints leave one after another: some are cut off in one direction shortly before or after
+/// they say so, and run on for up to 9 s with slow clocks. Orders, heartbeats and deregistrations
+/// are lost or late, foreign deregistrations arrive, and leaders are deposed. The model checks that
+/// no task runs twice; when all faults have ended, all work is done.
+void endpoints_that_leave_run_nothing_twice(uint32_t seed)
+{
+	constexpr unsigned int kRounds = 10, kEndpoints = 5;
+	model::Fleet fleet(seed, 1, kEndpoints);
+	std::mt19937 random(seed);
+	unsigned int jobs = 0;
+
+	fleet.fault.unreachable = random() % 2;
+	for (auto &e : fleet.endpoints)
+		e->clock_slow_percent = random() % 2 ? 2 : 0;
+	try {
+		fleet.submit(half_load("job" + std::to_string(jobs++), true, 0));
+		fleet.advance(2000);
+		for (unsigned int i = 0; i < kRounds; i++) {
+			auto which = static_cast<unsigned int>(random() % kEndpoints);
+			auto &e = *fleet.endpoints[which];
+			int deaf_after_ms = static_cast<int>(random() % 1000) - 500;
+			bool is_cut = random() % 2;
+			clock_ms_t stay_ms = random() % 4 ? random() % 9000 : random() % 100;
+
+			fleet.fault.lost_percent =
+				random() % 2 ? static_cast<int>(random() % 10) : 0;
+			fleet.fault.late_percent =
+				random() % 2 ? static_cast<int>(random() % 10) : 0;
+			fleet.submit(half_load("job" + std::to_string(jobs++), false,
+					       500 + random() % 6000));
+			fleet.advance(static_cast<clock_ms_t>(random() % 1000));
+			e.deaf = is_cut && deaf_after_ms < 0;
+			fleet.advance(std::max(1, -deaf_after_ms));
+			if (random() % 4) {
+				fleet.leave(which, stay_ms);
+			} else {
+				fleet.drain(which);
+				fleet.send_foreign_deregistration(which);
+			}
+			fleet.advance(std::max(1, deaf_after_ms));
+			e.deaf = is_cut;
+			if (random() % 4 == 0)
+				fleet.depose_leader();
+			fleet.advance(static_cast<clock_ms_t>(random() % 4000));
+			if (random() % 8 == 0)
+				fleet.crash(which, random() % 2);
+			e.deaf &= random() % 2;
+		}
+		for (auto &e : fleet.endpoints)
+			e->deaf = false;
+		recover(fleet, jobs);
+	} catch (const model::RuleViolation &broken) {
+		RC_FAIL(broken.what());
+	}
+	reached.departures += fleet.departures;
+	reached.calls_refused += fleet.calls_refused;
+}
+
+/// Endpoints leave one after another without another fault: their tasks must not wait until their
+/// leases have ended.
+void tasks_of_endpoints_that_leave_restart_soon(uint32_t seed)
+{
+	constexpr unsigned int kEndpoints = 5;
+	constexpr clock_ms_t kRestartsMs = 1000;
+	model::Fleet fleet(seed, 1, kEndpoints);
+	std::mt19937 random(seed);
+
+	fleet.refuses_min_ms = 100;
+	try {
+		fleet.submit(half_load("job0", true, 0));
+		fleet.advance(2000);
+		for (unsigned int i = 0; i < kEndpoints; i++) {
+			clock_ms_t stay_ms = random() % 2 ? 0 : random() % 3000;
+
+			fleet.leave(i, stay_ms);
+			fleet.advance(stay_ms + kRestartsMs);
+			RC_ASSERT(fleet.idle_lasting_tasks().empty());
+			fleet.advance(4000);
+		}
+	} catch (const model::RuleViolation &broken) {
+		RC_FAIL(broken.what());
+	}
+	RC_ASSERT(fleet.departures == kEndpoints);
+}
+
 /// Heartbeats of another writer claim for each endpoint in turn, and under any id, that it has been
 /// replaced. No other fault: all attempts run where they are, and each endpoint stays in use.
 void foreign_heartbeats_change_nothing(uint32_t seed)
@@ -791,6 +894,12 @@
 	property.check("endpoints_cut_off_in_turn_are_used_again", [] {
 		endpoints_cut_off_in_turn_are_used_again(*rc::gen::inRange<uint32_t>(0, 1000));
 	});
+	property.check("endpoints_that_leave_run_nothing_twice", [] {
+		endpoints_that_leave_run_nothing_twice(*rc::gen::inRange<uint32_t>(0, 1000000));
+	});
+	property.check("tasks_of_endpoints_that_leave_restart_soon", [] {
+		tasks_of_endpoints_that_leave_restart_soon(*rc::gen::inRange<uint32_t>(0, 1000));
+	});
 	property.check("foreign_heartbeats_change_nothing", [] {
 		foreign_heartbeats_change_nothing(*rc::gen::inRange<uint32_t>(0, 1000));
 	});
@@ -845,10 +954,11 @@
 		check_invariants(property);
 	std::printf("# reached: %lu actions, %lu jobs, %lu starts, %lu done, %lu leaders deposed, "
 		    "%lu cancelled, %lu moves, %lu endpoints crashed by %lu jobs, "
-		    "%lu starts up to a cap\n",
+		    "%lu starts up to a cap, %lu departures, %lu calls refused\n",
 		    reached.actions, reached.jobs, reached.starts, reached.done,
 		    reached.leader_changes, reached.cancelled, reached.moves, reached.crashes,
-		    reached.crashing_jobs, reached.starts_up_to_cap);
+		    reached.crashing_jobs, reached.starts_up_to_cap, reached.departures,
+		    reached.calls_refused);
 	std::printf("# unanswered calls: %lu jobs, %lu delayed by over 2 s, longest delay %lu ms, "
 		    "mean %lu ms\n",
 		    reached.unanswered_jobs, reached.delayed, reached.delay_max_ms,
--- a/tests/unit/unit_order_sender.c
+++ b/tests/unit/unit_order_sender.c
@@ -1,7 +1,8 @@
 /// @file
 /// Tests of results of orders whose request was sent twice: libcurl sends a request again when a
 /// reused connection closes without a response. The endpoint may have executed the first copy, so a
-/// refusal of the second one must not release the order as never executed.
+/// refusal of the second one must not release the order as never executed. And of orders that reach
+/// no process, where only a refused connection shows that none is there.
 
 #include "codec.h"
 #include "manager/order_sender.h"
@@ -35,6 +36,9 @@
 	unsigned int results;
 	enum order_status first_status;
 	enum order_status status; ///< of the second order
+	bool single;		  ///< no second order
+	bool refused;		  ///< in the latest result
+	uint32_t timeout_ms;
 };
 
 /* A sender lives as long as the process, so all tests share one. */
@@ -128,7 +132,7 @@
 		.id = x->results,
 		.type = x->type,
 		.address = g_strdup(x->address),
-		.timeout_ms = ORDER_TIMEOUT_MS,
+		.timeout_ms = x->timeout_ms,
 		.fencing_token = 1,
 		.task = g_strdup("j.0.0.1"),
 		.attempt = 1,
@@ -138,7 +142,7 @@
 		.machine = g_strdup("m-1"),
 		.pool = g_strdup("s"),
 		.holder = g_strdup("h"),
-		.not_after = clock_monotonic() + ORDER_TIMEOUT_MS,
+		.not_after = clock_monotonic() + x->timeout_ms,
 	};
 	order_sender_send(sender, o, 0, 1);
 }
@@ -150,8 +154,9 @@
 
 	(void)leader;
 	(void)term;
+	x->refused = result->refused;
 	order_result_free(result);
-	if (x->results++ == 0) {
+	if (x->results++ == 0 && !x->single) {
 		x->first_status = status;
 		send_order(x);
 		return;
@@ -172,7 +177,7 @@
 	s->listener = listen_on_loopback(&address);
 	text = g_strdup_printf("127.0.0.1:%u", ntohs(address.sin_port));
 	codec.machines = text;
-	exchange = (struct exchange){.address = text, .type = type};
+	exchange = (struct exchange){.address = text, .type = type, .timeout_ms = ORDER_TIMEOUT_MS};
 	thread = g_thread_new("server", serve, s);
 	send_order(&exchange);
 	ev_run(loop, 0);
@@ -276,6 +281,75 @@
 				==, machine_refusals[i].meaning);
 }
 
+/// Sends one order.
+static void send_single(const struct sockaddr_in *address, uint32_t timeout_ms)
+{
+	g_autofree char *text = g_strdup_printf("127.0.0.1:%u", ntohs(address->sin_port));
+
+	exchange = (struct exchange){
+		.address = text, .type = ORDER_START, .single = true, .timeout_ms = timeout_ms};
+	send_order(&exchange);
+	ev_run(loop, 0);
+	exchange.address = NULL;
+}
+
+/// A host without a process refuses the connection: the endpoint has ended.
+static void test_refused_connection_is_told_apart(void)
+{
+	struct sockaddr_in address;
+
+	close(listen_on_loopback(&address));
+	send_single(&address, ORDER_TIMEOUT_MS);
+	g_assert_cmpint(exchange.status, ==, ORDER_NOT_SENT);
+	g_assert_true(exchange.refused);
+}
+
+/// An endpoint behind a partition answers no connection request: it may run on.
+static void test_silent_address_refuses_nothing(void)
+{
+	const uint32_t timeout_ms = 300;
+	struct sockaddr_in address;
+	int listener = listen_on_loopback(&address);
+	int queued[4];
+
+	/* Connection requests beyond a full queue get no answer. */
+	g_assert_cmpint(listen(listener, 0), ==, 0);
+	for (guint i = 0; i < G_N_ELEMENTS(queued); i++) {
+		queued[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+		connect(queued[i], (struct sockaddr *)&address, sizeof(address));
+	}
+	send_single(&address, timeout_ms);
+	g_assert_cmpint(exchange.status, ==, ORDER_NOT_SENT);
+	g_assert_false(exchange.refused);
+	for (guint i = 0; i < G_N_ELEMENTS(queued); i++)
+		close(queued[i]);
+	close(listener);
+}
+
+static void *accept_and_close(void *ctx)
+{
+	struct server *s = ctx;
+	int fd = accept_connection(s);
+
+	g_free(read_request(fd));
+	close(fd);
+	return NULL;
+}
+
+/// A connection that closes without a response proves no end: endpoints close idle connections.
+static void test_closed_connection_refuses_nothing(void)
+{
+	struct sockaddr_in address;
+	struct server s = {.listener = listen_on_loopback(&address)};
+	GThread *thread = g_thread_new("server", accept_and_close, &s);
+
+	send_single(&address, ORDER_TIMEOUT_MS);
+	g_thread_join(thread);
+	close(s.listener);
+	g_assert_cmpint(exchange.status, ==, ORDER_NO_ANSWER);
+	g_assert_false(exchange.refused);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -290,5 +364,11 @@
 			test_result_about_the_receiver_is_kept);
 	g_test_add_func("/orders/refused_order_sent_once_had_no_effect",
 			test_refused_order_sent_once_had_no_effect);
+	g_test_add_func("/orders/refused_connection_is_told_apart",
+			test_refused_connection_is_told_apart);
+	g_test_add_func("/orders/silent_address_refuses_nothing",
+			test_silent_address_refuses_nothing);
+	g_test_add_func("/orders/closed_connection_refuses_nothing",
+			test_closed_connection_refuses_nothing);
 	return g_test_run();
 }
--- a/tests/unit/unit_runs.c
+++ b/tests/unit/unit_runs.c
@@ -36,6 +36,7 @@
 	unsigned int starts;	///< start orders
 	struct order *start;	///< the latest start order
 	bool mute;		///< status queries and stops get no answer
+	bool refuses;		///< nothing listens at the address of that endpoint
 	bool start_is_answered; ///< starts are accepted, by an unknown incarnation
 	/// Of the endpoint that got the first start; 0: as its heartbeats said.
 	int64_t incarnation_wall_ms;
@@ -60,6 +61,7 @@
 	unsigned int starts_sent;  ///< start orders sent to it
 	unsigned int queries;	   ///< status queries that it answered
 	uint64_t ack_through;	   ///< acknowledgement in the latest of them
+	int64_t leased_until_ms;   ///< end of the lease that its answered orders grant, its clock
 };
 
 static void world_init(struct world *w)
@@ -201,6 +203,11 @@
 	w->stops += o->type == ORDER_STOP;
 	w->queries_sent += o->type == ORDER_STATUS_QUERY;
 	w->starts_sent += o->type == ORDER_START;
+	if (w->refuses) {
+		r = order_result_new(o->id, ORDER_NOT_SENT);
+		r->refused = true;
+		return r;
+	}
 	if (o->type == ORDER_START && w->starts_wait) {
 		keep_order(w, w->copies, &w->copies_sent, o);
 		return NULL;
@@ -217,6 +224,7 @@
 	}
 	r = order_result_new(o->id, ORDER_OK);
 	r->clock_ms = w->now + w->clock_offset_ms;
+	w->leased_until_ms = MAX(w->leased_until_ms, o->lease_until_ms);
 	w->accepted += o->type == ORDER_START;
 	if (o->type != ORDER_STATUS_QUERY)
 		return r;
@@ -736,9 +744,104 @@
 	world_clear(&w);
 }
 
-/// An endpoint that leaves answers no more after its deregistration: its tasks start elsewhere
-/// soon.
+/// The task runs at an endpoint that says that it drains.
+static void start_task_and_drain(struct world *w)
+{
+	world_init(w);
+	w->start_is_answered = true;
+	w->listed = true;
+	start_task(w);
+	run_for(w, 1000);
+	w->drains = true;
+	send_heartbeat(w, w->start->instance, incarnation_of(w), w->now);
+	w->drains = false;
+	run_for(w, 200);
+	g_assert_cmpuint(w->starts, ==, 1);
+}
+
+/// An endpoint that leaves refuses connections after its deregistration: its tasks start elsewhere
+/// soon, not when its leases have ended.
 static void test_endpoint_that_leaves_is_noticed_soon(void)
+{
+	const clock_ms_t delays[] = {0, 50, 300, 1000};
+
+	for (guint i = 0; i < G_N_ELEMENTS(delays); i++) {
+		struct world w;
+
+		start_task_and_drain(&w);
+		fixture_deregister(w.m, w.now, w.start->instance, 0);
+		run_for(&w, delays[i]);
+		w.refuses = true;
+		run_for(&w, 500);
+		g_assert_cmpuint(w.starts, ==, 2);
+		world_clear(&w);
+	}
+}
+
+/// An endpoint that leaves is cut off before or after its deregistration and runs on. Its silence
+/// ends no lease: its task must not run twice.
+static void test_silent_endpoint_that_leaves_keeps_its_lease(void)
+{
+	const clock_ms_t cuts[] = {-150, -1, 0, 20, 400, 2000};
+
+	for (guint i = 0; i < G_N_ELEMENTS(cuts); i++) {
+		struct world w;
+
+		start_task_and_drain(&w);
+		w.mute = cuts[i] < 0;
+		run_for(&w, MAX(-cuts[i], 0));
+		fixture_deregister(w.m, w.now, w.start->instance, 0);
+		run_for(&w, MAX(cuts[i], 0));
+		w.mute = true;
+		g_assert_cmpint(w.leased_until_ms, >, w.now + 1000);
+		run_for(&w, w.leased_until_ms - w.now);
+		g_assert_cmpuint(w.starts, ==, 1);
+		run_for(&w, 4000);
+		g_assert_cmpuint(w.starts, ==, 2);
+		world_clear(&w);
+	}
+}
+
+/// A refused connection is no proof once the endpoint has answered again: it runs on, and its
+/// silence later ends no lease.
+static void test_answer_after_refusal_keeps_lease(void)
+{
+	struct world w;
+
+	start_task_and_drain(&w);
+	fixture_deregister(w.m, w.now, w.start->instance, 0);
+	w.refuses = true;
+	run_for(&w, 30);
+	w.refuses = false;
+	run_for(&w, 200);
+	w.mute = true;
+	g_assert_cmpint(w.leased_until_ms, >, w.now + 1000);
+	run_for(&w, w.leased_until_ms - w.now);
+	g_assert_cmpuint(w.starts, ==, 1);
+	world_clear(&w);
+}
+
+/// Connections are refused before an endpoint that drains has said that it leaves, as they are
+/// while it restarts: the refusal is no proof that the incarnation which deregisters later has
+/// ended.
+static void test_earlier_refusal_proves_no_departure(void)
+{
+	struct world w;
+
+	start_task_and_drain(&w);
+	w.refuses = true;
+	run_for(&w, 300);
+	w.refuses = false;
+	w.mute = true;
+	fixture_deregister(w.m, w.now, w.start->instance, 0);
+	run_for(&w, LEASE_MAX_MS - 1500);
+	g_assert_cmpuint(w.starts, ==, 1);
+	world_clear(&w);
+}
+
+/// Anyone may send a deregistration. Refused connections to an endpoint that has not said that it
+/// drains prove nothing: its leases count.
+static void test_refusal_without_draining_proves_no_departure(void)
 {
 	struct world w;
 
@@ -747,15 +850,32 @@
 	w.listed = true;
 	start_task(&w);
 	run_for(&w, 1000);
+	fixture_deregister(w.m, w.now, w.start->instance, 0);
+	w.refuses = true;
+	run_for(&w, LEASE_MAX_MS - 1500);
+	g_assert_cmpuint(w.starts, ==, 1);
+	world_clear(&w);
+}
+
+/// A leader that was elected after the deregistration does not know of it. It must not take the
+/// silence of an endpoint that drains for its end.
+static void test_next_leader_keeps_lease_of_endpoint_that_leaves(void)
+{
+	struct manager *earlier;
+	struct world w;
+
+	start_task_and_drain(&w);
+	fixture_deregister(w.m, w.now, w.start->instance, 0);
+	run_for(&w, 10);
+	earlier = w.m;
+	w.m = fixture_next_manager(earlier->jobs, 2, w.now, w.now);
+	manager_free(earlier);
+	w.mute = true;
 	w.drains = true;
 	send_heartbeat(&w, w.start->instance, incarnation_of(&w), w.now);
 	w.drains = false;
-	run_for(&w, 200);
+	run_for(&w, LEASE_MAX_MS - 1500);
 	g_assert_cmpuint(w.starts, ==, 1);
-	fixture_deregister(w.m, w.now, w.start->instance, 0);
-	w.mute = true;
-	run_for(&w, 500);
-	g_assert_cmpuint(w.starts, ==, 2);
 	world_clear(&w);
 }
 
@@ -1423,6 +1543,16 @@
 			test_foreign_deregistration_ends_no_endpoint);
 	g_test_add_func("/runs/endpoint_that_leaves_is_noticed_soon",
 			test_endpoint_that_leaves_is_noticed_soon);
+	g_test_add_func("/runs/silent_endpoint_that_leaves_keeps_its_lease",
+			test_silent_endpoint_that_leaves_keeps_its_lease);
+	g_test_add_func("/runs/answer_after_refusal_keeps_lease",
+			test_answer_after_refusal_keeps_lease);
+	g_test_add_func("/runs/earlier_refusal_proves_no_departure",
+			test_earlier_refusal_proves_no_departure);
+	g_test_add_func("/runs/refusal_without_draining_proves_no_departure",
+			test_refusal_without_draining_proves_no_departure);
+	g_test_add_func("/runs/next_leader_keeps_lease_of_endpoint_that_leaves",
+			test_next_leader_keeps_lease_of_endpoint_that_leaves);
 	g_test_add_func("/runs/pool_named_later_comes_into_use",
 			test_pool_named_later_comes_into_use);
 	g_test_add_func("/runs/cancel_of_failed_job_stops_its_tasks",
