--- a/tests/unit/unit_codec.c
+++ b/tests/unit/unit_codec.c
@@ -383,6 +383,19 @@
 	expect_status(ORDER_STATUS_QUERY, 200, "garbage", ORDER_NO_ANSWER);
 }
 
+/// A page token with a character that ends a query was cut off on its way back.
+static void test_page_token_is_sent_whole(void)
+{
+	struct wire wire = platform_wire(&codec);
+	const struct order order = {
+		.id = 1, .type = ORDER_MACHINE_LIST, .page = (char *)"a&b#c d%+e=/"};
+	struct wire_request request = {0};
+
+	g_assert_true(wire.encode_order(wire.ctx, &order, &request));
+	g_assert_cmpstr(request.path, ==, "/api/machines?pageToken=a%26b%23c%20d%25%2Be=/");
+	wire_request_clear(&request);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -403,5 +416,6 @@
 			test_invalid_configurations_are_rejected);
 	g_test_add_func("/codec/heartbeats", test_heartbeats);
 	g_test_add_func("/codec/order_results", test_order_results);
+	g_test_add_func("/codec/page_token_is_sent_whole", test_page_token_is_sent_whole);
 	return g_test_run();
 }
