fix(codec): texts are carried whole or refused

Cause: the JSON library decodes \u0000 into a C string, whose readers end there, and nothing looked for it. It also changes unpaired surrogates and escapes that JSON does not have, so labels, racks, checkpoints and tickets went on cut off or changed as well, and a name "spec\u0000x" passed for "spec".

Change: json_replace_not_carried() finds such strings before the library sees them, and puts a value there that no reader accepts. Texts that only describe an endpoint count as empty, so that a heartbeat which says that it drains, ends in an answer, and the other rows of a list are still heard. A list with a page token that cannot be read is no answer instead of a complete one.

--- a/src/sesamewood/base/json_check.c
+++ b/src/sesamewood/base/json_check.c
@@ -194,6 +194,97 @@
 	return scan_number(s);
 }
 
+/// Reads the four digits of an escape \uXXXX at @p p.
+///
+/// @return the UTF-16 code unit, or -1
+static int32_t read_code_unit(const char *p, const char *end)
+{
+	int32_t unit = 0;
+
+	if (end - p < 6 || p[0] != '\\' || p[1] != 'u')
+		return -1;
+	for (int i = 2; i < 6; i++) {
+		if (!g_ascii_isxdigit(p[i]))
+			return -1;
+		unit = unit * 16 + g_ascii_xdigit_value(p[i]);
+	}
+	return unit;
+}
+
+static bool is_high_surrogate(int32_t unit)
+{
+	return unit >= 0xd800 && unit < 0xdc00;
+}
+
+static bool is_low_surrogate(int32_t unit)
+{
+	return unit >= 0xdc00 && unit < 0xe000;
+}
+
+/// @return the end of the escape at @p p, or NULL if a text cannot hold what it stands for
+static const char *skip_carried_escape(const char *p, const char *end)
+{
+	int32_t unit;
+
+	if (end - p < 2 || !p[1] || !strchr("\"\\/bfnrtu", p[1]))
+		return NULL;
+	if (p[1] != 'u')
+		return p + 2;
+	unit = read_code_unit(p, end);
+	if (is_high_surrogate(unit))
+		return is_low_surrogate(read_code_unit(p + 6, end)) ? p + 12 : NULL;
+	return unit > 0 && !is_low_surrogate(unit) ? p + 6 : NULL;
+}
+
+/// Tells whether a text can hold a string, given without its quotes.
+static bool is_carried(const char *from, const char *end)
+{
+	const char *p = from;
+
+	while (p && p < end)
+		p = *p == '\\' ? skip_carried_escape(p, end) : p + 1;
+	return p && g_utf8_validate_len(from, end - from, NULL);
+}
+
+/// @return the closing quote of the string whose content begins at @p p, or @p end
+static const char *find_string_end(const char *p, const char *end)
+{
+	while (p < end && *p != '"')
+		p += *p == '\\' ? 2 : 1;
+	return MIN(p, end);
+}
+
+static bool is_member_name(const char *after, const char *end)
+{
+	while (after < end && *after && strchr(" \t\r\n", *after))
+		after++;
+	return after < end && *after == ':';
+}
+
+GString *json_replace_not_carried(const char *text, size_t len)
+{
+	const char *end = text + len;
+	const char *copied = text;
+	GString *out = NULL;
+
+	for (const char *p = text; p < end; p++) {
+		const char *from = p + 1;
+
+		if (*p != '"')
+			continue;
+		p = find_string_end(from, end);
+		if (p == end || is_carried(from, p))
+			continue;
+		out = out ? out : g_string_sized_new(len);
+		g_string_append_len(out, copied, from - 1 - copied);
+		g_string_append(out, is_member_name(p + 1, end) ? "\"\"" : JSON_NOT_CARRIED);
+		copied = p + 1;
+	}
+	if (out)
+		g_string_append_len(out, copied, end - copied);
+	return out;
+}
+
 bool json_is_safe_to_parse(const char *text, size_t len)
 {
 	bool in_string = false;
--- a/src/sesamewood/base/json_check.h
+++ b/src/sesamewood/base/json_check.h
@@ -4,7 +4,7 @@
 /// @file
 /// Strict syntax check of JSON text (RFC 8259) that also rejects duplicate keys. The JSON library
 /// accepts comments and silently keeps the last of two equal keys, either of which would hide an
-/// operator's mistake in a table.
+/// operator's mistake in a table. Finds strings that are not carried whole.
 
 #include <glib.h>
 #include <stdbool.h>
@@ -19,6 +19,18 @@
 /// Much cheaper than json_check(), which checks the whole syntax.
 bool json_is_safe_to_parse(const char *text, size_t len);
 
+/// Stands for a string that cannot be carried. No reader accepts it: it is neither a text, a flag,
+/// a list nor an object, and below the range of all numbers.
+#define JSON_NOT_CARRIED "-0.5"
+
+/// Looks for strings that a text cannot hold whole: with U+0000, at which it would end, an unpaired
+/// surrogate, an escape that JSON does not have, or invalid UTF-8. The JSON library accepts most of
+/// these and drops or changes a part of them.
+///
+/// @return copy of the text with JSON_NOT_CARRIED in the place of such values, and an empty name in
+/// the place of such names, so that the members beside them can be read; NULL if there are none
+GString *json_replace_not_carried(const char *text, size_t len);
+
 /// Checks @p len bytes of @p text. Unless they are strict JSON, adds the first error in the form
 /// "JSON path: message".
 ///
--- a/src/sesamewood/control/admin.c
+++ b/src/sesamewood/control/admin.c
@@ -2,6 +2,7 @@
 
 #include "base/codec.h"
 #include "base/http_status.h"
+#include "base/json_check.h"
 #include "control/budget.h"
 #include "control/sessions.h"
 
@@ -139,6 +140,7 @@
 				.json = args->body,
 			},
 	};
+	g_autoptr(GString) not_carried = NULL;
 	struct pending_call *call;
 
 	if (!parse_version(args->if_match, &command.sw_command_u.put.base_version)) {
@@ -147,6 +149,10 @@
 			      table_version(c->fleet, table), NULL);
 		return;
 	}
+	not_carried = json_replace_not_carried(args->body, strlen(args->body));
+	if (!earlier && not_carried)
+		g_ptr_array_add(errors, g_strdup("$: a string contains U+0000, an unpaired "
+						 "surrogate or an invalid escape"));
 	if (!earlier)
 		fleet_check_table(c->fleet, table, args->body, errors);
 	if (errors->len) {
--- a/src/sesamewood/sched/schedule.c
+++ b/src/sesamewood/sched/schedule.c
@@ -381,7 +381,7 @@
 		const struct endpoint *e =
 			g_array_index(candidates, struct place_candidate, i).endpoint;
 
-		if (e->labels->len < 2)
+		if (e->labels->len < 2 || !*(const char *)e->labels->pdata[e->labels->len - 1])
 			continue;
 		q->rack = e->labels->pdata[e->labels->len - 1];
 		if (choose_for_all(m, now, candidates, q, count, places))
--- a/tests/functional/test_tables.c
+++ b/tests/functional/test_tables.c
@@ -77,6 +77,27 @@
 	harness_free(h);
 }
 
+/// A name that contains U+0000 was accepted and came into force cut off.
+static void test_names_that_would_be_cut_off_are_refused(void)
+{
+	static const char *const names[] = {"r\\u0000x", "r\\ud800"};
+	struct harness *h = harness_new(&seven_entries);
+	gint64 base;
+
+	harness_leader(h);
+	harness_put_table(h, "pools", one_pool);
+	base = harness_status_member(h, "routes_version");
+	for (guint i = 0; i < G_N_ELEMENTS(names); i++) {
+		g_autofree char *json = g_strdup_printf(
+			"{\"routes\":[{\"name\":\"%s\",\"pool\":\"a\"}]}", names[i]);
+		g_autofree char *id = g_strdup_printf("cut-off-%u", i);
+
+		g_assert_cmpint(put(h, 0, base, id, json, NULL), ==, 422);
+	}
+	g_assert_cmpint(harness_status_member(h, "routes_version"), ==, base);
+	harness_free(h);
+}
+
 /// @return number of entries that have at least this version of the routes table in force
 static int count_entries_at(struct harness *h, gint64 version)
 {
@@ -307,6 +328,8 @@
 	harness_init(&argc, &argv);
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/tables/racing_operators", test_racing_operators);
+	g_test_add_func("/tables/names_that_would_be_cut_off_are_refused",
+			test_names_that_would_be_cut_off_are_refused);
 	g_test_add_func("/tables/in_force_on_all_entries", test_in_force_on_all_entries);
 	g_test_add_func("/tables/frozen_entry_does_not_serve_old_table",
 			test_frozen_entry_does_not_serve_old_table);
--- a/tests/unit/unit_codec.c
+++ b/tests/unit/unit_codec.c
@@ -1,12 +1,14 @@
 /// @file
 /// Tests of the platform's codec: valid messages are decoded in full, and malformed ones are
 /// rejected as a whole. A status list that can't be parsed must not count as an empty one, which
-/// would state that no attempt is running.
+/// would state that no attempt is running. A text is carried whole or not at all: one that ended at
+/// U+0000 started other work than was ordered.
 
 #include "codec.h"
 
 #include "jobs/access.h"
 
+#include <json-glib/json-glib.h>
 #include <string.h>
 
 #define HEARTBEAT_MEMBERS                                                                          \
@@ -342,6 +344,194 @@
 			CALL_DEREGISTER);
 }
 
+/* Texts. */
+
+/// Contents of JSON strings that a text cannot hold whole.
+static const char *const not_carried[] = {
+	"\\u0000",	  "a\\u0000b",	    "a\\u0000",
+	"\\ud800",	  "a\\ud83db",	    "\\ud83d\\n\\u0041",
+	"\\ud83d\\u0041", "\\ud83d\\u0000", "\\ud83d\\ud83d\\ude00",
+	"\\ude00",	  "\\ude00\\ud83d", "a\\0b",
+	"a\\qb",	  "a\\u12",	    "a\xff",
+	"\xc0\x80",	  "\xed\xa0\x80",
+};
+
+/// Replaces each "@" of a body.
+static char *fill_in(const char *body, const char *text)
+{
+	g_auto(GStrv) parts = g_strsplit(body, "@", -1);
+
+	return g_strjoinv(text, parts);
+}
+
+/// Expects requests that are valid with another text to be refused, with an error that says why.
+static void expect_refused(bool from_caller, const char *target, const char *const *bodies)
+{
+	for (; *bodies; bodies++) {
+		g_autofree char *valid = fill_in(*bodies, "a");
+
+		g_assert_cmpint(type_of(from_caller, "POST", target, valid), !=, CALL_INVALID);
+		for (size_t i = 0; i < G_N_ELEMENTS(not_carried); i++) {
+			g_autofree char *body = fill_in(*bodies, not_carried[i]);
+			struct call c = decode(from_caller, "POST", target, body);
+
+			g_assert_cmpint(c.type, ==, CALL_INVALID);
+			g_assert_nonnull(strstr(c.error, "U+0000"));
+			call_clear(&c);
+		}
+	}
+}
+
+/// A job whose spec ended at U+0000 was accepted, and only the text before it was run.
+static void test_texts_that_would_be_cut_off_are_refused(void)
+{
+	static const char *const jobs[] = {
+		"{\"spec\":\"@\",\"phases\":[{\"count\":1}]}",
+		"{\"phases\":[{\"count\":1,\"requiredLabel\":\"@\"}]}",
+		"{\"phases\":[{\"count\":1,\"dataRack\":\"@\"}]}",
+		"{\"phases\":[{\"count\":1,\"image\":\"@\"}]}",
+		NULL,
+	};
+	static const char *const configs[] = {
+		"{\"version\":1,\"routes\":[{\"hostname\":\"@\",\"pathPrefix\":\"/\","
+		"\"backend\":\"s\",\"timeoutMs\":1}],\"services\":[{\"name\":\"s\"}]}",
+		"{\"version\":1,\"routes\":[{\"hostname\":\"h\",\"pathPrefix\":\"/@\","
+		"\"backend\":\"s\",\"timeoutMs\":1}],\"services\":[{\"name\":\"s\"}]}",
+		"{\"version\":1,\"routes\":[{\"hostname\":\"h\",\"pathPrefix\":\"/\","
+		"\"backend\":\"@\",\"timeoutMs\":1}],\"services\":[{\"name\":\"@\"}]}",
+		"{\"version\":1,\"routes\":[],\"services\":[],\"tenants\":[{\"name\":\"@\"}]}",
+		"{\"version\":1,\"routes\":[],\"services\":[],"
+		"\"tenants\":[{\"name\":\"b\",\"apiKeys\":[\"@\"]}]}",
+		NULL,
+	};
+	static const char *const waves[] = {
+		"{\"wave\":1,\"machines\":[\"m\",\"@\"],\"cap\":1,\"completeByS\":1}",
+		NULL,
+	};
+
+	expect_refused(true, "/q/a", jobs);
+	expect_refused(false, "/api/config/replace", configs);
+	expect_refused(false, "/api/wave-start", waves);
+}
+
+/// The name of a member that was cut off passed for another member.
+static void test_names_that_would_be_cut_off_are_no_members(void)
+{
+	struct call c = decode(true, "POST", "/q/a",
+			       "{\"spec\":\"right\",\"spec\\u0000x\" : \"wrong\","
+			       "\"phases\":[{\"count\":1}]}");
+
+	g_assert_cmpint(c.type, ==, CALL_SUBMIT);
+	g_assert_cmpstr(c.spec.payload, ==, "right");
+	call_clear(&c);
+}
+
+/// Appends a character to a JSON string, as an escape or as it is.
+static void append_character(GString *json, gunichar c, bool escaped)
+{
+	if (escaped && c > 0xffff)
+		g_string_append_printf(json, "\\u%04x\\u%04X", 0xd800 + ((c - 0x10000) >> 10),
+				       0xdc00 + ((c - 0x10000) & 0x3ff));
+	else if (escaped || c < ' ')
+		g_string_append_printf(json, "\\u%04x", c);
+	else if (c == '"' || c == '\\')
+		g_string_append_printf(json, "\\%c", c);
+	else
+		g_string_append_unichar(json, c);
+}
+
+/// Expects a text to reach an endpoint as it was sent.
+static void expect_carried(const char *json, const char *text)
+{
+	struct wire wire = platform_wire(&codec);
+	g_autofree char *body =
+		g_strdup_printf("{\"spec\":\"%s\",\"phases\":[{\"count\":1}]}", json);
+	struct call c = decode(true, "POST", "/q/a", body);
+	const struct order order = {.id = 1,
+				    .type = ORDER_START,
+				    .address = (char *)"10.0.0.9:80",
+				    .task = (char *)"j.0.0.0",
+				    .payload = c.spec.payload,
+				    .checkpoint = (char *)text,
+				    .ticket = (char *)text};
+	struct wire_request request = {0};
+	g_autoptr(JsonParser) parser = json_parser_new();
+	JsonObject *sent;
+
+	g_assert_cmpint(c.type, ==, CALL_SUBMIT);
+	g_assert_cmpstr(c.spec.payload, ==, text);
+	g_assert_true(wire.encode_order(wire.ctx, &order, &request));
+	g_assert_true(json_parser_load_from_data(parser, request.body, -1, NULL));
+	sent = json_node_get_object(json_parser_get_root(parser));
+	g_assert_cmpstr(json_object_get_string_member(sent, "spec"), ==, text);
+	g_assert_cmpstr(json_object_get_string_member(sent, "checkpointAt"), ==, text);
+	g_assert_cmpstr(json_object_get_string_member(sent, "ticket"), ==, text);
+	wire_request_clear(&request);
+	call_clear(&c);
+}
+
+/// All other characters reach the endpoint, however they are written.
+static void test_all_other_texts_are_carried_whole(void)
+{
+	enum { TEXT_CHARACTERS = 1000 };
+
+	for (int escaped = 0; escaped < 2; escaped++) {
+		g_autoptr(GString) json = g_string_new(NULL);
+		g_autoptr(GString) text = g_string_new(NULL);
+		int n = 0;
+
+		for (gunichar c = 1; c <= 0x10ffff; c++) {
+			if (c < 0xd800 || c > 0xdfff) {
+				append_character(json, c, escaped);
+				g_string_append_unichar(text, c);
+				n++;
+			}
+			if (n < TEXT_CHARACTERS && c != 0x10ffff)
+				continue;
+			expect_carried(json->str, text->str);
+			g_string_truncate(json, 0);
+			g_string_truncate(text, 0);
+			n = 0;
+		}
+	}
+	expect_carried("a\\\\u0000b", "a\\u0000b");
+	expect_carried("\\\"\\/\\b\\f\\n\\r\\t\\\\", "\"/\b\f\n\r\t\\");
+}
+
+/// An endpoint that drains was not heard for an odd text beside that.
+static void test_odd_text_does_not_hide_heartbeat(void)
+{
+	static const char *const members[] = {
+		"\"zone\":\"@\"",
+		"\"hostMachine\":\"@\"",
+		"\"backend\":\"@\"",
+		"\"labels\":[\"l\",\"@\",\"r\"]",
+	};
+	g_autofree char *long_text = g_strnfill(JOB_NAME_MAX + 1, 'n');
+	const char *sound = HEARTBEAT_MEMBERS ",\"hostMachine\":\"m\",\"state\":\"draining\"";
+
+	for (size_t i = 0; i < G_N_ELEMENTS(members); i++)
+		for (size_t k = 0; k <= G_N_ELEMENTS(not_carried); k++) {
+			bool is_long = k == G_N_ELEMENTS(not_carried);
+			g_autofree char *odd =
+				fill_in(members[i], is_long ? long_text : not_carried[k]);
+			g_autofree char *body = g_strdup_printf("{%s,%s}", sound, odd);
+			struct call c = decode(false, "POST", "/api/executors/i-1/heartbeat", body);
+
+			g_assert_cmpint(c.type, ==, CALL_HEARTBEAT);
+			g_assert_true(c.heartbeat.draining);
+			g_assert_cmpstr(c.heartbeat.zone, ==, i == 0 ? "" : "z");
+			g_assert_cmpstr(c.heartbeat.machine, ==, i == 1 ? "" : "m");
+			g_assert_cmpstr(c.heartbeat.pool, ==, i == 2 ? "" : "s");
+			g_assert_cmpuint(c.heartbeat.labels->len, ==, i == 3 ? 3 : 0);
+			if (i == 3) { /* the last label names the rack */
+				g_assert_cmpstr(c.heartbeat.labels->pdata[1], ==, "");
+				g_assert_cmpstr(c.heartbeat.labels->pdata[2], ==, "r");
+			}
+			call_clear(&c);
+		}
+}
+
 static struct order_result *decode_result(enum order_type type, unsigned int status,
 					  const char *body)
 {
@@ -383,6 +573,76 @@
 	expect_status(ORDER_STATUS_QUERY, 200, "garbage", ORDER_NO_ANSWER);
 }
 
+/// A checkpoint that was cut off resumed work elsewhere than it had stopped. An end beside it is
+/// still heard.
+static void test_odd_text_does_not_hide_ends(void)
+{
+	static const char status[] =
+		"{\"clockMs\":12,\"born\":7,\"running\":[[\"j.0.1.2\",2,\"@\",41,9],"
+		"[\"@\",1,\"\",2,3]],\"endedRuns\":[[57,\"j.0.1.8\",1,\"done\",\"@\"],"
+		"[58,\"j.0.1.9\",1,\"done\",\"c\"]]}";
+
+	for (size_t i = 0; i < G_N_ELEMENTS(not_carried); i++) {
+		g_autofree char *body = fill_in(status, not_carried[i]);
+		struct order_result *r = decode_result(ORDER_STATUS_QUERY, 200, body);
+		const struct running_attempt *run =
+			&g_array_index(r->runs, struct running_attempt, 0);
+		const struct completion_record *ends = (void *)r->completions->data;
+
+		g_assert_cmpint(r->status, ==, ORDER_OK);
+		g_assert_cmpint(r->clock_ms, ==, 12);
+		g_assert_cmpuint(r->runs->len, ==, 2);
+		g_assert_cmpstr(run[0].task, ==, "j.0.1.2");
+		g_assert_cmpstr(run[0].checkpoint, ==, "");
+		g_assert_cmpstr(run[1].task, ==, "");
+		g_assert_cmpuint(r->completions->len, ==, 2);
+		g_assert_cmpint(ends[0].outcome, ==, ATTEMPT_DONE);
+		g_assert_cmpstr(ends[0].task, ==, "j.0.1.8");
+		g_assert_cmpstr(ends[0].checkpoint, ==, "");
+		g_assert_cmpuint(ends[1].number, ==, 58);
+		g_assert_cmpstr(ends[1].checkpoint, ==, "c");
+		order_result_free(r);
+	}
+}
+
+/// A ticket that was cut off was refused by each endpoint; one that is too long fits into no order.
+static void test_odd_ticket_counts_as_none(void)
+{
+	g_autofree char *long_text = g_strnfill(JOB_CHECKPOINT_MAX + 1, 't');
+
+	for (size_t i = 0; i <= G_N_ELEMENTS(not_carried); i++) {
+		g_autofree char *body =
+			fill_in("{\"validMs\":9,\"good\":[[\"i-1\",\"@\"],[\"i-2\",\"t\"]]}",
+				i < G_N_ELEMENTS(not_carried) ? not_carried[i] : long_text);
+		struct order_result *r = decode_result(ORDER_ADVISE, 200, body);
+
+		g_assert_cmpint(r->status, ==, ORDER_OK);
+		g_assert_cmpuint(r->advice->len, ==, 1);
+		g_assert_cmpstr(g_array_index(r->advice, struct advice_row, 0).instance, ==, "i-2");
+		order_result_free(r);
+	}
+}
+
+/// A page token that cannot be carried is not the end of the list, and a machine whose name cannot
+/// be carried does not hide the others.
+static void test_odd_text_does_not_shorten_machine_list(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(not_carried); i++) {
+		g_autofree char *token =
+			fill_in("{\"machines\":[],\"nextToken\":\"@\"}", not_carried[i]);
+		g_autofree char *name =
+			fill_in("{\"machines\":[{\"hostMachine\":\"@\",\"pool\":\"s\",\"state\":"
+				"\"up\"},{\"hostMachine\":\"m\",\"pool\":\"s\",\"state\":\"up\"}]}",
+				not_carried[i]);
+		struct order_result *r = decode_result(ORDER_MACHINE_LIST, 200, name);
+
+		expect_status(ORDER_MACHINE_LIST, 200, token, ORDER_NO_ANSWER);
+		g_assert_cmpint(r->status, ==, ORDER_OK);
+		g_assert_cmpuint(r->machines->len, ==, 1);
+		order_result_free(r);
+	}
+}
+
 /// A page token with a character that ends a query was cut off on its way back.
 static void test_page_token_is_sent_whole(void)
 {
@@ -399,6 +659,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_log_set_always_fatal(G_LOG_FATAL_MASK); /* a text left out is logged as a warning */
 	g_test_add_func("/codec/decode_accounts", test_decode_accounts);
 	g_test_add_func("/codec/malformed_accounts_are_rejected",
 			test_malformed_accounts_are_rejected);
@@ -416,6 +677,18 @@
 			test_invalid_configurations_are_rejected);
 	g_test_add_func("/codec/heartbeats", test_heartbeats);
 	g_test_add_func("/codec/order_results", test_order_results);
+	g_test_add_func("/codec/texts_that_would_be_cut_off_are_refused",
+			test_texts_that_would_be_cut_off_are_refused);
+	g_test_add_func("/codec/names_that_would_be_cut_off_are_no_members",
+			test_names_that_would_be_cut_off_are_no_members);
+	g_test_add_func("/codec/all_other_texts_are_carried_whole",
+			test_all_other_texts_are_carried_whole);
+	g_test_add_func("/codec/odd_text_does_not_hide_heartbeat",
+			test_odd_text_does_not_hide_heartbeat);
+	g_test_add_func("/codec/odd_text_does_not_hide_ends", test_odd_text_does_not_hide_ends);
+	g_test_add_func("/codec/odd_ticket_counts_as_none", test_odd_ticket_counts_as_none);
+	g_test_add_func("/codec/odd_text_does_not_shorten_machine_list",
+			test_odd_text_does_not_shorten_machine_list);
 	g_test_add_func("/codec/page_token_is_sent_whole", test_page_token_is_sent_whole);
 	return g_test_run();
 }
--- a/tests/unit/unit_tables.c
+++ b/tests/unit/unit_tables.c
@@ -104,6 +104,27 @@
 	codec_free(CODEC_PROC(sw_heartbeat), &a);
 }
 
+/// A zone or rack that cannot be carried must not hide that the instance leaves.
+static void test_odd_text_does_not_hide_leaving(void)
+{
+	const char *json = "{\"instance\":\"a-1\",\"incarnation\":1,\"address\":\"10.0.0.9:80\","
+			   "\"zone\":\"z\\u0000x\",\"rack\":\"r\\ud800\",\"slots\":8,"
+			   "\"connections\":64,\"state\":\"leaving\"}";
+	const char *other = "{\"instance\":\"a-1\\u0000\",\"incarnation\":1,"
+			    "\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":8,"
+			    "\"connections\":64,\"state\":\"leaving\"}";
+	g_autoptr(GPtrArray) errors = g_ptr_array_new_with_free_func(g_free);
+	sw_heartbeat a;
+
+	g_assert_true(endpoint_heartbeat_parse(json, strlen(json), &a, errors));
+	g_assert_true(a.leaving);
+	g_assert_cmpstr(a.zone, ==, "");
+	g_assert_cmpstr(a.rack, ==, "");
+	codec_free(CODEC_PROC(sw_heartbeat), &a);
+	g_assert_false(endpoint_heartbeat_parse(other, strlen(other), &a, errors));
+	codec_free(CODEC_PROC(sw_heartbeat), &a);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -112,5 +133,7 @@
 	g_test_add_func("/tables/first_matching_route_is_used", test_first_matching_route_is_used);
 	g_test_add_func("/tables/invalid_heartbeat_is_rejected",
 			test_invalid_heartbeat_is_rejected);
+	g_test_add_func("/tables/odd_text_does_not_hide_leaving",
+			test_odd_text_does_not_hide_leaving);
 	return g_test_run();
 }
