fix(calls): the cancelling of an unknown job keeps it from starting

Cause: the cancelling of an unknown job left no trace, so its answer held only until a request to submit the job arrived.

Change: it stores a tombstone, a job without steps that counts as cancelled, and is answered once that is committed. There are at most 10,000; beyond that the caller is asked to come back. A tombstone binds its account and queue only.

Evidence: with calls.c of before, /job_state/job_that_arrives_after_its_cancelling_is_refused fails with "(0 == 3)", the job accepted; /job_state/cancelling_of_unknown_job_is_stored_before_its_answer, /access/cancelling_of_unknown_job_binds_its_account_only and /jobs/cancelled_jobs_do_not_start ("starts after its cancelling: job7.0.0.4", fourth case) fail too, and so do /jobs/invariants_hold_under_faults (case 33), /jobs/invariants_hold_while_machines_move (16) and /jobs/caps_hold_under_faults (19) with the model's new rule. With the change they pass (200 cases each).

--- a/src/sesamewood/jobs/jobs.c
+++ b/src/sesamewood/jobs/jobs.c
@@ -57,6 +57,7 @@
 	access_reset(j);
 	g_hash_table_remove_all(j->by_id);
 	j->bytes = 0;
+	j->tombstones = 0;
 	g_hash_table_remove_all(j->incarnations);
 	g_ptr_array_set_size(j->waves, 0);
 	g_ptr_array_set_size(j->ordered_machines, 0);
@@ -148,6 +149,12 @@
 	return job->image.phase >= JOB_COMPLETED;
 }
 
+bool job_is_tombstone(const struct job *job)
+{
+	/* The steps of every ended job are dropped; queues allow at least one attempt. */
+	return job->image.phase == JOB_CANCELLED && !job->image.spec.max_attempts;
+}
+
 bool job_keeps_running(const struct job *job, uint32_t step)
 {
 	return job->image.phase == JOB_FAILED && step < job->image.spec.steps.steps_len &&
@@ -312,6 +319,14 @@
 	job->bytes = bytes;
 }
 
+static void end_job(struct job *job, job_phase phase, int64_t at_wall_ms)
+{
+	if (job_has_ended(job))
+		return;
+	job->image.phase = phase;
+	job->image.ended_wall_ms = at_wall_ms;
+}
+
 static void apply_accept(struct jobs *j, const job_spec *spec, const char *account,
 			 bool beyond_weight)
 {
@@ -324,9 +339,12 @@
 	job->beyond_weight = beyond_weight;
 	codec_copy(CODEC_PROC(job_spec), spec, &job->image.spec, sizeof(job_spec));
 	job->unfinished = tasks_per_occurrence(job) * job_occurrences(job);
-	create_occurrences(job, spec->occurrences ? 0 : 1);
+	create_occurrences(job, spec->occurrences || !spec->steps.steps_len ? 0 : 1);
 	set_bytes(j, job, job_estimate_bytes(spec));
 	job->may_have_ready_tasks = true;
+	if (!spec->steps.steps_len)
+		end_job(job, JOB_CANCELLED, spec->accepted_wall_ms);
+	j->tombstones += job_is_tombstone(job);
 	g_hash_table_insert(j->by_id, job->image.spec.id, job);
 }
 
@@ -360,14 +378,6 @@
 	g_clear_pointer(&job->ratios, g_free);
 }
 
-static void end_job(struct job *job, job_phase phase, int64_t at_wall_ms)
-{
-	if (job_has_ended(job))
-		return;
-	job->image.phase = phase;
-	job->image.ended_wall_ms = at_wall_ms;
-}
-
 static void apply_cancel(struct jobs *j, const job_cancel *c)
 {
 	struct job *job = jobs_find(j, c->id);
@@ -624,6 +634,7 @@
 		if (!job || !job_has_ended(job) || job->assigned)
 			continue;
 		set_bytes(j, job, 0);
+		j->tombstones -= job_is_tombstone(job);
 		g_hash_table_remove(j->by_id, f->ids.ids_val[i]);
 	}
 	g_hash_table_foreach_remove(j->incarnations, is_unused, NULL);
@@ -762,6 +773,7 @@
 		restore_counters(j, job);
 		set_bytes(j, job, job_estimate_bytes(&job->image.spec));
 		job->may_have_ready_tasks = true;
+		j->tombstones += job_is_tombstone(job);
 		g_hash_table_insert(j->by_id, job->image.spec.id, job);
 	}
 	for (u_int i = 0; i < s->waves.waves_len; i++)
--- a/src/sesamewood/jobs/jobs.h
+++ b/src/sesamewood/jobs/jobs.h
@@ -61,6 +61,7 @@
 	GHashTable *queues;	     ///< queue key to index into config.queues plus 1
 	GHashTable *by_id;	     ///< struct job by id
 	size_t bytes;		     ///< estimate of the memory that all jobs take
+	uint32_t tombstones;	     ///< jobs that are tombstones
 	GHashTable *incarnations;    ///< struct job_incarnation_state by number
 	uint32_t next_endpoint;	     ///< number of the next endpoint incarnation
 	GPtrArray *waves;	     ///< of job_wave *, oldest first
@@ -92,6 +93,11 @@
 /// @return the task, or NULL when there is none
 job_task *jobs_task(const struct jobs *j, const job_task_ref *ref);
 
+/// Tells whether a job was cancelled before a request to submit it arrived. It has no steps and
+/// stands for the promise that none of such requests will start it. It is retained like an ended
+/// job.
+bool job_is_tombstone(const struct job *job);
+
 /// @return number of occurrences of a job; 1 for one without
 uint32_t job_occurrences(const struct job *job);
 
--- a/src/sesamewood/manager/calls.c
+++ b/src/sesamewood/manager/calls.c
@@ -17,6 +17,9 @@
 /// snapshots of it.
 #define JOBS_BYTES_MAX ((size_t)48 * 1024 * 1024)
 #define STATE_FULL_RETRY_S 5
+/// Cancelled jobs that were never submitted, which are remembered. Beyond that the caller is asked
+/// to come back: a promise that is not kept is worth less than none.
+#define TOMBSTONES_MAX 10000
 /// Limits of a schedule: JOB_TASKS_MAX intervals after the first time do not overflow.
 #define WALL_MS_MAX ((int64_t)1 << 53)
 #define INTERVAL_MS_MAX ((int64_t)1 << 40)
@@ -97,6 +100,33 @@
 	       spec->first_wall_ms <= WALL_MS_MAX && spec->interval_ms <= INTERVAL_MS_MAX;
 }
 
+static bool job_id_is_valid(const char *id)
+{
+	return *id && strlen(id) <= SW_NAME_MAX && !strchr(id, '/') && !strchr(id, '.');
+}
+
+/// Answers a request to submit a job whose id is known.
+static struct reply submit_known(const struct job *known)
+{
+	if (!known)
+		return reply_with_status(REPLY_INVALID);
+	if (!job_is_tombstone(known))
+		return reply_with_status(REPLY_OK);
+	log_info("job refused: it was cancelled before it arrived", "JOB", known->image.spec.id);
+	return reply_with_status(REPLY_UNKNOWN_JOB);
+}
+
+/// Removes the tombstone of another account or queue, which has cancelled another job of that id.
+static void replace_tombstone(struct manager *m, const char *id)
+{
+	sw_name ids[] = {(char *)id};
+	job_command c = {.type = JOB_COMMAND_FORGET,
+			 .job_command_u.forget.ids = {.ids_len = 1, .ids_val = ids}};
+
+	if (jobs_find(m->jobs, id))
+		effects_propose(m, &c);
+}
+
 static struct reply submit(struct manager *m, clock_ms_t now, clock_ms_t wall_ms, struct call *call)
 {
 	const char *id = "";
@@ -113,12 +143,12 @@
 									: REPLY_UNAVAILABLE);
 	if (!authorize(m, call, q, &account))
 		return reply_with_status(REPLY_UNAUTHORIZED);
-	if (!*id || strlen(id) > SW_NAME_MAX || strchr(id, '/') || strchr(id, '.'))
+	if (!job_id_is_valid(id))
 		return reply_with_status(REPLY_INVALID);
-	if (jobs_find(m->jobs, id)) {
-		known = find_visible_job(m, q, id, account);
-		return reply_with_status(known ? REPLY_OK : REPLY_INVALID);
-	}
+	known = find_visible_job(m, q, id, account);
+	job = jobs_find(m->jobs, id);
+	if (known || (job && !job_is_tombstone(job)))
+		return submit_known(known);
 	if (!job_spec_is_valid(&call->spec))
 		return reply_with_status(REPLY_INVALID);
 	if (m->jobs->bytes + job_estimate_bytes(&call->spec) > JOBS_BYTES_MAX) {
@@ -135,6 +165,7 @@
 	if (!admission_admit(m, now, &call->spec, q, name_of(account), beyond_weight,
 			     &retry_after_s))
 		return (struct reply){.status = REPLY_BUSY, .retry_after_s = retry_after_s};
+	replace_tombstone(m, id);
 	if (account) {
 		c.type = JOB_COMMAND_ACCEPT_FOR;
 		c.job_command_u.accept_for = (job_accept_for){
@@ -173,11 +204,45 @@
 		return (struct reply){.content = REPLY_WAITING_COUNT,
 				      .u.waiting = schedule_count_waiting(m, q->key)};
 	job = find_visible_job(m, q, id, account);
-	if (!job)
+	if (!job || job_is_tombstone(job))
 		return reply_with_status(REPLY_UNKNOWN_JOB);
 	return (struct reply){.content = REPLY_JOB_PHASE, .u.phase = job->image.phase};
 }
 
+/// Answers the cancelling of a job that is not known. The answer tells the caller that the job will
+/// not run, but a request to submit it may still be on its way, through an entry that stood still
+/// or as a copy sent to the next leader. The answer waits until the tombstone is committed.
+static struct reply cancel_unknown(struct manager *m, int64_t wall_ms, const job_queue *q,
+				   const char *id, const job_account *account)
+{
+	job_spec spec = {
+		.id = (char *)id,
+		.queue = q->key,
+		.pool = q->pool,
+		.payload = (char *)"",
+		.accepted_wall_ms = wall_ms,
+	};
+	job_command c = {.type = JOB_COMMAND_ACCEPT, .job_command_u.accept = spec};
+
+	if (!job_id_is_valid(id) || jobs_find(m->jobs, id))
+		return reply_with_status(REPLY_UNKNOWN_JOB);
+	if (m->jobs->tombstones >= TOMBSTONES_MAX ||
+	    m->jobs->bytes + job_estimate_bytes(&spec) > JOBS_BYTES_MAX) {
+		log_info("cancelling of an unknown job refused because the state is full", "JOB",
+			 id, "TOMBSTONES", log_number(m->jobs->tombstones), "STATE_BYTES",
+			 log_number(m->jobs->bytes));
+		return (struct reply){.status = REPLY_BUSY, .retry_after_s = STATE_FULL_RETRY_S};
+	}
+	if (account)
+		c = (job_command){
+			.type = JOB_COMMAND_ACCEPT_FOR,
+			.job_command_u.accept_for = {.spec = spec, .account = account->name}};
+	if (!effects_propose(m, &c))
+		return reply_with_status(REPLY_UNAVAILABLE);
+	log_info("unknown job cancelled; requests to submit it are refused", "JOB", id);
+	return reply_with_status(REPLY_UNKNOWN_JOB);
+}
+
 static struct reply cancel(struct manager *m, clock_ms_t wall_ms, const struct call *call)
 {
 	const char *id = "";
@@ -196,6 +261,8 @@
 		return reply_with_status(REPLY_UNAUTHORIZED);
 	job = find_visible_job(m, q, id, account);
 	if (!job)
+		return cancel_unknown(m, wall_ms, q, id, account);
+	if (job_is_tombstone(job))
 		return reply_with_status(REPLY_UNKNOWN_JOB);
 	/* Tasks of a failed job may run on until it is cancelled. */
 	if (!job_has_ended(job) || (job->image.phase == JOB_FAILED && job->assigned)) {
--- a/tests/model/fleet_model.cc
+++ b/tests/model/fleet_model.cc
@@ -280,6 +280,10 @@
 		} else {
 			auto request = request_tokens.find(e->u.reply.token);
 
+			if (request != request_tokens.end() && request->second.second &&
+			    (e->u.reply.reply.status == REPLY_OK ||
+			     e->u.reply.reply.status == REPLY_UNKNOWN_JOB))
+				cancelled_at.emplace(request->second.first, now);
 			if (request != request_tokens.end() && e->u.reply.reply.status == REPLY_OK)
 				(request->second.second ? cancelled : acked)
 					.insert(request->second.first);
@@ -942,6 +946,9 @@
 	if (f.done_acknowledged)
 		throw RuleViolation(std::string("starts after its acknowledged completion: ") +
 				    o.task);
+	/* Starts may have been ordered before, and be repeated. */
+	if (!late && cancelled_at.count(plan.id) && now - cancelled_at[plan.id] > kCancelMs)
+		throw RuleViolation(std::string("starts after its cancelling: ") + o.task);
 	if (check_listed_completions && f.done_listed_at &&
 	    now - f.done_listed_at > kListedMarginMs)
 		throw RuleViolation(std::string("starts after its completion was listed: ") +
--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -268,6 +268,8 @@
 	uint64_t commands = 0, orders = 0;
 	/// Ids of jobs whose submission or cancellation was acknowledged.
 	std::set<std::string> acked, cancelled;
+	/// By id: when a cancelling was first answered, whether the job was known or not.
+	std::map<std::string, clock_ms_t> cancelled_at;
 	/// Ids of jobs for which a cancellation was sent, acknowledged or not.
 	std::set<std::string> cancel_requests;
 	/// NULL while there is no leader.
--- a/tests/property/property_jobs.cc
+++ b/tests/property/property_jobs.cc
@@ -391,6 +391,39 @@
 	RC_ASSERT(fleet.departures == kEndpoints);
 }
 
+/// Callers cancel jobs whose requests are still on their way, while leaders are deposed and
+/// uncommitted commands are lost. Copies of the requests arrive until they are accepted. The model
+/// checks that no task starts long after a cancelling was answered, whatever the answer.
+void cancelled_jobs_do_not_start(uint32_t seed)
+{
+	constexpr unsigned int kRounds = 12;
+	model::Fleet fleet(seed, 1, 4);
+	std::mt19937 random(seed);
+
+	try {
+		for (unsigned int i = 0; i < kRounds; i++) {
+			std::string id = "job" + std::to_string(i);
+
+			if (random() % 2)
+				fleet.depose_leader();
+			fleet.submit(half_load(id, false, 300));
+			fleet.advance(static_cast<clock_ms_t>(random() % 10));
+			if (random() % 2)
+				fleet.depose_leader();
+			for (unsigned int k = random() % 4; k > 0; k--) {
+				fleet.advance(static_cast<clock_ms_t>(random() % 600));
+				fleet.cancel(id);
+				if (random() % 4 == 0)
+					fleet.depose_leader();
+			}
+		}
+		fleet.advance(8000);
+	} catch (const model::RuleViolation &broken) {
+		RC_FAIL(broken.what());
+	}
+	reached.cancelled += fleet.cancelled_at.size();
+}
+
 /// Heartbeats of another writer claim for each endpoint in turn, and under any id, that it has been
 /// replaced. No other fault: all attempts run where they are, and each endpoint stays in use.
 void foreign_heartbeats_change_nothing(uint32_t seed)
@@ -900,6 +933,9 @@
 	property.check("tasks_of_endpoints_that_leave_restart_soon", [] {
 		tasks_of_endpoints_that_leave_restart_soon(*rc::gen::inRange<uint32_t>(0, 1000));
 	});
+	property.check("cancelled_jobs_do_not_start", [] {
+		cancelled_jobs_do_not_start(*rc::gen::inRange<uint32_t>(0, 1000000));
+	});
 	property.check("foreign_heartbeats_change_nothing", [] {
 		foreign_heartbeats_change_nothing(*rc::gen::inRange<uint32_t>(0, 1000));
 	});
--- a/tests/unit/unit_access.c
+++ b/tests/unit/unit_access.c
@@ -137,6 +137,25 @@
 	manager_free(m);
 }
 
+/// The cancelling of an unknown job by one account must not keep another one from submitting a job
+/// of that id.
+static void test_cancelling_of_unknown_job_binds_its_account_only(void)
+{
+	struct manager *m = fixture_manager(FIXTURE_START_MS);
+
+	put(m, 1, two, 2, false);
+	g_assert_cmpint(send_call(m, CALL_CANCEL, "j1", "key-b"), ==, REPLY_UNKNOWN_JOB);
+	g_assert_cmpint(send_call(m, CALL_SUBMIT, "j1", "key-b2"), ==, REPLY_UNKNOWN_JOB);
+	g_assert_cmpint(send_call(m, CALL_CANCEL, "j2", "key-c"), ==, REPLY_UNAUTHORIZED);
+	g_assert_cmpint(send_call(m, CALL_SUBMIT, "j2", "key-a"), ==, REPLY_OK);
+	g_assert_cmpint(send_call(m, CALL_SUBMIT, "j1", "key-a"), ==, REPLY_OK);
+	g_assert_cmpstr(jobs_find(m->jobs, "j1")->account, ==, "a");
+	g_assert_cmpint(send_call(m, CALL_JOB_READ, "j1", "key-a"), ==, REPLY_OK);
+	g_assert_cmpint(send_call(m, CALL_SUBMIT, "j1", "key-b"), ==, REPLY_INVALID);
+	g_assert_cmpuint(m->jobs->tombstones, ==, 0);
+	manager_free(m);
+}
+
 /// Keys that a version removed were still accepted (CONFIG), and jobs of a removed key were lost.
 static void test_keys_change_with_the_configuration(void)
 {
@@ -305,6 +324,8 @@
 			test_without_accounts_no_key_is_needed);
 	g_test_add_func("/access/accounts_that_are_required_and_missing_refuse_all",
 			test_accounts_that_are_required_and_missing_refuse_all);
+	g_test_add_func("/access/cancelling_of_unknown_job_binds_its_account_only",
+			test_cancelling_of_unknown_job_binds_its_account_only);
 	g_test_add_func("/access/accounts_survive_snapshot", test_accounts_survive_snapshot);
 	g_test_add_func("/access/snapshot_of_earlier_build_is_read",
 			test_snapshot_of_earlier_build_is_read);
--- a/tests/unit/unit_jobs.c
+++ b/tests/unit/unit_jobs.c
@@ -322,6 +322,123 @@
 	jobs_free(j);
 }
 
+static struct call caller_request(enum call_type type, const char *id)
+{
+	return (struct call){
+		.type = type, .host = g_strdup("h"), .path = g_strconcat("/q/", id, NULL)};
+}
+
+static enum reply_status cancel(struct manager *m, const char *id)
+{
+	struct call c = caller_request(CALL_CANCEL, id);
+
+	return send_call(m, &c);
+}
+
+static enum reply_status read_state(struct manager *m, const char *id)
+{
+	struct call c = caller_request(CALL_JOB_READ, id);
+
+	return send_call(m, &c);
+}
+
+/// A job that was cancelled before the request to submit it arrived, from an entry that had stood
+/// still, was run: its caller had been told that there is no such job.
+static void test_job_that_arrives_after_its_cancelling_is_refused(void)
+{
+	struct manager *m = fixture_manager(FIXTURE_START_MS);
+	g_autoptr(GByteArray) bytes = NULL;
+	struct jobs *j = jobs_new();
+	struct manager *next;
+
+	fixture_put_config(m, FIXTURE_START_MS);
+	g_assert_cmpint(cancel(m, "j"), ==, REPLY_UNKNOWN_JOB);
+	g_assert_cmpint(submit(m, "j", 0, ""), ==, REPLY_UNKNOWN_JOB);
+	g_assert_cmpint(read_state(m, "j"), ==, REPLY_UNKNOWN_JOB);
+	g_assert_cmpint(submit(m, "k", 0, ""), ==, REPLY_OK);
+	g_assert_cmpint(read_state(m, "k"), ==, REPLY_OK);
+	/* The next leader knows it from a snapshot. */
+	bytes = jobs_snapshot(m->jobs);
+	g_assert_true(jobs_restore(j, bytes->data, bytes->len));
+	g_assert_cmpuint(j->tombstones, ==, 1);
+	next = fixture_next_manager(j, 2, FIXTURE_START_MS, FIXTURE_START_MS);
+	g_assert_cmpint(submit(next, "j", 0, ""), ==, REPLY_UNKNOWN_JOB);
+	g_assert_cmpint(cancel(next, "j"), ==, REPLY_UNKNOWN_JOB);
+	g_assert_cmpint(cancel(next, "k"), ==, REPLY_OK);
+	g_assert_cmpint(submit(next, "k", 0, ""), ==, REPLY_OK);
+	g_assert_cmpint(read_state(next, "k"), ==, REPLY_OK);
+	manager_free(next);
+	manager_free(m);
+	jobs_free(j);
+}
+
+/// The answer to the cancelling of an unknown job was given before anything was stored, so that a
+/// change of leader lost it.
+static void test_cancelling_of_unknown_job_is_stored_before_its_answer(void)
+{
+	struct manager *m = fixture_manager(FIXTURE_START_MS);
+	struct jobs *committed = jobs_new();
+	struct manager *next;
+	g_autoptr(GPtrArray) before = NULL;
+	g_autoptr(GPtrArray) effects = NULL;
+	struct call c;
+
+	fixture_put_config(m, FIXTURE_START_MS);
+	before = manager_take_effects(m);
+	c = caller_request(CALL_CANCEL, "j");
+	manager_handle_call(m, FIXTURE_START_MS, FIXTURE_START_MS, 9, &c);
+	call_clear(&c);
+	effects = manager_take_effects(m);
+	g_assert_cmpuint(effects->len, ==, 2);
+	g_assert_cmpint(((struct effect *)effects->pdata[0])->type, ==, EFFECT_PROPOSE);
+	g_assert_cmpint(((struct effect *)effects->pdata[1])->type, ==, EFFECT_REPLY);
+	g_assert_false(((struct effect *)effects->pdata[1])->u.reply.at_once);
+	for (guint i = 0; i < before->len; i++)
+		if (((struct effect *)before->pdata[i])->type == EFFECT_PROPOSE)
+			fixture_commit(committed, ((struct effect *)before->pdata[i])->u.command);
+	fixture_commit(committed, ((struct effect *)effects->pdata[0])->u.command);
+	next = fixture_next_manager(committed, 2, FIXTURE_START_MS, FIXTURE_START_MS);
+	g_assert_cmpint(submit(next, "j", 0, ""), ==, REPLY_UNKNOWN_JOB);
+	manager_free(next);
+	manager_free(m);
+	jobs_free(committed);
+}
+
+/// What is remembered of cancelled unknown jobs must not grow without bound. Beyond it a caller is
+/// asked to come back, and all else is served.
+static void test_cancelled_unknown_jobs_are_bounded(void)
+{
+	const clock_ms_t retention_ms = (clock_ms_t)fixture_settings().job_retention_s * 1000;
+	struct manager *m = fixture_manager(FIXTURE_START_MS);
+	enum reply_status status = REPLY_UNKNOWN_JOB;
+	unsigned int n = 0;
+
+	fixture_put_config(m, FIXTURE_START_MS);
+	for (; status == REPLY_UNKNOWN_JOB; n++) {
+		g_autofree char *id = g_strdup_printf("j%u", n);
+
+		status = cancel(m, id);
+	}
+	g_assert_cmpint(status, ==, REPLY_BUSY);
+	g_assert_cmpuint(n, <=, 20000);
+	g_assert_cmpint(cancel(m, "j0"), ==, REPLY_UNKNOWN_JOB);
+	g_assert_cmpint(submit(m, "j0", 0, ""), ==, REPLY_UNKNOWN_JOB);
+	g_assert_cmpint(submit(m, "k", 0, ""), ==, REPLY_OK);
+	g_assert_cmpint(cancel(m, "k"), ==, REPLY_OK);
+	for (clock_ms_t now = FIXTURE_START_MS; now < FIXTURE_START_MS + 2 * retention_ms;
+	     now += 100) {
+		g_autoptr(GPtrArray) effects = NULL;
+
+		manager_tick(m, now, now);
+		effects = manager_take_effects(m);
+	}
+	g_assert_cmpuint(m->jobs->tombstones, ==, 0);
+	g_assert_cmpuint(g_hash_table_size(m->jobs->by_id), ==, 0);
+	g_assert_cmpint(cancel(m, "other"), ==, REPLY_UNKNOWN_JOB);
+	g_assert_cmpint(submit(m, "j0", 0, ""), ==, REPLY_OK);
+	manager_free(m);
+}
+
 static enum reply_status put_config(struct manager *m, uint64_t version, size_t name_len)
 {
 	g_autofree char *name = g_strnfill(name_len, 'n');
@@ -481,6 +598,12 @@
 	g_log_set_always_fatal(G_LOG_FATAL_MASK); /* a dropped command is logged as an error */
 	g_test_add_func("/jobs/ended_jobs_are_kept_when_the_time_of_day_steps",
 			test_ended_jobs_are_kept_when_the_time_of_day_steps);
+	g_test_add_func("/job_state/job_that_arrives_after_its_cancelling_is_refused",
+			test_job_that_arrives_after_its_cancelling_is_refused);
+	g_test_add_func("/job_state/cancelling_of_unknown_job_is_stored_before_its_answer",
+			test_cancelling_of_unknown_job_is_stored_before_its_answer);
+	g_test_add_func("/job_state/cancelled_unknown_jobs_are_bounded",
+			test_cancelled_unknown_jobs_are_bounded);
 	g_test_add_func("/job_state/schedule_takes_no_room_before_it_is_due",
 			test_schedule_takes_no_room_before_it_is_due);
 	g_test_add_func("/job_state/schedule_completes", test_schedule_completes);
