fix(entry): pass on no request whose caller has given up

Cause: what waits in a socket while the process does not run looks new when it is read. The entry looked neither at the time for which a request had waited, nor whether its caller was still there, nor at the header in which callers say how long they wait, and gave each request its full time.

Change: the kernel tells how long ago the last byte of a request arrived. A request that has waited for 100 ms or more and whose caller has closed its side is not passed on, nor is one that has waited for as long as its caller waits: Sesamewood-Deadline-Ms, or 3 s. Both are answered 503 with Retry-After, in case the caller is still there. Others are passed on for the rest of that time.

--- a/src/sesamewood/base/http_server.c
+++ b/src/sesamewood/base/http_server.c
@@ -16,6 +16,7 @@
 #include <malloc.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/ioctl.h>
 #include <sys/mman.h>
@@ -63,6 +64,10 @@
 /// Period of the check for such connections while MHD wants to run again at once.
 #define SPIN_CHECK_MS 20
 
+/// A request that was not passed to its handler for this time has waited. Without a pause of the
+/// process it takes a fraction.
+#define WAITED_MIN_MS 100
+
 /// Responses of this size are refused when memory is short.
 #define LARGE_RESPONSE_BYTES 65536
 
@@ -146,6 +151,8 @@
 	unsigned int status;
 	GList link;	      ///< in server->waiting while suspended
 	ev_io client_watcher; ///< detects that the client has disconnected
+	clock_ms_t waited_ms; ///< see http_waited_ms()
+	bool client_left;     ///< see http_client_has_left()
 	bool too_large;
 	bool dispatched; ///< passed to handlers->on_request
 	bool suspended;	 ///< MHD does not serve the connection until the reply
@@ -623,6 +630,17 @@
 	       kept + (uint64_t)req->body.len * WAITING_COPIES > s->budget.limit;
 }
 
+/// Finds out how long a complete request has waited in the socket. A process that was stopped, or
+/// was not scheduled, reads requests as if they had just arrived.
+static void record_wait(struct http_request *req)
+{
+	struct pollfd p = {.fd = req->client->fd, .events = POLLRDHUP};
+
+	req->waited_ms = tcp_info_of(p.fd).tcpi_last_data_recv;
+	req->client_left = req->waited_ms >= WAITED_MIN_MS && poll(&p, 1, 0) > 0 &&
+			   p.revents & (POLLRDHUP | POLLHUP | POLLERR);
+}
+
 static void dispatch(struct http_request *req)
 {
 	struct http_server *s = req->server;
@@ -632,6 +650,7 @@
 	if (lacks_room)
 		free_body(req);
 	keep_request(req, 0);
+	record_wait(req);
 	if (req->too_large)
 		http_reply_problem(req, HTTP_CONTENT_TOO_LARGE, "the body is too large", "not-run");
 	else if (lacks_room)
@@ -937,6 +956,16 @@
 	return req->method;
 }
 
+clock_ms_t http_waited_ms(const struct http_request *req)
+{
+	return req->waited_ms;
+}
+
+bool http_client_has_left(const struct http_request *req)
+{
+	return req->client_left;
+}
+
 const char *http_target(const struct http_request *req)
 {
 	return req->target;
--- a/src/sesamewood/base/http_server.h
+++ b/src/sesamewood/base/http_server.h
@@ -5,6 +5,8 @@
 /// HTTP/1.1 server: libmicrohttpd on a libev loop. Body sizes, and the memory and the descriptors
 /// of all unfinished requests together, are limited. A handler may reply after it has returned.
 
+#include "base/clock.h"
+
 #include <ev.h>
 #include <glib.h>
 #include <stdbool.h>
@@ -106,6 +108,13 @@
 /// @return the body as a new string, released with g_free(), or NULL when it contains a NUL byte
 char *http_body_text(const struct http_request *req);
 
+/// @return time from the arrival of the request's last byte until it was passed to the handler, ms.
+/// It is long if the process stood still, and 0 if it is not known.
+clock_ms_t http_waited_ms(const struct http_request *req);
+/// Tells whether the client of a request that waited has closed its side of the connection since:
+/// it has given up. A client that does so with a request that did not wait may read the answer.
+bool http_client_has_left(const struct http_request *req);
+
 /// Attaches the handler's data to a request; the server neither reads nor frees it.
 void http_request_set_data(struct http_request *req, void *data);
 void *http_request_data(const struct http_request *req);
--- a/src/sesamewood/manager/entry_shell.c
+++ b/src/sesamewood/manager/entry_shell.c
@@ -27,6 +27,8 @@
 /// After an outage of this duration, which callers wait for an answer, requests are refused at
 /// once: they could not be served in time.
 #define OUTAGE_MS 3000
+#define CALLER_WAIT_MS 3000 /* of a caller that does not say how long it waits */
+#define CALLER_WAIT_MAX_MS 3600000
 #define RETRY_AFTER_MAX_S 3 /* time that callers wait for an answer */
 #define MS_PER_S 1000
 #define EXIT_LISTEN 4
@@ -50,6 +52,7 @@
 	struct metric *answered;
 	struct metric *refused;
 	struct metric *unsure;
+	struct metric *given_up;
 };
 
 static bool is_ready(const struct shell *sh)
@@ -64,6 +67,18 @@
 	return clock_monotonic() - relay_answered_at(sh->relay);
 }
 
+/// Returns how long the caller of a request still waits for the answer, ms. Time in which the
+/// request waited in the socket counts.
+static clock_ms_t caller_waits_ms(const struct shell *sh, const struct http_request *req)
+{
+	const char *text = http_header(req, sh->settings.deadline_header);
+	guint64 wait_ms = CALLER_WAIT_MS;
+
+	if (text && !g_ascii_string_to_unsigned(text, 10, 1, CALLER_WAIT_MAX_MS, &wait_ms, NULL))
+		wait_ms = CALLER_WAIT_MS;
+	return (clock_ms_t)wait_ms - http_waited_ms(req);
+}
+
 /// Returns the time at which a process that is stopping ends even if requests wait.
 static clock_ms_t stop_deadline(const struct shell *sh)
 {
@@ -120,9 +135,22 @@
 	}
 }
 
+/// Refuses a request that is not passed on because nobody waits for its answer: its caller may have
+/// been told elsewhere that it was cancelled.
+static void drop_given_up(struct shell *sh, struct http_request *req, const char *reason)
+{
+	const struct http_header after[] = {{"Retry-After", "1"}, {NULL, NULL}};
+
+	metrics_add(sh->given_up, 1);
+	log_info(reason, "METHOD", http_method(req), "PATH", http_target(req), "WAITED_MS",
+		 log_number(http_waited_ms(req)));
+	http_reply(req, HTTP_UNAVAILABLE, after, NULL, 0);
+}
+
 static void on_front_request(void *ctx, struct http_request *req)
 {
 	struct shell *sh = ctx;
+	clock_ms_t left_ms = caller_waits_ms(sh, req);
 	const GByteArray *body = http_body(req);
 	const char *host = http_header(req, "Host");
 	const char *key = http_header(req, sh->settings.key_header);
@@ -142,6 +170,14 @@
 	if (args.key.key_len > SW_ACCESS_KEY_MAX) /* belongs to nobody; open queues need none */
 		args.key.key_len = 0;
 	http_request_set_data(req, sh);
+	if (http_client_has_left(req)) {
+		drop_given_up(sh, req, "request not passed on: its caller has left");
+		return;
+	}
+	if (left_ms <= 0) {
+		drop_given_up(sh, req, "request not passed on: its caller no longer waits");
+		return;
+	}
 	if (ends_soon(sh)) {
 		refuse(req, "request refused because this process stops");
 		return;
@@ -150,7 +186,7 @@
 		refuse(req, "request refused because no leader answers");
 		return;
 	}
-	relay_call(sh->relay, &args, RELAY_MS, on_relayed, req);
+	relay_call(sh->relay, &args, MIN(RELAY_MS, left_ms), on_relayed, req);
 }
 
 static void on_ready_request(void *ctx, struct http_request *req)
@@ -285,6 +321,8 @@
 				       "calls refused for want of a leader"),
 		.unsure = metrics_get(METRIC_COUNTER, "sesamewood_entry_unsure_total", "",
 				      "calls that may have had an effect"),
+		.given_up = metrics_get(METRIC_COUNTER, "sesamewood_entry_given_up_total", "",
+					"calls not passed on because their callers had given up"),
 	};
 	unsigned int n = 0;
 
--- a/src/sesamewood/manager/entry_shell.h
+++ b/src/sesamewood/manager/entry_shell.h
@@ -16,6 +16,8 @@
 	uint16_t rpc_port;	///< of all control replicas
 	uint32_t seeds[3];	///< control nodes, terminated by 0
 	const char *key_header; ///< header that carries a caller's access key
+	/// Header that states how long a caller waits for its answer, ms.
+	const char *deadline_header;
 	uint32_t body_max_bytes;
 	uint32_t head_max_bytes;
 	uint32_t memory_mb;	    ///< memory of the process; 0: not stated
--- a/tests/functional/test_entry_stop.c
+++ b/tests/functional/test_entry_stop.c
@@ -7,6 +7,7 @@
 #include "base/http_status.h"
 #include "base/log.h"
 #include "harness.h"
+#include "platform_entry.h"
 #include "rpc/generated/sesamewood.h"
 #include "rpc/rpc_server.h"
 
@@ -19,9 +20,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define RPC_PORT 7060
-#define FRONT_PORT 8624
-#define READY_PORT 8622
 #define CALLERS 12
 #define CONTROL_DELAY_S 0.5 /* as in a change of leader; an entry waits 1.1 s at most */
 #define GRACE_S 6
@@ -147,31 +145,6 @@
 	return NULL;
 }
 
-/* The entry. */
-
-static GSubprocess *start_entry(const char *dir, const char *network)
-{
-	g_autoptr(GSubprocessLauncher) launcher =
-		g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_STDERR_MERGE);
-	g_autofree char *program =
-		g_build_filename(harness_programs(), "sesamewood-platform-entry", NULL);
-	g_autofree char *path = g_build_filename(dir, "entry.conf", NULL);
-	g_autofree char *log = g_build_filename(dir, "entry.log", NULL);
-	g_autofree char *settings = g_strdup_printf(
-		"nodeName=entry\nip=%s.2\nlisten.front=%s.2:%d\nlisten.ready=%s.2:%d\n"
-		"internalPorts=%d,%d\nseeds=%s.1:8623\nbounds.graceS=%d\n",
-		network, network, FRONT_PORT, network, READY_PORT, RPC_PORT, RPC_PORT + 9, network,
-		GRACE_S);
-	GSubprocess *process;
-
-	g_assert_true(g_file_set_contents(path, settings, -1, NULL));
-	g_subprocess_launcher_setenv(launcher, "SESAMEWOOD_SETTINGS", path, TRUE);
-	g_subprocess_launcher_set_stdout_file_path(launcher, log);
-	process = g_subprocess_launcher_spawn(launcher, NULL, program, NULL);
-	g_assert_nonnull(process);
-	return process;
-}
-
 static unsigned int count_answered(const struct caller *callers)
 {
 	unsigned int n = 0;
@@ -185,19 +158,19 @@
 static void test_stop_answers_all_that_was_read(void)
 {
 	g_autofree char *dir = g_dir_make_tmp("entry-stop-XXXXXX", NULL);
-	g_autofree char *network =
-		g_strdup_printf("127.%d.%d", 200 + getpid() / 250 % 50, 1 + getpid() % 250);
-	g_autofree char *control_address = g_strdup_printf("%s.1:%d", network, RPC_PORT);
+	g_autofree char *network = platform_entry_network();
+	g_autofree char *control_address =
+		g_strdup_printf("%s.1:%d", network, PLATFORM_ENTRY_RPC_PORT);
 	g_autofree char *front_ip = g_strdup_printf("%s.2", network);
 	pid_t control = start_control(control_address);
-	g_autoptr(GSubprocess) entry = start_entry(dir, network);
+	g_autoptr(GSubprocess) entry = platform_entry_start(dir, network, GRACE_S);
 	struct caller callers[CALLERS] = {0};
 	unsigned int cut = 0;
 	clock_ms_t stopped_at;
 
 	for (unsigned int i = 0; i < CALLERS; i++) {
-		callers[i].address =
-			(struct sockaddr_in){.sin_family = AF_INET, .sin_port = htons(FRONT_PORT)};
+		callers[i].address = (struct sockaddr_in){
+			.sin_family = AF_INET, .sin_port = htons(PLATFORM_ENTRY_FRONT_PORT)};
 		inet_pton(AF_INET, front_ip, &callers[i].address.sin_addr);
 		callers[i].thread = g_thread_new("caller", call_entry, &callers[i]);
 	}
