fix(entry): count an outage from the end of a pause

A caller that still waited after an entry had stood still for more than 3 s, and one that came right then, were refused.

Cause: an entry refuses at once after 3 s without an answer of a leader, and counted the time in which it could not have read one. Until the next probe was answered it refused all; whether that came first depended on the order in which sockets were read.

Change: the entry notices that its loop has not run for a second, and counts an outage from then on.

Evidence: /entry_pause/waiting_caller_is_served_after_the_pause failed before with "(503 == 200)", and passes now.

--- a/src/sesamewood/manager/entry_shell.c
+++ b/src/sesamewood/manager/entry_shell.c
@@ -29,6 +29,8 @@
 #define OUTAGE_MS 3000
 #define CALLER_WAIT_MS 3000 /* of a caller that does not say how long it waits */
 #define CALLER_WAIT_MAX_MS 3600000
+/// The loop runs at least with each probe. A longer pause means that the process stood still.
+#define STANDSTILL_MS 1000
 #define RETRY_AFTER_MAX_S 3 /* time that callers wait for an answer */
 #define MS_PER_S 1000
 #define EXIT_LISTEN 4
@@ -46,7 +48,10 @@
 	ev_timer ping;
 	ev_signal terminate;
 	ev_signal hangup;
+	ev_prepare before_wait;
 	bool pinging;
+	clock_ms_t looped_at;	///< when the loop last ran
+	clock_ms_t awake_at;	///< when the process last went on after it had stood still, or 0
 	clock_ms_t stopping_at; ///< 0: not stopping
 	bool closing;		///< no request waits, and the process ends with the next check
 	struct metric *answered;
@@ -61,10 +66,31 @@
 	       clock_monotonic() - relay_answered_at(sh->relay) < READY_WINDOW_MS;
 }
 
-/// Returns the time since a leader last answered, ms.
+/// Returns the time since a leader last answered, ms, without the time before the process last
+/// stood still: it could not have read an answer.
 static clock_ms_t outage_ms(const struct shell *sh)
 {
-	return clock_monotonic() - relay_answered_at(sh->relay);
+	return clock_monotonic() - MAX(relay_answered_at(sh->relay), sh->awake_at);
+}
+
+/// Notices that the process has stood still. Which of the sockets is read first after that is not
+/// defined, so every handler that depends on it calls this.
+static void notice_standstill(struct shell *sh)
+{
+	clock_ms_t now = clock_monotonic();
+
+	if (sh->looped_at && now - sh->looped_at > STANDSTILL_MS) {
+		log_warning("the process stood still", "MS", log_number(now - sh->looped_at));
+		sh->awake_at = now;
+	}
+	sh->looped_at = now;
+}
+
+static void on_before_wait(struct ev_loop *loop, ev_prepare *w, int revents)
+{
+	(void)loop;
+	(void)revents;
+	notice_standstill(w->data);
 }
 
 /// Returns how long the caller of a request still waits for the answer, ms. Time in which the
@@ -170,6 +196,7 @@
 	if (args.key.key_len > SW_ACCESS_KEY_MAX) /* belongs to nobody; open queues need none */
 		args.key.key_len = 0;
 	http_request_set_data(req, sh);
+	notice_standstill(sh);
 	if (http_client_has_left(req)) {
 		drop_given_up(sh, req, "request not passed on: its caller has left");
 		return;
@@ -233,6 +260,7 @@
 
 	(void)loop;
 	(void)revents;
+	notice_standstill(sh);
 	if (sh->stopping_at)
 		check_stop(sh, clock_monotonic());
 	if (sh->pinging)
@@ -334,10 +362,13 @@
 	ev_timer_init(&sh.ping, on_ping, 0., PING_S);
 	ev_signal_init(&sh.terminate, on_terminate, SIGTERM);
 	ev_signal_init(&sh.hangup, on_hangup, SIGHUP);
+	ev_prepare_init(&sh.before_wait, on_before_wait);
+	sh.before_wait.data = &sh;
 	sh.ping.data = &sh;
 	sh.terminate.data = &sh;
 	sh.hangup.data = &sh;
 	ev_timer_start(sh.loop, &sh.ping);
+	ev_prepare_start(sh.loop, &sh.before_wait);
 	lifecycle_watch_signals(sh.loop, &sh.terminate, &sh.hangup);
 	log_info("started", "FRONT", settings->front, "READY", settings->ready);
 	ev_run(sh.loop, 0);
--- a/tests/functional/test_entry_pause.c
+++ b/tests/functional/test_entry_pause.c
@@ -236,6 +236,33 @@
 	world_clear(&w);
 }
 
+/// A caller that still waits after the pause, and one that comes then, were refused because no
+/// leader seemed to have answered for so long.
+static void test_waiting_caller_is_served_after_the_pause(void)
+{
+	struct world w;
+
+	world_init(&w);
+	for (int i = 0; i < 3; i++) {
+		clock_ms_t paused_at = clock_monotonic();
+		clock_ms_t resumed_at;
+		int waiting;
+		int fresh;
+
+		pause_entry(&w);
+		waiting = submit(&w, 10000);
+		g_usleep((gulong)(LONG_PAUSE_MS - 200) * 1000);
+		fresh = submit(&w, 0);
+		resume_entry(&w, paused_at, LONG_PAUSE_MS);
+		resumed_at = clock_monotonic();
+		g_assert_cmpint(read_status(waiting), ==, HTTP_OK);
+		g_assert_cmpint(read_status(fresh), ==, HTTP_OK);
+		g_assert_true(is_served(&w));
+		g_assert_cmpint(clock_monotonic() - resumed_at, <, SERVED_MS);
+	}
+	world_clear(&w);
+}
+
 /// A caller that has sent its whole request may close its side of the connection and read the
 /// answer.
 static void test_half_closed_connection_is_served(void)
@@ -263,6 +290,8 @@
 			test_request_of_departed_caller_is_not_passed_on);
 	g_test_add_func("/entry_pause/request_past_its_deadline_is_not_passed_on",
 			test_request_past_its_deadline_is_not_passed_on);
+	g_test_add_func("/entry_pause/waiting_caller_is_served_after_the_pause",
+			test_waiting_caller_is_served_after_the_pause);
 	g_test_add_func("/entry_pause/half_closed_connection_is_served",
 			test_half_closed_connection_is_served);
 	return g_test_run();
