fix(calls): refuse a second cancelling of an unknown job's id

An account that cancelled an unknown job whose id another account had cancelled before was answered 410, and a copy of its request was accepted later: one id holds one tombstone, and that of another account gives way to a request.

Change: such a cancelling is answered 429, as there is no room to remember it.

--- a/src/sesamewood/manager/calls.c
+++ b/src/sesamewood/manager/calls.c
@@ -17,8 +17,8 @@
 /// snapshots of it.
 #define JOBS_BYTES_MAX ((size_t)48 * 1024 * 1024)
 #define STATE_FULL_RETRY_S 5
-/// Cancelled jobs that were never submitted, which are remembered. Beyond that the caller is asked
-/// to come back: a promise that is not kept is worth less than none.
+/// Limit of the cancelled unknown jobs that are remembered. Beyond it their cancelling is refused,
+/// because a job that arrives later could not be.
 #define TOMBSTONES_MAX 10000
 /// Limits of a schedule: JOB_TASKS_MAX intervals after the first time do not overflow.
 #define WALL_MS_MAX ((int64_t)1 << 53)
@@ -223,13 +223,15 @@
 		.accepted_wall_ms = wall_ms,
 	};
 	job_command c = {.type = JOB_COMMAND_ACCEPT, .job_command_u.accept = spec};
+	const struct job *other = jobs_find(m->jobs, id);
 
-	if (!job_id_is_valid(id) || jobs_find(m->jobs, id))
+	/* A job of another account or queue keeps the id for itself; a tombstone does not. */
+	if (!job_id_is_valid(id) || (other && !job_is_tombstone(other)))
 		return reply_with_status(REPLY_UNKNOWN_JOB);
-	if (m->jobs->tombstones >= TOMBSTONES_MAX ||
+	if (other || m->jobs->tombstones >= TOMBSTONES_MAX ||
 	    m->jobs->bytes + job_estimate_bytes(&spec) > JOBS_BYTES_MAX) {
-		log_info("cancelling of an unknown job refused because the state is full", "JOB",
-			 id, "TOMBSTONES", log_number(m->jobs->tombstones), "STATE_BYTES",
+		log_info("cancelling of an unknown job refused: it cannot be remembered", "JOB", id,
+			 "TOMBSTONES", log_number(m->jobs->tombstones), "STATE_BYTES",
 			 log_number(m->jobs->bytes));
 		return (struct reply){.status = REPLY_BUSY, .retry_after_s = STATE_FULL_RETRY_S};
 	}
--- a/tests/unit/unit_access.c
+++ b/tests/unit/unit_access.c
@@ -148,10 +148,13 @@
 	g_assert_cmpint(send_call(m, CALL_SUBMIT, "j1", "key-b2"), ==, REPLY_UNKNOWN_JOB);
 	g_assert_cmpint(send_call(m, CALL_CANCEL, "j2", "key-c"), ==, REPLY_UNAUTHORIZED);
 	g_assert_cmpint(send_call(m, CALL_SUBMIT, "j2", "key-a"), ==, REPLY_OK);
+	/* One id holds one tombstone: a second one cannot be promised. */
+	g_assert_cmpint(send_call(m, CALL_CANCEL, "j1", "key-a"), ==, REPLY_BUSY);
 	g_assert_cmpint(send_call(m, CALL_SUBMIT, "j1", "key-a"), ==, REPLY_OK);
 	g_assert_cmpstr(jobs_find(m->jobs, "j1")->account, ==, "a");
 	g_assert_cmpint(send_call(m, CALL_JOB_READ, "j1", "key-a"), ==, REPLY_OK);
 	g_assert_cmpint(send_call(m, CALL_SUBMIT, "j1", "key-b"), ==, REPLY_INVALID);
+	g_assert_cmpint(send_call(m, CALL_CANCEL, "j1", "key-b"), ==, REPLY_UNKNOWN_JOB);
 	g_assert_cmpuint(m->jobs->tombstones, ==, 0);
 	manager_free(m);
 }
