--- a/tests/functional/platform_entry.c
+++ b/tests/functional/platform_entry.c
@@ -3,6 +3,7 @@
 #include "harness.h"
 
 #include <signal.h>
+#include <stdlib.h>
 #include <sys/prctl.h>
 #include <unistd.h>
 
@@ -11,6 +12,24 @@
 	return g_strdup_printf("127.%d.%d", 200 + getpid() / 250 % 50, 1 + getpid() % 250);
 }
 
+pid_t platform_entry_start_control(const char *network, rpc_handler_fn on_call)
+{
+	g_autofree char *address = g_strdup_printf("%s.1:%d", network, PLATFORM_ENTRY_RPC_PORT);
+	pid_t pid = fork();
+	struct ev_loop *loop;
+
+	g_assert_cmpint(pid, >=, 0);
+	if (pid)
+		return pid;
+	prctl(PR_SET_PDEATHSIG, SIGKILL); /* also if the test aborts */
+	signal(SIGPIPE, SIG_IGN);
+	loop = ev_default_loop(0);
+	if (!rpc_server_new(loop, address, on_call, loop))
+		_exit(EXIT_FAILURE);
+	ev_run(loop, 0);
+	_exit(EXIT_SUCCESS);
+}
+
 /// A test that aborts leaves no process behind.
 static void end_with_parent(gpointer unused)
 {
